Serve one request through separate host processes

Cause: there was no running system. Ruled out: one process with embedded hosts, because failures of single hosts must be provoked. Before: nothing. Conclusion: the path is whole; scheduling is FIFO and membership a full mesh, to be replaced.

--- /dev/null
+++ b/crates/node/src/adapter/engine.rs
@@ -0,0 +1,136 @@
+//! Model engines over HTTP: streams as lines of JSON.
+
+use std::{sync::Arc, time::Duration};
+
+use futures_lite::AsyncBufReadExt;
+use http_types::{Method, Response, StatusCode};
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::{
+    error::NodeError,
+    http::{self, within},
+};
+
+/// Time within which an engine answers a request's head.
+const HEAD_LIMIT: Duration = Duration::from_secs(2);
+/// Silence after which a stream's connection counts as broken; engines send a keep-alive line
+/// every 500 ms.
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+
+/// What an engine is asked to generate.
+pub struct EngineOrder {
+    /// Stream id.
+    pub stream: Arc<str>,
+    /// Model.
+    pub model: Arc<str>,
+    /// Prompt.
+    pub prompt: Arc<str>,
+    /// Position of the first token.
+    pub offset: u64,
+    /// Position after the last token.
+    pub max_tokens: u64,
+    /// Lower is more urgent.
+    pub priority: u8,
+}
+
+/// How an engine answers a submission or an attachment.
+pub enum EngineAnswer {
+    /// Tokens follow.
+    Stream(Box<EngineStream>),
+    /// Not taken for lack of memory; it was not run.
+    NoMemory,
+    /// The stream is unknown, or the engine does not take it; it was not run.
+    Refused,
+}
+
+/// A part of an engine's stream.
+pub enum EngineEvent {
+    /// Tokens.
+    Chunk {
+        /// Position of the first token.
+        offset: u64,
+        /// Number of tokens.
+        tokens: u64,
+        /// Text.
+        text: String,
+    },
+    /// Nothing new; the connection is alive.
+    KeepAlive,
+    /// The stream ended: complete or cancelled.
+    End {
+        /// Whether all tokens were generated.
+        complete: bool,
+    },
+}
+
+/// An open stream.
+pub struct EngineStream {
+    body: Response,
+    line: String,
+}
+
+#[derive(Deserialize)]
+struct Line {
+    #[serde(default)]
+    o: u64,
+    #[serde(default)]
+    t: String,
+    #[serde(default)]
+    n: u64,
+    #[serde(default)]
+    end: Option<String>,
+}
+
+/// Submits a stream; a repeated submission of the same stream id attaches to it.
+pub async fn submit(address: &str, order: &EngineOrder) -> Result<EngineAnswer, NodeError> {
+    let body = json!({
+        "stream": order.stream, "model": order.model, "prompt": order.prompt,
+        "offset": order.offset, "max_tokens": order.max_tokens, "priority": order.priority,
+    });
+    let body = Some(body.to_string());
+    let response = http::send(address, Method::Post, "/streams", body, HEAD_LIMIT).await?;
+    Ok(answer(response))
+}
+
+/// Attaches to a stream at a position.
+pub async fn attach(address: &str, stream: &str, offset: u64) -> Result<EngineAnswer, NodeError> {
+    let path = format!("/streams/{stream}?offset={offset}");
+    let response = http::send(address, Method::Get, &path, None, HEAD_LIMIT).await?;
+    Ok(answer(response))
+}
+
+/// Cancels a stream. An unknown stream counts as cancelled.
+pub async fn cancel(address: &str, stream: &str) -> Result<(), NodeError> {
+    let path = format!("/streams/{stream}");
+    http::send(address, Method::Delete, &path, None, HEAD_LIMIT).await?;
+    Ok(())
+}
+
+fn answer(response: Response) -> EngineAnswer {
+    match response.status() {
+        StatusCode::Ok => {
+            EngineAnswer::Stream(Box::new(EngineStream { body: response, line: String::new() }))
+        }
+        StatusCode::Conflict => EngineAnswer::NoMemory,
+        _ => EngineAnswer::Refused,
+    }
+}
+
+impl EngineStream {
+    /// The next part. A silent or broken connection is an error.
+    pub async fn next(&mut self) -> Result<EngineEvent, NodeError> {
+        self.line.clear();
+        let read = async { Ok(self.body.read_line(&mut self.line).await?) };
+        if within(SILENCE_LIMIT, read).await? == 0 {
+            return Err(NodeError::Protocol("engine closed the stream"));
+        }
+        let line: Line = serde_json::from_str(&self.line)
+            .map_err(|_| NodeError::Protocol("engine sent a malformed line"))?;
+        Ok(match line {
+            Line { end: Some(end), .. } => EngineEvent::End { complete: end == "stop" },
+            Line { n: 0, .. } => EngineEvent::KeepAlive,
+            Line { o, t, n, .. } => EngineEvent::Chunk { offset: o, tokens: n, text: t },
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/adapter/store.rs
@@ -0,0 +1,83 @@
+//! The platform's key-value service over HTTP.
+
+use std::{sync::Arc, time::Duration};
+
+use http_types::{Method, StatusCode};
+use parsley_core::config::{ConfigDelta, ConfigItem, Revision};
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::{error::NodeError, http};
+
+/// Time within which a call is answered.
+pub const CALL_LIMIT: Duration = Duration::from_secs(1);
+
+#[derive(Deserialize)]
+struct RangeBody {
+    revision: u64,
+    items: Vec<ItemBody>,
+}
+
+#[derive(Deserialize)]
+struct ItemBody {
+    key: Arc<str>,
+    revision: u64,
+    value: Option<Arc<str>>,
+}
+
+#[derive(Deserialize)]
+struct RevisionBody {
+    #[serde(default)]
+    revision: u64,
+}
+
+/// Result of a compare-and-swap that the service answered.
+pub enum SwapAnswer {
+    /// It took effect at this revision.
+    Done(Revision),
+    /// The key has another revision; zero if it is absent.
+    Lost(Revision),
+}
+
+/// Every change under a prefix after a revision. With a wait, the call is a watch.
+pub async fn changes(
+    address: &str,
+    prefix: &str,
+    after: Revision,
+    wait: Option<Duration>,
+) -> Result<ConfigDelta, NodeError> {
+    let (path, limit) = match wait {
+        None => (format!("/range/{prefix}?after={}", after.0), CALL_LIMIT),
+        Some(wait) => {
+            let wait_ms = wait.as_millis();
+            (format!("/watch/{prefix}?after={}&wait_ms={wait_ms}", after.0), wait + CALL_LIMIT)
+        }
+    };
+    let mut response = http::send(address, Method::Get, &path, None, limit).await?;
+    let body: RangeBody = response.body_json().await?;
+    let items = body.items.into_iter().map(|item| ConfigItem {
+        key: item.key,
+        revision: Revision(item.revision),
+        value: item.value,
+    });
+    Ok(ConfigDelta { after, complete: Revision(body.revision), items: items.collect() })
+}
+
+/// Writes a key if its revision is `expect` (zero: absent).
+pub async fn swap(
+    address: &str,
+    key: &str,
+    expect: Revision,
+    value: &str,
+) -> Result<SwapAnswer, NodeError> {
+    let body = json!({"value": value, "expect": expect.0}).to_string();
+    let path = format!("/kv/{key}");
+    let mut response = http::send(address, Method::Put, &path, Some(body), CALL_LIMIT).await?;
+    let status = response.status();
+    let body: RevisionBody = response.body_json().await?;
+    match status {
+        StatusCode::Ok => Ok(SwapAnswer::Done(Revision(body.revision))),
+        StatusCode::Conflict => Ok(SwapAnswer::Lost(Revision(body.revision))),
+        _ => Err(NodeError::Protocol("the key-value service refused the write")),
+    }
+}
--- /dev/null
+++ b/crates/node/src/http.rs
@@ -0,0 +1,102 @@
+//! HTTP client and body helpers shared by the API and the adapters.
+
+use std::{
+    future::Future,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use async_channel::Receiver;
+use async_io::Timer;
+use async_net::TcpStream;
+use futures_lite::{AsyncBufRead, AsyncRead, FutureExt, Stream, io};
+use http_types::{Method, Request, Response, Url};
+
+use crate::error::NodeError;
+
+/// Runs a future for at most `limit`.
+pub async fn within<T>(
+    limit: Duration,
+    future: impl Future<Output = Result<T, NodeError>>,
+) -> Result<T, NodeError> {
+    let late = async {
+        Timer::after(limit).await;
+        Err(NodeError::Timeout)
+    };
+    future.or(late).await
+}
+
+/// Sends one request on a new connection and returns the answer's head; the body follows.
+pub async fn send(
+    address: &str,
+    method: Method,
+    path: &str,
+    body: Option<String>,
+    limit: Duration,
+) -> Result<Response, NodeError> {
+    let url = Url::parse(&format!("http://{address}{path}"))
+        .map_err(|err| NodeError::Http(err.to_string().into()))?;
+    let mut request = Request::new(method, url);
+    if let Some(body) = body {
+        request.set_body(body);
+        request.insert_header("content-type", "application/json");
+    }
+    within(limit, exchange(address, request)).await
+}
+
+async fn exchange(address: &str, request: Request) -> Result<Response, NodeError> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(async_h1::connect(stream, request).await?)
+}
+
+/// A body made of the byte blocks that arrive on a channel, until the channel is closed.
+pub struct ChannelReader {
+    blocks: Pin<Box<Receiver<Vec<u8>>>>,
+    block: Vec<u8>,
+    at: usize,
+}
+
+impl ChannelReader {
+    /// Reads from a channel.
+    pub fn new(blocks: Receiver<Vec<u8>>) -> ChannelReader {
+        ChannelReader { blocks: Box::pin(blocks), block: Vec::new(), at: 0 }
+    }
+}
+
+impl AsyncBufRead for ChannelReader {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let this = self.get_mut();
+        while this.at == this.block.len() {
+            match this.blocks.as_mut().poll_next(cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(None) => return Poll::Ready(Ok(&[])),
+                Poll::Ready(Some(block)) => (this.block, this.at) = (block, 0),
+            }
+        }
+        Poll::Ready(Ok(&this.block[this.at..]))
+    }
+
+    fn consume(self: Pin<&mut Self>, amount: usize) {
+        self.get_mut().at += amount;
+    }
+}
+
+impl AsyncRead for ChannelReader {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let available = match self.as_mut().poll_fill_buf(cx) {
+            Poll::Ready(Ok(available)) => available,
+            Poll::Ready(Err(err)) => return Poll::Ready(Err(err)),
+            Poll::Pending => return Poll::Pending,
+        };
+        let amount = available.len().min(buffer.len());
+        buffer[..amount].copy_from_slice(&available[..amount]);
+        self.consume(amount);
+        Poll::Ready(Ok(amount))
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,13 @@
+//! The parsleystage host: sockets, timers and adapters around the decisions of `parsley-core`.
+
+pub mod adapter;
+pub mod api;
+pub mod carrier;
+pub mod command;
+pub mod config_sync;
+pub mod error;
+pub mod host;
+pub mod http;
+pub mod log;
+pub mod peer;
+pub mod pool;
--- /dev/null
+++ b/crates/node/src/peer/frame.rs
@@ -0,0 +1,162 @@
+//! Frames on the connection between two hosts: a length and a postcard message.
+
+use std::{sync::Arc, time::Duration};
+
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use parsley_core::{
+    config::{ConfigDelta, Revision},
+    refusal::Refusal,
+};
+use parsley_macros::message;
+
+use crate::error::NodeError;
+
+/// Largest frame, in bytes.
+pub const FRAME_BYTES: usize = 20 << 20;
+
+/// A request as hosts pass it on.
+#[message]
+pub struct RequestOrder {
+    /// Request id, unique in the client account.
+    pub request: Arc<str>,
+    /// Client account.
+    pub account: Arc<str>,
+    /// Rank.
+    pub rank: Arc<str>,
+    /// Model.
+    pub model: Arc<str>,
+    /// Prompt.
+    pub prompt: Arc<str>,
+    /// Most tokens to generate.
+    pub max_tokens: u64,
+    /// Time left until the final answer is due.
+    pub time_left: Duration,
+    /// Position from which the caller wants tokens.
+    pub offset: u64,
+    /// Attempt number, from 1.
+    pub attempt: u32,
+}
+
+/// What happens to a request, in the order in which the entry host is told.
+#[message]
+pub enum StreamEvent {
+    /// The request is in the owner's queue.
+    Accepted,
+    /// The request goes to an engine.
+    Started {
+        /// Engine.
+        engine: Arc<str>,
+        /// Stream id on the engine.
+        stream: Arc<str>,
+        /// Attempt number.
+        attempt: u32,
+    },
+    /// Tokens.
+    Chunk {
+        /// Position of the first token.
+        offset: u64,
+        /// Number of tokens.
+        tokens: u64,
+        /// Text.
+        text: String,
+    },
+    /// The answer is complete.
+    Finished,
+    /// The request was refused or failed; this is its final answer.
+    Refused(Refusal),
+    /// The host no longer owns the engine; submit again.
+    Moved,
+}
+
+/// A frame.
+#[message]
+pub enum PeerFrame {
+    /// First frame of a connection.
+    Hello {
+        /// Name of the host that connects.
+        from: Arc<str>,
+        /// Unix time in milliseconds.
+        time_ms: u64,
+        /// Keyed hash of both.
+        tag: [u8; 32],
+    },
+    /// Queue a request.
+    Submit {
+        /// Channel for its events.
+        channel: u64,
+        /// Request.
+        order: RequestOrder,
+        /// Engine that the entry host chose.
+        engine: Arc<str>,
+    },
+    /// Attach to a stream that may be running.
+    Attach {
+        /// Channel for its events.
+        channel: u64,
+        /// Request, with the position from which tokens are wanted.
+        order: RequestOrder,
+        /// Engine.
+        engine: Arc<str>,
+        /// Stream id on the engine.
+        stream: Arc<str>,
+    },
+    /// Cancel a request.
+    Cancel {
+        /// Channel of the request.
+        channel: u64,
+    },
+    /// An event of a request.
+    Event {
+        /// Channel of the request.
+        channel: u64,
+        /// Event.
+        event: StreamEvent,
+    },
+    /// Ask for configuration changes.
+    ConfigPull {
+        /// Changes after this revision.
+        after: Revision,
+    },
+    /// Configuration changes.
+    ConfigDelta(ConfigDelta),
+    /// Sent regularly so that a silent connection is noticed.
+    Ping,
+    /// Answer to `Ping`.
+    Pong,
+}
+
+/// Writes one frame.
+pub async fn write_frame(
+    writer: &mut (impl AsyncWrite + Unpin),
+    frame: &PeerFrame,
+) -> Result<(), NodeError> {
+    let body = postcard::to_stdvec(frame)?;
+    let length = u32::try_from(body.len()).map_err(|_| NodeError::Protocol("frame too large"))?;
+    let mut bytes = length.to_le_bytes().to_vec();
+    bytes.extend_from_slice(&body);
+    writer.write_all(&bytes).await?;
+    writer.flush().await?;
+    Ok(())
+}
+
+/// Reads one frame.
+pub async fn read_frame(reader: &mut (impl AsyncRead + Unpin)) -> Result<PeerFrame, NodeError> {
+    let mut length = [0; 4];
+    reader.read_exact(&mut length).await?;
+    let length = u32::from_le_bytes(length) as usize;
+    if length > FRAME_BYTES {
+        return Err(NodeError::Protocol("frame too large"));
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).await?;
+    Ok(postcard::from_bytes(&body)?)
+}
+
+/// The tag of a `Hello` frame.
+pub fn hello_tag(secret: &str, from: &str, time_ms: u64) -> [u8; 32] {
+    let key = blake3::derive_key("parsleystage peer connection 1", secret.as_bytes());
+    let mut hasher = blake3::Hasher::new_keyed(&key);
+    hasher.update(&time_ms.to_le_bytes());
+    hasher.update(from.as_bytes());
+    *hasher.finalize().as_bytes()
+}
--- /dev/null
+++ b/crates/node/src/peer/link.rs
@@ -0,0 +1,153 @@
+//! The connection that this host opens to another host for the requests it forwards.
+
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use async_net::TcpStream;
+use futures_lite::{FutureExt, io::BufReader};
+use slog::info;
+
+use super::frame::{PeerFrame, StreamEvent, hello_tag, read_frame, write_frame};
+use crate::{
+    config_sync,
+    error::NodeError,
+    host::{Host, HostRef},
+    http::within,
+};
+
+/// Time between two pings.
+pub const PING_PERIOD: Duration = Duration::from_millis(500);
+/// Silence after which a connection counts as broken.
+pub const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+type Channels = Rc<RefCell<BTreeMap<u64, Sender<StreamEvent>>>>;
+
+/// A connection to another host. Clones share it.
+#[derive(Clone)]
+pub struct PeerLink {
+    frames: Sender<PeerFrame>,
+    channels: Channels,
+}
+
+impl PeerLink {
+    /// Sends a frame; a broken link drops it, which the closed channels tell.
+    pub fn send(&self, frame: PeerFrame) {
+        let _ = self.frames.try_send(frame);
+    }
+
+    /// Opens a channel. Its receiver is closed when the link breaks.
+    pub fn open(&self, channel: u64) -> Receiver<StreamEvent> {
+        let (sender, receiver) = async_channel::unbounded();
+        if !self.frames.is_closed() {
+            self.channels.borrow_mut().insert(channel, sender);
+        }
+        receiver
+    }
+
+    /// Closes a channel.
+    pub fn close_channel(&self, channel: u64) {
+        self.channels.borrow_mut().remove(&channel);
+    }
+}
+
+/// The link to a host, opened if there is none.
+pub fn get(host: &HostRef, name: &Arc<str>, address: &Arc<str>) -> PeerLink {
+    if let Some(link) = host.state.borrow().links.get(name)
+        && !link.frames.is_closed()
+    {
+        return link.clone();
+    }
+    let (frames, outgoing) = async_channel::unbounded();
+    let link = PeerLink { frames, channels: Channels::default() };
+    host.state.borrow_mut().links.insert(name.clone(), link.clone());
+    host.spawn(run(host.clone(), name.clone(), address.clone(), link.clone(), outgoing));
+    link
+}
+
+async fn run(
+    host: HostRef,
+    name: Arc<str>,
+    address: Arc<str>,
+    link: PeerLink,
+    outgoing: Receiver<PeerFrame>,
+) {
+    let result = exchange(&host, &address, &link, outgoing).await;
+    if let Err(err) = result {
+        info!(host.log, "peer connection ended"; "event" => "E1101", "peer" => &*name,
+            "error" => %err);
+    }
+    // Closing the channels tells every open request that it must attach elsewhere.
+    link.frames.close();
+    link.channels.borrow_mut().clear();
+}
+
+async fn exchange(
+    host: &HostRef,
+    address: &str,
+    link: &PeerLink,
+    outgoing: Receiver<PeerFrame>,
+) -> Result<(), NodeError> {
+    let connect = async { Ok(TcpStream::connect(address).await?) };
+    let stream = within(CONNECT_LIMIT, connect).await?;
+    stream.set_nodelay(true)?;
+    let reader = BufReader::with_capacity(64 << 10, stream.clone());
+    let writer = stream;
+    write_loop(host, writer, outgoing).or(read_loop(host, reader, link)).await
+}
+
+async fn write_loop(
+    host: &Host,
+    mut writer: TcpStream,
+    outgoing: Receiver<PeerFrame>,
+) -> Result<(), NodeError> {
+    let from = host.settings.name.clone();
+    let time_ms = unix_ms();
+    let tag = hello_tag(&host.settings.peer_key, &from, time_ms);
+    write_frame(&mut writer, &PeerFrame::Hello { from, time_ms, tag }).await?;
+    loop {
+        let frame = next_or_ping(&outgoing).await?;
+        write_frame(&mut writer, &frame).await?;
+    }
+}
+
+/// The next frame to send, or a ping when there is none for a ping period.
+pub async fn next_or_ping(outgoing: &Receiver<PeerFrame>) -> Result<PeerFrame, NodeError> {
+    let next = async {
+        outgoing.recv().await.map_err(|_| NodeError::Protocol("connection closed by this host"))
+    };
+    let ping = async {
+        Timer::after(PING_PERIOD).await;
+        Ok(PeerFrame::Ping)
+    };
+    next.or(ping).await
+}
+
+async fn read_loop(
+    host: &HostRef,
+    mut reader: BufReader<TcpStream>,
+    link: &PeerLink,
+) -> Result<(), NodeError> {
+    loop {
+        match within(SILENCE_LIMIT, read_frame(&mut reader)).await? {
+            PeerFrame::Event { channel, event } => {
+                let sender = link.channels.borrow().get(&channel).cloned();
+                let delivered = sender.is_some_and(|sender| sender.try_send(event).is_ok());
+                if !delivered {
+                    link.close_channel(channel);
+                }
+            }
+            PeerFrame::ConfigDelta(delta) => config_sync::apply(host, delta),
+            PeerFrame::Ping => link.send(PeerFrame::Pong),
+            PeerFrame::Pong => {}
+            _ => return Err(NodeError::Protocol("unexpected frame")),
+        }
+    }
+}
+
+/// Unix time in milliseconds.
+pub fn unix_ms() -> u64 {
+    let since_epoch = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/node/src/peer/serve.rs
@@ -0,0 +1,110 @@
+//! Connections that other hosts open to this host.
+
+use std::{collections::BTreeMap, net::TcpListener, time::Duration};
+
+use async_channel::{Receiver, Sender};
+use async_io::Async;
+use async_net::TcpStream;
+use futures_lite::{FutureExt, io::BufReader};
+use parsley_core::key::WorkKey;
+use slog::info;
+
+use super::{
+    frame::{PeerFrame, hello_tag, read_frame, write_frame},
+    link::{SILENCE_LIMIT, next_or_ping, unix_ms},
+};
+use crate::{
+    error::NodeError,
+    host::HostRef,
+    http::within,
+    pool::{self, EventSink},
+};
+
+/// Largest difference between the clocks of two hosts.
+const CLOCK_TOLERANCE: Duration = Duration::from_secs(60);
+
+/// Starts to accept connections of other hosts.
+pub fn start(host: &HostRef) -> Result<(), NodeError> {
+    let listener = Async::<TcpListener>::try_from(TcpListener::bind(&*host.settings.peer_listen)?)?;
+    host.spawn(accept_loop(host.clone(), listener));
+    Ok(())
+}
+
+async fn accept_loop(host: HostRef, listener: Async<TcpListener>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let _ = stream.get_ref().set_nodelay(true);
+        let stream = TcpStream::from(stream);
+        host.spawn(serve(host.clone(), stream));
+    }
+}
+
+async fn serve(host: HostRef, stream: TcpStream) {
+    let (frames, outgoing) = async_channel::unbounded();
+    let mut channels = BTreeMap::new();
+    let reader = BufReader::with_capacity(64 << 10, stream.clone());
+    let reading = read_loop(&host, reader, &frames, &mut channels);
+    let result = write_loop(stream, outgoing).or(reading).await;
+    frames.close();
+    if let Err(err) = result {
+        info!(host.log, "connection from peer ended"; "event" => "E1102", "error" => %err);
+    }
+    for work in channels.into_values() {
+        pool::detach(&host, work);
+    }
+}
+
+async fn write_loop(mut writer: TcpStream, outgoing: Receiver<PeerFrame>) -> Result<(), NodeError> {
+    loop {
+        let frame = next_or_ping(&outgoing).await?;
+        write_frame(&mut writer, &frame).await?;
+    }
+}
+
+async fn read_loop(
+    host: &HostRef,
+    mut reader: BufReader<TcpStream>,
+    frames: &Sender<PeerFrame>,
+    channels: &mut BTreeMap<u64, WorkKey>,
+) -> Result<(), NodeError> {
+    let hello = within(SILENCE_LIMIT, read_frame(&mut reader)).await?;
+    check_hello(host, &hello)?;
+    let sink = |channel| EventSink::Peer { channel, frames: frames.clone() };
+    loop {
+        match within(SILENCE_LIMIT, read_frame(&mut reader)).await? {
+            PeerFrame::Submit { channel, order, engine } => {
+                channels.insert(channel, pool::submit(host, order, &engine, sink(channel)));
+            }
+            PeerFrame::Attach { channel, order, engine, stream } => {
+                let work = pool::attach(host, order, &engine, &stream, sink(channel));
+                channels.insert(channel, work);
+            }
+            PeerFrame::Cancel { channel } => {
+                if let Some(work) = channels.remove(&channel) {
+                    pool::cancel(host, work);
+                }
+            }
+            PeerFrame::ConfigPull { after } => {
+                let delta = host.state.borrow().config.delta(after);
+                let _ = frames.try_send(PeerFrame::ConfigDelta(delta));
+            }
+            PeerFrame::Ping => drop(frames.try_send(PeerFrame::Pong)),
+            PeerFrame::Pong => {}
+            _ => return Err(NodeError::Protocol("unexpected frame")),
+        }
+    }
+}
+
+fn check_hello(host: &HostRef, frame: &PeerFrame) -> Result<(), NodeError> {
+    let PeerFrame::Hello { from, time_ms, tag } = frame else {
+        return Err(NodeError::Protocol("first frame is not hello"));
+    };
+    let expected = hello_tag(&host.settings.peer_key, from, *time_ms);
+    if blake3::Hash::from_bytes(expected) != blake3::Hash::from_bytes(*tag) {
+        return Err(NodeError::Protocol("peer does not know the peer key"));
+    }
+    if unix_ms().abs_diff(*time_ms) > CLOCK_TOLERANCE.as_millis() as u64 {
+        return Err(NodeError::Protocol("hello is too old"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/standins/src/engine.rs
@@ -0,0 +1,256 @@
+//! A model engine over HTTP.
+//!
+//! | request | meaning |
+//! |---|---|
+//! | `POST /streams` | submit a stream, or attach to it if the id is known; lines of JSON follow |
+//! | `GET /streams/<id>?offset=N` | attach to a stream at a position |
+//! | `DELETE /streams/<id>` | cancel a stream and return its memory |
+//! | `GET /streams` | list streams |
+//! | `GET /load` | load report, as it was one lag ago |
+//! | `GET /runs` | every stream id that was ever taken, for tests |
+//!
+//! A line is `{"o":offset,"t":text,"n":tokens}`, `{}` as keep-alive, or `{"end":"stop"}`.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use http_types::{Method, Request, Response};
+use serde_json::json;
+
+use crate::{
+    engine_model::{self, EngineModel, EngineShape, StreamOrder, StreamRefusal, StreamState},
+    server::{self, AnswerFuture, ServerHandle},
+};
+
+/// Time between two keep-alive lines.
+const KEEP_ALIVE: Duration = Duration::from_millis(500);
+/// Lag of the load report.
+const LOAD_LAG: Duration = Duration::from_millis(300);
+/// Prompt lengths, in tokens, whose hashes form the prefix chain.
+const PREFIX_TOKENS: [u64; 4] = [1_000, 4_000, 16_000, 64_000];
+
+/// Settings of an engine stand-in.
+#[derive(Clone, Debug)]
+pub struct EngineConfig {
+    /// Port, 0 for any.
+    pub port: u16,
+    /// Size and pace.
+    pub shape: EngineShape,
+    /// Time of one step.
+    pub step: Duration,
+}
+
+struct Engine {
+    model: EngineModel,
+    listeners: BTreeMap<String, Vec<Sender<Vec<u8>>>>,
+    runs: Vec<String>,
+    reports: VecDeque<serde_json::Value>,
+}
+
+type EngineRef = Rc<RefCell<Engine>>;
+
+/// Starts an engine.
+pub fn start(config: EngineConfig) -> std::io::Result<ServerHandle> {
+    server::start(config.port, move |executor| {
+        let engine = Rc::new(RefCell::new(Engine {
+            model: EngineModel::new(config.shape.clone()),
+            listeners: BTreeMap::new(),
+            runs: Vec::new(),
+            reports: VecDeque::new(),
+        }));
+        executor.spawn(run_steps(engine.clone(), config.step)).detach();
+        executor.spawn(send_keep_alives(engine.clone())).detach();
+        executor.spawn(record_reports(engine.clone())).detach();
+        move |request| -> AnswerFuture { Box::pin(answer(engine.clone(), request)) }
+    })
+}
+
+async fn run_steps(engine: EngineRef, step: Duration) {
+    loop {
+        Timer::after(step).await;
+        let mut engine = engine.borrow_mut();
+        for id in engine.model.advance() {
+            engine.publish(&id);
+        }
+    }
+}
+
+async fn send_keep_alives(engine: EngineRef) {
+    loop {
+        Timer::after(KEEP_ALIVE).await;
+        for senders in engine.borrow_mut().listeners.values_mut() {
+            senders.retain(|sender| sender.try_send(b"{}\n".to_vec()).is_ok());
+        }
+    }
+}
+
+async fn record_reports(engine: EngineRef) {
+    let period = LOAD_LAG / 3;
+    loop {
+        {
+            let mut engine = engine.borrow_mut();
+            let report = engine.report();
+            engine.reports.push_back(report);
+            if engine.reports.len() > 4 {
+                engine.reports.pop_front();
+            }
+        }
+        Timer::after(period).await;
+    }
+}
+
+async fn answer(engine: EngineRef, mut request: Request) -> Response {
+    let (path, query) = server::route(&request);
+    let path: Vec<_> = path.iter().map(String::as_str).collect();
+    match (request.method(), path.as_slice()) {
+        (Method::Post, ["streams"]) => {
+            let Ok(body) = request.body_json::<serde_json::Value>().await else {
+                return server::json(400, &json!({"reason": "bad-json"}));
+            };
+            submit(&engine, &body)
+        }
+        (Method::Get, ["streams", id]) => {
+            let offset = query.get("offset").and_then(|text| text.parse().ok()).unwrap_or(0);
+            if !engine.borrow().model.streams().contains_key(*id) {
+                return server::json(404, &json!({"reason": "unknown-stream"}));
+            }
+            server::streamed(engine.borrow_mut().attach(id, offset))
+        }
+        (Method::Delete, ["streams", id]) => {
+            let known = engine.borrow_mut().cancel(id);
+            server::json(if known { 200 } else { 404 }, &json!({}))
+        }
+        (Method::Get, ["streams"]) => server::json(200, &engine.borrow().list()),
+        (Method::Get, ["load"]) => {
+            let report = engine.borrow().reports.front().cloned().unwrap_or_default();
+            server::json(200, &report)
+        }
+        (Method::Get, ["runs"]) => server::json(200, &json!(engine.borrow().runs)),
+        _ => server::json(404, &json!({"reason": "no-route"})),
+    }
+}
+
+fn submit(engine: &EngineRef, body: &serde_json::Value) -> Response {
+    let Some((id, order)) = parse_order(body) else {
+        return server::json(400, &json!({"reason": "bad-order"}));
+    };
+    let mut engine = engine.borrow_mut();
+    let offset = order.offset;
+    let known = engine.model.streams().contains_key(&id);
+    match engine.model.submit(&id, order) {
+        Ok(()) => {
+            if !known {
+                engine.runs.push(id.clone());
+            }
+            server::streamed(engine.attach(&id, offset))
+        }
+        Err(StreamRefusal::Memory) => server::json(409, &json!({"reason": "memory"})),
+        Err(StreamRefusal::TooLarge) => server::json(413, &json!({"reason": "too-large"})),
+    }
+}
+
+fn parse_order(body: &serde_json::Value) -> Option<(String, StreamOrder)> {
+    let prompt = body["prompt"].as_str()?;
+    let prompt_tokens = prompt_tokens(prompt);
+    let offset = body["offset"].as_u64().unwrap_or(0);
+    let order = StreamOrder {
+        model: body["model"].as_str()?.to_owned(),
+        prompt_tokens: prompt_tokens + offset,
+        prompt_hash: engine_model::prompt_hash(prompt),
+        prefixes: prefix_chain(prompt),
+        offset,
+        end: body["max_tokens"].as_u64()?,
+        priority: u8::try_from(body["priority"].as_u64()?).ok()?,
+    };
+    Some((body["stream"].as_str()?.to_owned(), order))
+}
+
+/// Tokens of a prompt: four bytes a token.
+pub fn prompt_tokens(prompt: &str) -> u64 {
+    (prompt.len() as u64).div_ceil(4)
+}
+
+fn prefix_chain(prompt: &str) -> Vec<(u64, u64)> {
+    let bytes = prompt.as_bytes();
+    PREFIX_TOKENS
+        .into_iter()
+        .filter_map(|tokens| {
+            let head = bytes.get(..tokens as usize * 4)?;
+            let mut hash = [0; 8];
+            hash.copy_from_slice(&blake3::hash(head).as_bytes()[..8]);
+            Some((u64::from_le_bytes(hash), tokens))
+        })
+        .collect()
+}
+
+impl Engine {
+    /// Subscribes to a stream, starting with everything it produced from `offset` on.
+    fn attach(&mut self, id: &str, offset: u64) -> Receiver<Vec<u8>> {
+        let (sender, receiver) = async_channel::unbounded();
+        let stream = &self.model.streams()[id];
+        if stream.produced > offset {
+            let hash = stream.order.prompt_hash;
+            let text: String =
+                (offset..stream.produced).map(|at| engine_model::word(hash, at)).collect();
+            send(&sender, &json!({"o": offset, "t": text, "n": stream.produced - offset}));
+        }
+        if stream.state == StreamState::Finished {
+            send(&sender, &json!({"end": "stop"}));
+        } else {
+            self.listeners.entry(id.to_owned()).or_default().push(sender);
+        }
+        receiver
+    }
+
+    fn publish(&mut self, id: &str) {
+        let stream = &self.model.streams()[id];
+        let at = stream.produced - 1;
+        let finished = stream.state == StreamState::Finished;
+        let line = json!({"o": at, "t": engine_model::word(stream.order.prompt_hash, at), "n": 1});
+        let Some(senders) = self.listeners.get_mut(id) else { return };
+        for sender in senders.iter() {
+            send(sender, &line);
+            if finished {
+                send(sender, &json!({"end": "stop"}));
+            }
+        }
+        if finished {
+            self.listeners.remove(id);
+        }
+    }
+
+    fn cancel(&mut self, id: &str) -> bool {
+        for sender in self.listeners.remove(id).unwrap_or_default() {
+            send(&sender, &json!({"end": "cancelled"}));
+        }
+        self.model.cancel(id)
+    }
+
+    fn report(&self) -> serde_json::Value {
+        json!({
+            "held_tokens": self.model.held(),
+            "running": self.model.count(StreamState::Running),
+            "waiting": self.model.count(StreamState::Waiting),
+            "leaving": false,
+        })
+    }
+
+    fn list(&self) -> serde_json::Value {
+        let streams = self.model.streams().iter().map(|(id, stream)| {
+            let finished = stream.state == StreamState::Finished;
+            json!({"stream": id, "finished": finished, "produced": stream.produced})
+        });
+        json!({"streams": streams.collect::<Vec<_>>()})
+    }
+}
+
+fn send(sender: &Sender<Vec<u8>>, line: &serde_json::Value) {
+    // A client that is gone is noticed at the next keep-alive.
+    let _ = sender.try_send(format!("{line}\n").into_bytes());
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,13 @@
+//! Small stand-ins for the systems around parsleystage, and the tools that load and measure it.
+//!
+//! Each stand-in listens on a loopback port of its own and runs on its own thread, so one process
+//! can embed a whole platform.
+
+pub mod caller;
+pub mod engine;
+pub mod engine_model;
+pub mod fleet;
+pub mod hostlist;
+pub mod server;
+pub mod service;
+pub mod store;
