Add stand-ins for orders, cache events and weights

Cause: the order and placement slices need engines that take orders with and without a check of the fencing number, publish cache events late and with gaps, and load from a rate-limited store. Change: engine_roles.rs, weights.rs, a filter in the host list and DELETE of leases in the store. The fleet builder sets replicas and the fencing check. Conclusion: orders can be tested against both kinds of engines.

--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -7,6 +7,10 @@
 //! | `DELETE /streams/<id>` | cancel a stream and return its memory |
 //! | `GET /streams` | list streams |
 //! | `GET /load` | load report, as it was one lag ago |
+//! | `GET /cache?after=N` | cache events after a number, late and with gaps |
+//! | `POST /orders` `{"fencing","action","model"}` | load or unload a model; 412 for an old number |
+//! | `GET /orders` | orders that took effect, for tests |
+//! | `PUT /leaving` | says that it is leaving, for tests |
 //! | `GET /runs` | every stream id that was ever taken, for tests |
 //!
 //! A line is `{"o":offset,"t":text,"n":tokens}`, `{}` as keep-alive, or `{"end":"stop"}`.
@@ -24,7 +28,9 @@
 use serde_json::json;
 
 use crate::{
+    caller,
     engine_model::{self, EngineModel, EngineShape, StreamOrder, StreamRefusal, StreamState},
+    engine_roles::EngineRoles,
     server::{self, AnswerFuture, ServerHandle},
 };
 
@@ -44,6 +50,12 @@
     pub shape: EngineShape,
     /// Time of one step.
     pub step: Duration,
+    /// Models loaded from the start.
+    pub models: Vec<String>,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fencing: bool,
+    /// Address of the weight store; without one, loads are done at once.
+    pub weights: Option<String>,
 }
 
 struct Engine {
@@ -51,6 +63,8 @@
     listeners: BTreeMap<String, Vec<Sender<Vec<u8>>>>,
     runs: Vec<String>,
     reports: VecDeque<serde_json::Value>,
+    roles: EngineRoles,
+    weights: Option<String>,
 }
 
 type EngineRef = Rc<RefCell<Engine>>;
@@ -63,6 +77,8 @@
             listeners: BTreeMap::new(),
             runs: Vec::new(),
             reports: VecDeque::new(),
+            roles: EngineRoles::new(config.models, config.checks_fencing),
+            weights: config.weights,
         }));
         executor.spawn(run_steps(engine.clone(), config.step)).detach();
         executor.spawn(send_keep_alives(engine.clone())).detach();
@@ -78,6 +94,10 @@
         for id in engine.model.advance() {
             engine.publish(&id);
         }
+        let (added, removed) = engine.model.take_cache_changes();
+        if !added.is_empty() || !removed.is_empty() {
+            engine.roles.publish(&added, &removed);
+        }
     }
 }
 
@@ -131,11 +151,44 @@
             let report = engine.borrow().reports.front().cloned().unwrap_or_default();
             server::json(200, &report)
         }
+        (Method::Get, ["cache"]) => {
+            let after = query.get("after").and_then(|text| text.parse().ok()).unwrap_or(0);
+            server::json(200, &engine.borrow().roles.events(after))
+        }
+        (Method::Post, ["orders"]) => {
+            let body = request.body_json::<serde_json::Value>().await.unwrap_or_default();
+            take_order(&engine, &body).await
+        }
+        (Method::Get, ["orders"]) => server::json(200, &engine.borrow().roles.history()),
+        (Method::Put, ["leaving"]) => {
+            engine.borrow_mut().roles.leaving = true;
+            server::json(200, &json!({}))
+        }
         (Method::Get, ["runs"]) => server::json(200, &json!(engine.borrow().runs)),
         _ => server::json(404, &json!({"reason": "no-route"})),
     }
 }
 
+/// Takes an order; a load counts when the weight store gave the weights.
+async fn take_order(engine: &EngineRef, body: &serde_json::Value) -> Response {
+    let load = engine.borrow_mut().roles.order(body);
+    let model = match load {
+        Ok(Some(model)) => model,
+        Ok(None) => return server::json(200, &json!({})),
+        Err(status) => return server::json(status, &json!({})),
+    };
+    let weights = engine.borrow().weights.clone();
+    if let Some(address) = weights {
+        let request = caller::request(Method::Get, &address, &format!("/weights/{model}"));
+        let served = caller::send(&address, request).await;
+        if !served.is_ok_and(|response| response.status().is_success()) {
+            return server::json(503, &json!({"reason": "weights"}));
+        }
+    }
+    engine.borrow_mut().roles.loaded(model);
+    server::json(202, &json!({}))
+}
+
 fn submit(engine: &EngineRef, body: &serde_json::Value) -> Response {
     let Some((id, order)) = parse_order(body) else {
         return server::json(400, &json!({"reason": "bad-order"}));
@@ -237,7 +290,8 @@
             "held_tokens": self.model.held(),
             "running": self.model.count(StreamState::Running),
             "waiting": self.model.count(StreamState::Waiting),
-            "leaving": false,
+            "leaving": self.roles.leaving,
+            "models": self.roles.models(),
         })
     }
 
--- a/crates/standins/src/engine_model.rs
+++ b/crates/standins/src/engine_model.rs
@@ -81,6 +81,7 @@
     prefixes: VecDeque<u64>,
     held: u64,
     next_sequence: u64,
+    cache_changes: (Vec<u64>, Vec<u64>),
 }
 
 impl EngineModel {
@@ -92,9 +93,15 @@
             prefixes: VecDeque::new(),
             held: 0,
             next_sequence: 0,
+            cache_changes: (Vec::new(), Vec::new()),
         }
     }
 
+    /// Prefixes that entered and left the cache since the last call.
+    pub fn take_cache_changes(&mut self) -> (Vec<u64>, Vec<u64>) {
+        std::mem::take(&mut self.cache_changes)
+    }
+
     /// Tokens of memory held by streams and reservations.
     pub fn held(&self) -> u64 {
         self.held
@@ -218,11 +225,14 @@
 
     fn remember(&mut self, hashes: &[u64]) {
         for hash in hashes {
+            if !self.prefixes.contains(hash) {
+                self.cache_changes.0.push(*hash);
+            }
             self.prefixes.retain(|known| known != hash);
             self.prefixes.push_back(*hash);
         }
         while self.prefixes.len() > self.shape.cached_prefixes {
-            self.prefixes.pop_front();
+            self.cache_changes.1.extend(self.prefixes.pop_front());
         }
     }
 }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -18,11 +18,13 @@
     engine_model::EngineShape,
     hostlist,
     server::ServerHandle,
-    service, store,
+    service, store, weights,
 };
 
 /// Secret that the hosts of a stand-in fleet share.
 const PEER_KEY: &str = "stand-in fleet";
+/// Rate of the weight store.
+const LOADS_PER_SECOND: f64 = 40.0;
 /// Time within which a started fleet answers.
 const START_LIMIT: Duration = Duration::from_secs(15);
 
@@ -38,6 +40,8 @@
     step: Duration,
     services: bool,
     quiet: bool,
+    replicas: Option<u32>,
+    checks_fencing: bool,
 }
 
 impl FleetBuilder {
@@ -58,6 +62,8 @@
             step: Duration::from_millis(5),
             services: true,
             quiet: true,
+            replicas: None,
+            checks_fencing: true,
         }
     }
 
@@ -97,6 +103,18 @@
         self
     }
 
+    /// Number of engines that are to have the model loaded. Engines then start without it.
+    pub fn replicas(mut self, replicas: u32) -> FleetBuilder {
+        self.replicas = Some(replicas);
+        self
+    }
+
+    /// Whether engines refuse orders with an old fencing number.
+    pub fn checks_fencing(mut self, checks_fencing: bool) -> FleetBuilder {
+        self.checks_fencing = checks_fencing;
+        self
+    }
+
     /// Whether the hosts' logs are dropped.
     pub fn quiet(mut self, quiet: bool) -> FleetBuilder {
         self.quiet = quiet;
@@ -107,10 +125,12 @@
     pub fn start(self) -> io::Result<Fleet> {
         let store = store::start(0)?;
         let host_list = hostlist::start(0, json!([]))?;
+        let weights = weights::start(0, LOADS_PER_SECOND)?;
         let mut fleet = Fleet {
             builder: self,
             store: Some(store),
             host_list: Some(host_list),
+            weights: Some(weights),
             engines: Vec::new(),
             services: Vec::new(),
             hosts: Vec::new(),
@@ -143,6 +163,7 @@
     builder: FleetBuilder,
     store: Option<ServerHandle>,
     host_list: Option<ServerHandle>,
+    weights: Option<ServerHandle>,
     engines: Vec<Option<ServerHandle>>,
     services: Vec<ServerHandle>,
     hosts: Vec<FleetHost>,
@@ -159,6 +180,11 @@
         self.store.as_ref().map(ServerHandle::address)
     }
 
+    /// Address of the host list, if it runs.
+    pub fn host_list_address(&self) -> Option<SocketAddr> {
+        self.host_list.as_ref().map(ServerHandle::address)
+    }
+
     /// Addresses of the engines that run.
     pub fn engine_addresses(&self) -> Vec<SocketAddr> {
         self.engines.iter().flatten().map(ServerHandle::address).collect()
@@ -234,6 +260,9 @@
         if let Some(host_list) = self.host_list.take() {
             host_list.close();
         }
+        if let Some(weights) = self.weights.take() {
+            weights.close();
+        }
     }
 
     fn stop(&mut self) {
@@ -249,6 +278,12 @@
                 port: 0,
                 shape: self.builder.shape.clone(),
                 step: self.builder.step,
+                models: match self.builder.replicas {
+                    Some(_) => Vec::new(),
+                    None => vec!["inspector".to_owned()],
+                },
+                checks_fencing: self.builder.checks_fencing,
+                weights: self.weights.as_ref().map(|weights| weights.address().to_string()),
             };
             self.engines.push(Some(engine::start(config)?));
         }
@@ -263,7 +298,11 @@
         put("ranks", "urgent", rank(0, 1_000, 30_000, 30))?;
         put("ranks", "standard", rank(1, 5_000, 120_000, 40))?;
         put("ranks", "batch", rank(2, 60_000, 300_000, 10))?;
-        put("models", "inspector", json!({"context_tokens": 1_200_000}))?;
+        put(
+            "models",
+            "inspector",
+            json!({"context_tokens": 1_200_000, "replicas": self.builder.replicas}),
+        )?;
         for name in &self.builder.accounts {
             let digest = blake3::hash(format!("token-{name}").as_bytes()).to_hex().to_string();
             let spec = json!({
@@ -294,12 +333,12 @@
         let domain = format!("domain-{}", index % self.builder.domains);
         json!({
             "address": address.to_string(), "region": "region-0", "failure_domain": domain,
-            "role": role,
+            "role": role, "checks_fencing": self.builder.checks_fencing,
         })
     }
 
     /// Writes a resource into the key-value service, past the administration API.
-    fn put(&self, kind: &str, name: &str, spec: &Value) -> io::Result<()> {
+    pub fn put(&self, kind: &str, name: &str, spec: &Value) -> io::Result<()> {
         let Some(address) = self.store_address() else { return Ok(()) };
         let address = address.to_string();
         let path = format!("/kv/config/{kind}/{name}");
@@ -327,6 +366,7 @@
                 "failure_domain": format!("domain-{}", index % self.builder.domains),
                 "listen": address, "peer_listen": peer_address, "peer_key": PEER_KEY,
                 "store": [self.store_address()], "host_list": self.host_list.as_ref().map(ServerHandle::address),
+                "weight_store": self.weights.as_ref().map(ServerHandle::address),
                 "seeds": seeds,
             });
             let path = std::env::temp_dir().join(format!("parsley-{run:016x}-{name}.json"));
--- a/crates/standins/src/hostlist.rs
+++ b/crates/standins/src/hostlist.rs
@@ -1,4 +1,5 @@
-//! The platform's lagging list of live and leaving hosts: `GET /hosts`, and `PUT /hosts` for tests.
+//! The platform's lagging list of live and leaving hosts: `GET /hosts`, `GET /hosts?leaving=true`
+//! for the leaving ones, and `PUT /hosts` for tests.
 
 use std::{cell::RefCell, collections::VecDeque, rc::Rc, time::Instant};
 
@@ -28,7 +29,13 @@
             while history.len() > 1 && history[1].0.elapsed() >= LAG {
                 history.pop_front();
             }
-            server::json(200, &history[0].1)
+            let listed = &history[0].1;
+            if !request.url().query_pairs().any(|pair| pair == ("leaving".into(), "true".into())) {
+                return server::json(200, listed);
+            }
+            let is_leaving = |host: &&Value| host["leaving"] == true;
+            let leaving = listed.as_array().into_iter().flatten().filter(is_leaving);
+            server::json(200, &leaving.cloned().collect())
         }
         Method::Put => {
             let Ok(hosts) = request.body_json().await else { return server::json(400, &json!({})) };
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod caller;
 pub mod engine;
 pub mod engine_model;
+pub mod engine_roles;
 pub mod fleet;
 pub mod hostlist;
 pub mod server;
 pub mod service;
 pub mod store;
+pub mod weights;
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -8,7 +8,7 @@
 //! | `DELETE /kv/<key>?expect=N` | delete likewise |
 //! | `GET /range/<prefix>?after=N` | every change after a revision, deletions as null values |
 //! | `GET /watch/<prefix>?after=N&wait_ms=M` | the same, answered when there is one or at the end of the wait |
-//! | `POST /leases` `{"ttl_ms"}`, `POST /leases/<id>` | grant and renew |
+//! | `POST /leases` `{"ttl_ms"}`, `POST /leases/<id>`, `DELETE /leases/<id>` | grant, renew, give up |
 
 use std::{
     cell::RefCell,
@@ -87,6 +87,7 @@
         (Method::Get, "watch") => watch(&store, &key, number("after"), number("wait_ms")).await,
         (Method::Post, "leases") if rest.is_empty() => store.borrow_mut().grant(&body),
         (Method::Post, "leases") => store.borrow_mut().renew(&key),
+        (Method::Delete, "leases") => store.borrow_mut().revoke(&key),
         (Method::Get, "calls") => server::json(200, &json!(store.borrow().calls)),
         _ => server::json(404, &json!({})),
     }
@@ -187,6 +188,14 @@
         server::json(200, &json!({}))
     }
 
+    fn revoke(&mut self, id: &str) -> Response {
+        self.count("lease");
+        if let Ok(id) = id.parse() {
+            self.end(id);
+        }
+        server::json(200, &json!({}))
+    }
+
     fn expire(&mut self, now: Instant) {
         let expired: Vec<_> = self
             .leases
@@ -195,13 +204,17 @@
             .map(|(id, _)| *id)
             .collect();
         for id in expired {
-            self.leases.remove(&id);
-            for entry in self.entries.values_mut() {
-                if entry.lease == Some(id) && entry.value.is_some() {
-                    self.revision += 1;
-                    entry.revision = self.revision;
-                    entry.value = None;
-                }
+            self.end(id);
+        }
+    }
+
+    fn end(&mut self, id: u64) {
+        self.leases.remove(&id);
+        for entry in self.entries.values_mut() {
+            if entry.lease == Some(id) && entry.value.is_some() {
+                self.revision += 1;
+                entry.revision = self.revision;
+                entry.value = None;
             }
         }
     }
