Make hosts behave as one: members to orders

Cause: membership was a full mesh that sent n datagrams per probe and never refuted, every host watched the key-value service, each request hashed every host to find an owner, and there was no health or order slice. Ruled out: a view kept by the key-value service (n leases); ownership that moves at death only (3 to 7 s of stalled requests, while a false suspicion costs a few retries). Queued work that no usable engine of its owner serves is handed back: before, it waited for its deadline.

--- /dev/null
+++ b/crates/core/src/health/tests.rs
@@ -0,0 +1,117 @@
+use super::*;
+use crate::fixed_cases;
+
+const POOL: ModelKey = ModelKey(0);
+
+fn tracker(engines: u32) -> HealthTracker {
+    let mut tracker = HealthTracker::default();
+    for engine in 0..engines {
+        tracker.step(Time::ZERO, HealthInput::Owned { engine: EngineKey(engine), pool: POOL });
+    }
+    tracker
+}
+
+fn fail(tracker: &mut HealthTracker, now: Time, engine: u32) -> Vec<HealthOutput> {
+    let input = HealthInput::Outcome { engine: EngineKey(engine), is_success: false };
+    (0..3).flat_map(|_| tracker.step(now, input.clone())).collect()
+}
+
+fn usable(engine: u32, is_usable: bool) -> HealthOutput {
+    HealthOutput::Usable { engine: EngineKey(engine), is_usable }
+}
+
+/// Guards against an engine that fails every request and keeps getting them, and against one that
+/// returns without having proved itself, or sooner each time.
+#[test]
+fn failing_engine_is_ejected_longer_each_time() {
+    let mut tracker = tracker(3);
+    let mut now = Time::ZERO;
+    for seconds in [5, 10, 20, 40, 60, 60] {
+        let expected = if seconds == 5 { vec![usable(1, false)] } else { vec![] };
+        if seconds == 5 {
+            assert_eq!(fail(&mut tracker, now, 1), expected);
+        }
+        now = now + Duration::from_secs(seconds - 1);
+        assert_eq!(tracker.step(now, HealthInput::Tick), vec![], "{seconds} s");
+        now = now + Duration::from_secs(1);
+        let outputs = tracker.step(now, HealthInput::Tick);
+        assert_eq!(outputs, vec![HealthOutput::Probe(EngineKey(1))]);
+        let failed = HealthInput::Probed { engine: EngineKey(1), is_success: false };
+        assert_eq!(tracker.step(now, failed), vec![]);
+    }
+    now = now + MAX_EJECTION;
+    tracker.step(now, HealthInput::Tick);
+    let passed = HealthInput::Probed { engine: EngineKey(1), is_success: true };
+    assert_eq!(tracker.step(now, passed), vec![usable(1, true)]);
+}
+
+/// Guards against a probe request whose result never comes and that keeps the engine out for good.
+#[test]
+fn lost_probe_counts_as_failed() {
+    let mut tracker = tracker(3);
+    fail(&mut tracker, Time::ZERO, 1);
+    let probed = Time::ZERO + FIRST_EJECTION;
+    tracker.step(probed, HealthInput::Tick);
+    tracker.step(probed + PROBE_LIMIT, HealthInput::Tick);
+    let again = tracker.step(probed + PROBE_LIMIT + FIRST_EJECTION * 2, HealthInput::Tick);
+    assert_eq!(again, vec![HealthOutput::Probe(EngineKey(1))]);
+}
+
+/// Guards against ejection of an engine that is merely below average, and against a slow engine
+/// that keeps its place.
+#[test]
+fn engine_under_a_third_of_the_median_is_ejected() {
+    let mut tracker = tracker(4);
+    let mut ejected = Vec::new();
+    for _ in 0..10 {
+        for (engine, rate) in [(0, 1000.0), (1, 900.0), (2, 400.0), (3, 250.0)] {
+            let input = HealthInput::Rate { engine: EngineKey(engine), rate };
+            ejected.extend(tracker.step(Time::ZERO, input));
+        }
+    }
+    assert_eq!(ejected, vec![usable(3, false)]);
+}
+
+/// Guards against a pool emptied by ejection, and against the limit keeping work on engines that
+/// do not answer at all.
+#[test]
+fn at_most_half_of_the_answering_engines_are_ejected() {
+    fixed_cases(200, |u| {
+        let engines = u.int_in_range(1..=9)?;
+        let mut tracker = tracker(engines);
+        let mut silent = std::collections::BTreeSet::new();
+        for _ in 0..u.int_in_range(1..=30)? {
+            let engine = u.int_in_range(0..=engines - 1)?;
+            if u.ratio(1, 4)? {
+                silent.insert(engine);
+                let engine = EngineKey(engine);
+                tracker.step(Time::ZERO, HealthInput::Answering { engine, is_answering: false });
+            } else if silent.is_empty() {
+                fail(&mut tracker, Time::ZERO, engine);
+            }
+        }
+        let unusable = (0..engines).filter(|engine| !tracker.is_usable(EngineKey(*engine)));
+        let ejected = unusable.filter(|engine| !silent.contains(engine)).count();
+        assert!(ejected * 2 <= engines as usize);
+        assert!(silent.iter().all(|engine| !tracker.is_usable(EngineKey(*engine))));
+        Ok(())
+    });
+}
+
+/// Guards against new work on a server that any of the three sources says is leaving, and against
+/// one that stays out after it decided to stay.
+#[test]
+fn leaving_server_is_out_while_anyone_says_so() {
+    let mut tracker = tracker(1);
+    let say = |tracker: &mut HealthTracker, source, is_leaving| {
+        let engine = EngineKey(0);
+        tracker.step(Time::ZERO, HealthInput::Leaving { engine, source, is_leaving })
+    };
+    for source in [LeavingSource::HostList, LeavingSource::Report, LeavingSource::Spec] {
+        assert_eq!(say(&mut tracker, source, true), vec![usable(0, false)]);
+        assert_eq!(say(&mut tracker, source, false), vec![usable(0, true)]);
+    }
+    say(&mut tracker, LeavingSource::Spec, true);
+    say(&mut tracker, LeavingSource::HostList, true);
+    assert_eq!(say(&mut tracker, LeavingSource::HostList, false), vec![]);
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,8 +7,10 @@
 pub mod arena;
 pub mod config;
 pub mod entry;
+pub mod health;
 pub mod key;
 pub mod member;
+pub mod order;
 pub mod placement;
 pub mod refusal;
 pub mod resource;
@@ -16,3 +18,17 @@
 pub mod settings;
 pub mod time;
 pub mod token;
+
+/// Runs a property on a fixed number of fixed seeds, so that the verdict does not depend on how
+/// many cases fit into a time budget. The low half of a seed is the size of the input in bytes.
+#[cfg(test)]
+fn fixed_cases(
+    count: u64,
+    mut property: impl FnMut(
+        &mut arbtest::arbitrary::Unstructured<'_>,
+    ) -> arbtest::arbitrary::Result<()>,
+) {
+    for case in 0..count {
+        arbtest::arbtest(&mut property).seed((case + 1).wrapping_mul(0x9e37_79b9) << 32 | 4_096);
+    }
+}
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -28,6 +28,9 @@
     /// Address of the host list, as `ip:port`.
     #[serde(default)]
     pub host_list: Option<Arc<str>>,
+    /// Address of the weight store, as `ip:port`; without it engines get no load orders.
+    #[serde(default)]
+    pub weight_store: Option<Arc<str>>,
     /// Peer addresses to contact first, as `ip:port`.
     #[serde(default)]
     pub seeds: Vec<Arc<str>>,
--- a/crates/node/src/adapter/engine.rs
+++ b/crates/node/src/adapter/engine.rs
@@ -1,9 +1,13 @@
 //! Model engines over HTTP: streams as lines of JSON.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use futures_lite::AsyncBufReadExt;
 use http_types::{Method, Response, StatusCode};
+use parsley_core::{
+    order::{OrderAction, OrderResult, RoleOrder},
+    placement::CacheEvent,
+};
 use serde::Deserialize;
 use serde_json::json;
 
@@ -134,3 +138,65 @@
         })
     }
 }
+
+/// An engine's load report, which lags behind.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct LoadReport {
+    /// KV cache memory in use, in tokens.
+    pub held_tokens: u64,
+    /// Sequences running.
+    pub running: u32,
+    /// Sequences waiting inside the engine.
+    pub waiting: u32,
+    /// Whether the engine says that it is leaving.
+    pub leaving: bool,
+    /// Models loaded, if the engine tells.
+    pub models: Option<BTreeSet<Arc<str>>>,
+}
+
+/// Reads the load report.
+pub async fn load(address: &str) -> Result<LoadReport, NodeError> {
+    let mut response = http::send(address, Method::Get, "/load", None, HEAD_LIMIT).await?;
+    Ok(response.body_json().await?)
+}
+
+#[derive(Deserialize)]
+struct CacheLine {
+    sequence: u64,
+    #[serde(default)]
+    added: Vec<u64>,
+    #[serde(default)]
+    removed: Vec<u64>,
+}
+
+/// Reads the cache events after a number. Events come late, and old ones are no longer listed.
+pub async fn cache_events(address: &str, after: u64) -> Result<Vec<CacheEvent>, NodeError> {
+    let path = format!("/cache?after={after}");
+    let mut response = http::send(address, Method::Get, &path, None, HEAD_LIMIT).await?;
+    if response.status() != StatusCode::Ok {
+        return Ok(Vec::new());
+    }
+    let lines: Vec<CacheLine> = response.body_json().await?;
+    let event = |line: CacheLine| CacheEvent {
+        sequence: line.sequence,
+        added: line.added,
+        removed: line.removed,
+    };
+    Ok(lines.into_iter().map(event).collect())
+}
+
+/// Sends an order. An engine that checks the fencing number refuses an old one.
+pub async fn order(address: &str, order: &RoleOrder) -> Result<OrderResult, NodeError> {
+    let (action, model) = match &order.action {
+        OrderAction::Load(model) => ("load", model),
+        OrderAction::Unload(model) => ("unload", model),
+    };
+    let body = json!({"fencing": order.fencing, "action": action, "model": model}).to_string();
+    let response = http::send(address, Method::Post, "/orders", Some(body), HEAD_LIMIT).await?;
+    Ok(match response.status() {
+        StatusCode::Ok | StatusCode::Accepted => OrderResult::Taken,
+        StatusCode::PreconditionFailed => OrderResult::Fenced,
+        _ => OrderResult::Failed,
+    })
+}
--- a/crates/node/src/adapter/hostlist.rs
+++ b/crates/node/src/adapter/hostlist.rs
@@ -27,3 +27,12 @@
     let mut response = http::send(address, Method::Get, "/hosts", None, CALL_LIMIT).await?;
     Ok(response.body_json().await?)
 }
+
+/// Reads only the hosts and backend servers that are leaving.
+pub async fn leaving(address: &str) -> Result<Vec<ListedHost>, NodeError> {
+    let path = "/hosts?leaving=true";
+    let mut response = http::send(address, Method::Get, path, None, CALL_LIMIT).await?;
+    let listed: Vec<ListedHost> = response.body_json().await?;
+    // A list that does not know the filter answers with everything.
+    Ok(listed.into_iter().filter(|host| host.leaving).collect())
+}
--- a/crates/node/src/adapter/mod.rs
+++ b/crates/node/src/adapter/mod.rs
@@ -4,3 +4,4 @@
 pub mod engine;
 pub mod hostlist;
 pub mod store;
+pub mod weights;
--- a/crates/node/src/adapter/store.rs
+++ b/crates/node/src/adapter/store.rs
@@ -81,3 +81,85 @@
         _ => Err(NodeError::Protocol("the key-value service refused the write")),
     }
 }
+
+/// Who holds a leased key.
+pub enum LeaseAnswer {
+    /// The caller.
+    Held {
+        /// Its lease.
+        lease: u64,
+        /// Revision at which the key was created.
+        revision: Revision,
+    },
+    /// Somebody else, or nobody any more.
+    NotHeld,
+}
+
+#[derive(Deserialize)]
+struct LeaseBody {
+    lease: u64,
+}
+
+#[derive(Deserialize)]
+struct ValueBody {
+    revision: u64,
+    value: Arc<str>,
+}
+
+/// Holds a key with a value of the caller's own: renews `known`, or creates the key under a new
+/// lease if it is absent. If an earlier create took effect although its answer was lost, the key
+/// holds the caller's value under a lease that nobody renews; it runs out and is created again.
+pub async fn hold_key(
+    address: &str,
+    key: &str,
+    value: &str,
+    known: Option<u64>,
+    term: Duration,
+) -> Result<LeaseAnswer, NodeError> {
+    if let Some(lease) = known {
+        let path = format!("/leases/{lease}");
+        let response =
+            http::send(address, Method::Post, &path, Some("{}".into()), CALL_LIMIT).await?;
+        if response.status() != StatusCode::Ok {
+            return Ok(LeaseAnswer::NotHeld);
+        }
+        let held = read(address, key).await?.filter(|(_, held)| **held == *value);
+        return Ok(held
+            .map_or(LeaseAnswer::NotHeld, |(revision, _)| LeaseAnswer::Held { lease, revision }));
+    }
+    if read(address, key).await?.is_some() {
+        return Ok(LeaseAnswer::NotHeld);
+    }
+    let body = json!({"ttl_ms": term.as_millis() as u64}).to_string();
+    let mut response = http::send(address, Method::Post, "/leases", Some(body), CALL_LIMIT).await?;
+    let LeaseBody { lease } = response.body_json().await?;
+    let body = json!({"value": value, "expect": 0, "lease": lease}).to_string();
+    let path = format!("/kv/{key}");
+    let mut response = http::send(address, Method::Put, &path, Some(body), CALL_LIMIT).await?;
+    if response.status() != StatusCode::Ok {
+        return Ok(LeaseAnswer::NotHeld);
+    }
+    let body: RevisionBody = response.body_json().await?;
+    Ok(LeaseAnswer::Held { lease, revision: Revision(body.revision) })
+}
+
+/// The revision and value of a key, if it exists.
+pub async fn read(address: &str, key: &str) -> Result<Option<(Revision, Arc<str>)>, NodeError> {
+    let path = format!("/kv/{key}");
+    let mut response = http::send(address, Method::Get, &path, None, CALL_LIMIT).await?;
+    match response.status() {
+        StatusCode::Ok => {
+            let body: ValueBody = response.body_json().await?;
+            Ok(Some((Revision(body.revision), body.value)))
+        }
+        StatusCode::NotFound => Ok(None),
+        _ => Err(NodeError::Protocol("the key-value service refused the read")),
+    }
+}
+
+/// Gives a lease up, with the keys under it.
+pub async fn revoke(address: &str, lease: u64) -> Result<(), NodeError> {
+    let path = format!("/leases/{lease}");
+    http::send(address, Method::Delete, &path, None, CALL_LIMIT).await?;
+    Ok(())
+}
--- a/crates/node/src/carrier.rs
+++ b/crates/node/src/carrier.rs
@@ -7,7 +7,7 @@
 use async_io::Timer;
 use parsley_core::{
     member::MemberRecord,
-    placement::engine_owner,
+    placement::{PickQuery, PickedEngine, prefix_hashes},
     refusal::{Reason, Refusal},
     time::Time,
 };
@@ -122,18 +122,24 @@
     }
 
     fn choose(&self) -> Option<ChosenEngine> {
+        let now = self.host.now();
         let mut state = self.host.state.borrow_mut();
-        let state = &mut *state;
-        let set = state.config.resources();
-        let engine = match &self.placed {
-            Some(placed) => placed.engine.clone(),
-            None => state.picker.pick(set, &self.order.model, &mut state.rng)?,
+        let PickedEngine { engine, owner } = match &self.placed {
+            Some(placed) => PickedEngine {
+                engine: placed.engine.clone(),
+                owner: state.picker.owners().owner(&placed.engine)?.clone(),
+            },
+            None => {
+                let query = PickQuery {
+                    model: &self.order.model,
+                    prompt_tokens: pool::prompt_tokens(&self.order.prompt),
+                    max_tokens: self.order.max_tokens,
+                    prefixes: &prefix_hashes(&self.order.prompt),
+                };
+                state.picker.pick(now, &query)?
+            }
         };
-        let server = set.servers.get(&engine)?;
-        let owner = engine_owner(&state.members, &engine, server)?;
-        let tokens = pool::prompt_tokens(&self.order.prompt) + self.order.max_tokens;
-        state.picker.sent(&engine, tokens);
-        let owner = owner.clone();
+        let owner = state.members.get(&owner)?.clone();
         Some(ChosenEngine { engine, owner })
     }
 
--- a/crates/node/src/command/serve.rs
+++ b/crates/node/src/command/serve.rs
@@ -15,7 +15,7 @@
     config_sync,
     error::NodeError,
     host::{Host, HostRef},
-    log, peer, pool,
+    host_watch, log, order_sync, peer, pool,
 };
 
 const USAGE: &str = "\
@@ -44,6 +44,8 @@
     api::start(&host)?;
     pool::start(&host);
     config_sync::start(&host);
+    host_watch::start(&host);
+    order_sync::start(&host);
     info!(host.log, "host started"; "event" => "E1001", "listen" => &*host.settings.listen);
     signals.next().await;
     drain(&host).await;
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -4,7 +4,10 @@
 
 use async_io::Timer;
 use parsley_core::{
-    config::{CONFIG_PREFIX, ConfigDelta},
+    config::{
+        CONFIG_PREFIX, CONFIG_TICK, ConfigDelta, ConfigInput, ConfigOutput, PUSH_PEERS, Revision,
+        is_watcher,
+    },
     member::MemberInput,
 };
 use slog::info;
@@ -12,21 +15,27 @@
 use crate::{
     adapter::store,
     host::HostRef,
-    peer::{self, frame::PeerFrame, link},
+    order_sync,
+    peer::{self, datagram::PeerDatagram, frame::PeerFrame, link},
     pool,
 };
 
 const WATCH_WAIT: Duration = Duration::from_secs(5);
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// Starts to watch the key-value service.
+/// Starts to follow the key-value service and peers.
 pub fn start(host: &HostRef) {
     host.spawn(watch_loop(host.clone()));
+    host.spawn(tick_loop(host.clone()));
 }
 
+/// Watches the key-value service while that is this host's duty.
 async fn watch_loop(host: HostRef) {
     loop {
         for address in &host.settings.store {
+            if !is_watcher(&host.state.borrow().members) {
+                break;
+            }
             let after = host.state.borrow().config.complete();
             match store::changes(address, CONFIG_PREFIX, after, Some(WATCH_WAIT)).await {
                 Ok(delta) => apply(&host, delta),
@@ -37,28 +46,71 @@
                 }
             }
         }
+        if !is_watcher(&host.state.borrow().members) {
+            Timer::after(RETRY_DELAY).await;
+        }
+    }
+}
+
+async fn tick_loop(host: HostRef) {
+    loop {
+        Timer::after(CONFIG_TICK).await;
+        step(&host, ConfigInput::Tick);
     }
 }
 
 /// Puts changes in force.
 pub fn apply(host: &HostRef, delta: ConfigDelta) {
-    let (changed, complete) = {
-        let mut state = host.state.borrow_mut();
-        (state.config.apply(delta), state.config.complete())
-    };
-    peer::member_step(host, MemberInput::Revision(complete));
-    if changed {
-        info!(host.log, "configuration in force"; "event" => "E1202", "revision" => complete.0);
-        pool::assign::assign(host);
+    step(host, ConfigInput::Delta(delta));
+}
+
+/// Advances the configuration and carries out what it asks for.
+pub fn step(host: &HostRef, input: ConfigInput) {
+    let outputs = host.state.borrow_mut().config.step(host.now(), input);
+    for output in outputs {
+        match output {
+            ConfigOutput::Pull { host: peer, after } => pull(host, peer, after),
+            ConfigOutput::Push(revision) => push(host, revision),
+            ConfigOutput::Read { after } => host.spawn(read(host.clone(), after)),
+            ConfigOutput::Complete(revision) => {
+                peer::member_step(host, MemberInput::Revision(revision));
+                info!(host.log, "configuration complete"; "event" => "E1202",
+                    "revision" => revision.0);
+            }
+            ConfigOutput::Changed => {
+                pool::assign::assign(host);
+                order_sync::configured(host);
+            }
+        }
     }
 }
 
-/// Asks a peer for the changes that this host lacks.
-pub fn pull(host: &HostRef, name: Arc<str>) {
-    let (address, after) = {
+fn pull(host: &HostRef, name: Arc<str>, after: Revision) {
+    let address = {
         let state = host.state.borrow();
         let Some(member) = state.members.get(&name) else { return };
-        (member.peer_address.clone(), state.config.complete())
+        member.peer_address.clone()
     };
     link::get(host, &name, &address).send(PeerFrame::ConfigPull { after });
 }
+
+fn push(host: &HostRef, revision: Revision) {
+    let peers = {
+        let mut state = host.state.borrow_mut();
+        let state = &mut *state;
+        let peers = state.members.live().skip(1).map(|record| record.peer_address.clone());
+        state.rng.choose_multiple(peers, PUSH_PEERS)
+    };
+    for to in peers {
+        peer::send(host, &to, PeerDatagram::ConfigPush(revision));
+    }
+}
+
+/// Reads the service directly, which a host does about once a minute in case its peers are cut off.
+async fn read(host: HostRef, after: Revision) {
+    for address in &host.settings.store {
+        if let Ok(delta) = store::changes(address, CONFIG_PREFIX, after, None).await {
+            return apply(&host, delta);
+        }
+    }
+}
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -6,7 +6,9 @@
 use parsley_core::{
     arena::NameTable,
     config::ConfigStore,
+    health::HealthTracker,
     member::{MemberRecord, MemberState, MemberTable},
+    order::{OrderKeeper, ShardKey},
     placement::EnginePicker,
     settings::HostSettings,
     time::Time,
@@ -14,7 +16,10 @@
 };
 use slog::Logger;
 
-use crate::{peer::link::PeerLink, pool::EnginePool};
+use crate::{
+    peer::{datagram::DatagramSealer, link::PeerLink},
+    pool::{EnginePool, assign::EngineNotes},
+};
 
 /// A host. No borrow of [`Host::state`] may be held across an await.
 pub struct Host {
@@ -44,6 +49,16 @@
     pub picker: EnginePicker,
     /// Work on the engines that this host owns.
     pub pool: EnginePool,
+    /// Health of the engines that this host owns.
+    pub health: HealthTracker,
+    /// Notes on the engines that this host owns.
+    pub notes: EngineNotes,
+    /// Orders to engines.
+    pub orders: OrderKeeper,
+    /// Leases of order shards in the key-value service.
+    pub shard_leases: BTreeMap<ShardKey, u64>,
+    /// Seals and opens datagrams.
+    pub datagrams: DatagramSealer,
     /// Keys of client accounts.
     pub accounts: NameTable,
     /// Keys of models.
@@ -58,6 +73,13 @@
     open_requests: usize,
 }
 
+impl HostState {
+    /// Whether the host is draining.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+}
+
 impl Host {
     /// A host that has not started.
     pub fn new(
@@ -65,16 +87,23 @@
         executor: Rc<LocalExecutor<'static>>,
         log: Logger,
     ) -> HostRef {
+        let mut rng = fastrand::Rng::new();
+        let me = member_record(&settings);
         let state = HostState {
-            members: MemberTable::new(member_record(&settings), settings.seeds.clone()),
-            config: ConfigStore::default(),
-            picker: EnginePicker::default(),
+            picker: EnginePicker::new(&me, rng.fork()),
+            members: MemberTable::new(me, settings.seeds.clone(), rng.fork()),
+            config: ConfigStore::new(rng.fork()),
+            health: HealthTracker::default(),
+            notes: EngineNotes::default(),
+            orders: OrderKeeper::default(),
+            shard_leases: BTreeMap::new(),
+            datagrams: DatagramSealer::new(&settings.peer_key),
             pool: EnginePool::default(),
             accounts: NameTable::default(),
             models: NameTable::default(),
             engines: NameTable::default(),
             links: BTreeMap::new(),
-            rng: fastrand::Rng::new(),
+            rng,
             draining: false,
             open_requests: 0,
         };
@@ -108,11 +137,6 @@
         self.state.borrow().draining
     }
 
-    /// Whether the host is draining, for a caller that holds the state.
-    pub fn is_draining_in(&self, state: &HostState) -> bool {
-        state.draining
-    }
-
     /// Requests that are open to callers or peers.
     pub fn open_requests(&self) -> usize {
         let state = self.state.borrow();
--- /dev/null
+++ b/crates/node/src/order_sync.rs
@@ -0,0 +1,167 @@
+//! Leases of order shards in the key-value service, and the orders sent under them.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use async_io::Timer;
+use parsley_core::{
+    order::{
+        LEASE_TERM, OrderAction, OrderInput, OrderOutput, OrderResult, RoleOrder, ShardKey,
+        desired_engines, shard_key, shards_of,
+    },
+    time::Time,
+};
+use slog::info;
+
+use crate::{
+    adapter::{
+        engine,
+        store::{self, LeaseAnswer},
+        weights,
+    },
+    error::NodeError,
+    host::HostRef,
+    http::within,
+};
+
+const TICK: Duration = Duration::from_millis(500);
+/// Ticks between two reads of the weight store's rate.
+const RATE_TICKS: u64 = 20;
+/// Reports of engines read in one tick, so that a shard of 1,250 engines costs a bounded rate.
+const REPORTS_PER_TICK: usize = 10;
+
+/// Starts to send orders while that is this host's duty.
+pub fn start(host: &HostRef) {
+    host.spawn(tick_loop(host.clone()));
+}
+
+/// The configuration changed.
+pub fn configured(host: &HostRef) {
+    let desired = desired_engines(host.state.borrow().config.resources());
+    step(host, OrderInput::Desired(desired));
+}
+
+async fn tick_loop(host: HostRef) {
+    let mut round = 0;
+    loop {
+        Timer::after(TICK).await;
+        let is_drained = host.is_draining();
+        let duty = match is_drained {
+            true => BTreeSet::new(),
+            false => shards_of(&host.state.borrow().members),
+        };
+        let has_duty = !duty.is_empty();
+        step(&host, OrderInput::Duty(duty));
+        if has_duty && round % RATE_TICKS == 0 {
+            host.spawn(read_rate(host.clone()));
+        }
+        step(&host, OrderInput::Tick);
+        read_reports(&host, round);
+        round += 1;
+    }
+}
+
+/// Reads the reports of the next engines of this host's shards.
+fn read_reports(host: &HostRef, round: u64) {
+    let now = host.now();
+    let engines: Vec<Arc<str>> = {
+        let state = host.state.borrow();
+        let watched: Vec<_> = state.orders.watched(now).cloned().collect();
+        let count = watched.len().min(REPORTS_PER_TICK);
+        let first = (round as usize * REPORTS_PER_TICK) % watched.len().max(1);
+        watched.into_iter().cycle().skip(first).take(count).collect()
+    };
+    for engine in engines {
+        let host = host.clone();
+        host.clone().spawn(async move {
+            let Some(address) = address_of(&host, &engine) else { return };
+            let Ok(load) = engine::load(&address).await else { return };
+            if let Some(models) = load.models {
+                step(&host, OrderInput::Observed { engine, models });
+            }
+        });
+    }
+}
+
+async fn read_rate(host: HostRef) {
+    let Some(address) = host.settings.weight_store.clone() else { return };
+    // An unknown rate must not stay in use.
+    let rate = weights::rate(&address).await.unwrap_or(0.0);
+    step(&host, OrderInput::StoreRate(rate));
+}
+
+fn address_of(host: &HostRef, engine: &str) -> Option<Arc<str>> {
+    let state = host.state.borrow();
+    state.config.resources().servers.get(engine).map(|server| server.address.clone())
+}
+
+fn step(host: &HostRef, input: OrderInput) {
+    let outputs = host.state.borrow_mut().orders.step(host.now(), input);
+    for output in outputs {
+        match output {
+            OrderOutput::Acquire(shard) | OrderOutput::Renew(shard) => {
+                host.spawn(lease(host.clone(), shard));
+            }
+            OrderOutput::Release(shard) => host.spawn(release(host.clone(), shard)),
+            OrderOutput::Send { order, latest, timeout } => {
+                host.spawn(send(host.clone(), order, latest, timeout));
+            }
+        }
+    }
+}
+
+/// Acquires or renews a lease. Whatever became of earlier calls, the key tells who holds it.
+async fn lease(host: HostRef, shard: ShardKey) {
+    let sent = host.now();
+    let key = shard_key(shard);
+    let holder = format!("{} {}", host.settings.name, host.state.borrow().members.me().incarnation);
+    for address in &host.settings.store {
+        let known = host.state.borrow().shard_leases.get(&shard).cloned();
+        match store::hold_key(address, &key, &holder, known, LEASE_TERM).await {
+            Ok(LeaseAnswer::Held { lease, revision }) => {
+                host.state.borrow_mut().shard_leases.insert(shard, lease);
+                return step(&host, OrderInput::Leased { shard, fencing: revision.0, sent });
+            }
+            Ok(LeaseAnswer::NotHeld) => {
+                host.state.borrow_mut().shard_leases.remove(&shard);
+                return step(&host, OrderInput::NotLeased(shard));
+            }
+            // No answer: the lease runs out by this host's own clock.
+            Err(err) => {
+                info!(host.log, "lease call failed"; "event" => "E1401", "shard" => shard.0,
+                    "error" => %err);
+            }
+        }
+    }
+}
+
+async fn release(host: HostRef, shard: ShardKey) {
+    let lease = host.state.borrow_mut().shard_leases.remove(&shard);
+    let Some(lease) = lease else { return };
+    for address in &host.settings.store {
+        // A lease that is not given up runs out.
+        if store::revoke(address, lease).await.is_ok() {
+            return;
+        }
+    }
+}
+
+async fn send(host: HostRef, order: RoleOrder, latest: Time, timeout: Duration) {
+    let Some(address) = address_of(&host, &order.engine) else { return };
+    // The task may run late, for instance after a pause of the process.
+    if host.now() > latest {
+        return;
+    }
+    let result = match within(timeout, engine::order(&address, &order)).await {
+        Ok(result) => result,
+        Err(NodeError::Timeout) => OrderResult::Taken,
+        Err(_) => OrderResult::Failed,
+    };
+    let (verb, model) = match &order.action {
+        OrderAction::Load(model) => ("load", model),
+        OrderAction::Unload(model) => ("unload", model),
+    };
+    info!(host.log, "order sent"; "event" => "E1402", "engine" => &*order.engine, "action" => verb,
+        "model" => &**model, "fencing" => order.fencing, "result" => ?result);
+    let RoleOrder { engine, fencing, .. } = order;
+    step(&host, OrderInput::Answered { engine, fencing, result });
+}
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -1,32 +1,28 @@
 //! Traffic between hosts: membership datagrams and framed connections.
 
-use std::{cell::RefCell, net::UdpSocket, rc::Rc, sync::Arc};
+use std::{
+    cell::RefCell,
+    net::{SocketAddr, UdpSocket},
+    rc::Rc,
+    sync::Arc,
+};
 
 use async_io::{Async, Timer};
 use parsley_core::{
-    member::{MemberInput, MemberMessage, MemberOutput, PROBE_PERIOD},
-    placement::EngineLoad,
+    config::ConfigInput,
+    member::{MEMBER_TICK, MemberInput, MemberOutput},
+    placement::PlacementInput,
 };
-use parsley_macros::message;
+use slog::{info, warn};
 
 use crate::{config_sync, error::NodeError, host::HostRef, pool};
 
+pub mod datagram;
 pub mod frame;
 pub mod link;
 pub mod serve;
 
-/// Largest datagram, in bytes.
-const DATAGRAM_BYTES: usize = 1400;
-const TAG_BYTES: usize = 16;
-
-/// A datagram between hosts.
-#[message]
-pub enum PeerDatagram {
-    /// Membership.
-    Member(MemberMessage),
-    /// Loads of the engines that the sender owns.
-    Load(Vec<EngineLoad>),
-}
+use datagram::{DATAGRAM_BYTES, PeerDatagram};
 
 thread_local! {
     // One host runs on a thread, and every sender needs the socket.
@@ -36,32 +32,48 @@
 /// Starts to listen for other hosts.
 pub fn start(host: &HostRef) -> Result<(), NodeError> {
     let address = &*host.settings.peer_listen;
-    let socket = Rc::new(Async::<UdpSocket>::try_from(UdpSocket::bind(address)?)?);
+    let me: SocketAddr =
+        address.parse().map_err(|_| NodeError::Protocol("peer_listen is not an IP address"))?;
+    let socket = Rc::new(Async::<UdpSocket>::try_from(UdpSocket::bind(me)?)?);
     SOCKET.with_borrow_mut(|slot| *slot = Some(socket.clone()));
-    host.spawn(receive_loop(host.clone(), socket));
-    host.spawn(probe_loop(host.clone()));
+    host.spawn(receive_loop(host.clone(), socket, me));
+    host.spawn(tick_loop(host.clone()));
     serve::start(host)
 }
 
-async fn probe_loop(host: HostRef) {
+async fn tick_loop(host: HostRef) {
     loop {
         member_step(&host, MemberInput::Tick);
-        Timer::after(PROBE_PERIOD).await;
+        Timer::after(MEMBER_TICK).await;
     }
 }
 
-async fn receive_loop(host: HostRef, socket: Rc<Async<UdpSocket>>) {
+async fn receive_loop(host: HostRef, socket: Rc<Async<UdpSocket>>, me: SocketAddr) {
     let mut buffer = vec![0; DATAGRAM_BYTES * 2];
     loop {
         let Ok((size, _)) = socket.recv_from(&mut buffer).await else { continue };
-        let Some(datagram) = open(&host, &buffer[..size]) else { continue };
-        match datagram {
-            PeerDatagram::Member(message) => member_step(&host, MemberInput::Received(message)),
-            PeerDatagram::Load(loads) => {
-                let mut state = host.state.borrow_mut();
-                loads.into_iter().for_each(|load| state.picker.report(load));
+        // Dropped datagrams are counted by reason.
+        let opened = host.state.borrow_mut().datagrams.open(me, &buffer[..size]);
+        let Ok(envelope) = opened else { continue };
+        receive(&host, &envelope.from, envelope.datagram);
+    }
+}
+
+fn receive(host: &HostRef, from: &Arc<str>, datagram: PeerDatagram) {
+    match datagram {
+        PeerDatagram::Member(message) => member_step(host, MemberInput::Received(message)),
+        PeerDatagram::Load(push) => {
+            // A push speaks only for the engines of its sender.
+            if push.owner == *from {
+                host.state.borrow_mut().picker.step(host.now(), PlacementInput::Load(push));
             }
         }
+        PeerDatagram::LoadSubscribe => pool::assign::subscribed(host, from),
+        PeerDatagram::ConfigPush(revision) => {
+            let input = ConfigInput::PeerRevision { host: from.clone(), revision };
+            config_sync::step(host, input);
+        }
+        PeerDatagram::Leaving(names) => pool::assign::leaving(host, &names),
     }
 }
 
@@ -70,40 +82,57 @@
     let outputs = host.state.borrow_mut().members.step(host.now(), input);
     for output in outputs {
         match output {
-            MemberOutput::Send { to, message } => send(host, &to, &PeerDatagram::Member(message)),
-            MemberOutput::PeerAhead { host: peer, revision: _ } => config_sync::pull(host, peer),
-            MemberOutput::Changed => pool::assign::assign(host),
+            MemberOutput::Send { to, message } => send(host, &to, PeerDatagram::Member(message)),
+            MemberOutput::PeerAhead { host: peer, revision } => {
+                config_sync::step(host, ConfigInput::PeerRevision { host: peer, revision });
+            }
+            MemberOutput::Changed => changed(host),
+            MemberOutput::DeclaredDead => {
+                warn!(host.log, "other hosts took this host for dead"; "event" => "E1103");
+                // Others may have taken the engines over; queued work goes back to its callers.
+                pool::assign::hand_back(host);
+            }
         }
     }
 }
 
+fn changed(host: &HostRef) {
+    {
+        let mut state = host.state.borrow_mut();
+        let state = &mut *state;
+        let members = &state.members;
+        state.datagrams.retain(|name| members.get(name).is_some());
+    }
+    pool::assign::assign(host);
+}
+
+/// Sends a datagram to a host by name; one that is not known gets nothing.
+pub fn send_to(host: &HostRef, name: &str, datagram: PeerDatagram) {
+    let address = {
+        let state = host.state.borrow();
+        state.members.get(name).map(|record| record.peer_address.clone())
+    };
+    if let Some(address) = address {
+        send(host, &address, datagram);
+    }
+}
+
 /// Sends a datagram; a lost one is not noticed.
-pub fn send(host: &HostRef, to: &Arc<str>, datagram: &PeerDatagram) {
-    let Ok(address) = to.parse::<std::net::SocketAddr>() else { return };
-    let bytes = seal(host, datagram);
+pub fn send(host: &HostRef, to: &Arc<str>, datagram: PeerDatagram) {
+    let Ok(address) = to.parse::<SocketAddr>() else { return };
+    let bytes = {
+        let mut state = host.state.borrow_mut();
+        let state = &mut *state;
+        let me = state.members.me();
+        state.datagrams.seal(address, &me.name, me.incarnation, datagram)
+    };
+    if bytes.len() > DATAGRAM_BYTES {
+        info!(host.log, "datagram larger than networks carry"; "event" => "E1104",
+            "bytes" => bytes.len());
+    }
     SOCKET.with_borrow(|socket| {
         let Some(socket) = socket else { return };
         // A full socket buffer drops the datagram, as the network may.
         let _ = socket.get_ref().send_to(&bytes, address);
     });
 }
-
-fn seal(host: &HostRef, datagram: &PeerDatagram) -> Vec<u8> {
-    let mut bytes = postcard::to_stdvec(datagram).expect("datagrams are plain data");
-    let tag = blake3::keyed_hash(&datagram_key(host), &bytes);
-    bytes.extend_from_slice(&tag.as_bytes()[..TAG_BYTES]);
-    bytes
-}
-
-fn open(host: &HostRef, bytes: &[u8]) -> Option<PeerDatagram> {
-    let (body, tag) = bytes.split_at_checked(bytes.len().checked_sub(TAG_BYTES)?)?;
-    let expected = blake3::keyed_hash(&datagram_key(host), body);
-    if expected.as_bytes()[..TAG_BYTES] != *tag {
-        return None;
-    }
-    postcard::from_bytes(body).ok()
-}
-
-fn datagram_key(host: &HostRef) -> [u8; 32] {
-    blake3::derive_key("parsleystage peer datagram 1", host.settings.peer_key.as_bytes())
-}
--- a/crates/node/src/pool/assign.rs
+++ b/crates/node/src/pool/assign.rs
@@ -1,88 +1,177 @@
-//! Which engines this host owns, and what other hosts are told of their load.
+//! Which engines this host owns, how they fare, and what other hosts are told of their load.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use async_io::Timer;
 use parsley_core::{
-    key::{EngineKey, ModelKey},
-    placement::{EngineLoad, engine_owner},
+    health::{HealthInput, HealthOutput, LeavingSource},
+    key::{EngineKey, ModelKey, WorkKey},
+    placement::{
+        EngineLoad, LoadPush, PlacementInput, PlacementOutput, SAMPLE_TICK, SUBSCRIPTION,
+        engine_id, prefix_hashes, serves,
+    },
     resource::BackendRole,
-    scheduler::{EngineSpec, SchedulerInput},
+    scheduler::{EngineReport, EngineSpec, SchedulerInput},
+    time::Time,
 };
 use slog::info;
 
-use super::{finish, step};
+use super::{PoolWork, finish, step};
 use crate::{
+    adapter::engine::{self, EngineAnswer, EngineEvent, EngineOrder},
     host::{HostRef, HostState},
-    peer::{self, PeerDatagram, frame::StreamEvent},
+    peer::{self, datagram::PeerDatagram, frame::StreamEvent},
 };
 
 const LOAD_PERIOD: Duration = Duration::from_millis(200);
-/// Time for which an engine that failed gets no work.
-const EJECTION: Duration = Duration::from_secs(5);
+/// Time between two reads of an engine's load report and cache events.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+/// Subscribers that this host pushes its load to; on average there are 16.
+const MAX_SUBSCRIBERS: usize = 64;
+/// Time without a word from the host list after which a server is no longer leaving by it.
+const LEAVING_LIMIT: Duration = Duration::from_secs(10);
+const PROBE_LIMIT: Duration = Duration::from_secs(5);
 
-pub(super) async fn load_loop(host: HostRef) {
+/// What this host notes about the engines that it owns.
+#[derive(Default)]
+pub struct EngineNotes {
+    subscribers: BTreeMap<Arc<str>, Time>,
+    /// Engines that the host list names as leaving, with the time of its last word.
+    leaving: BTreeMap<EngineKey, Time>,
+    /// Number of the last cache event of each engine.
+    events: BTreeMap<EngineKey, u64>,
+    /// Tokens produced by each request at the last report.
+    produced: BTreeMap<WorkKey, u64>,
+}
+
+pub(super) fn start(host: &HostRef) {
+    host.spawn(load_loop(host.clone()));
+    host.spawn(sample_loop(host.clone()));
+    host.spawn(report_loop(host.clone()));
+}
+
+async fn load_loop(host: HostRef) {
     loop {
         Timer::after(LOAD_PERIOD).await;
+        return_unservable(&host);
         push_load(&host);
     }
 }
 
+/// Hands back queued requests that no usable engine of this host serves. Entry hosts may send them
+/// for a short time after an engine became unusable.
+fn return_unservable(host: &HostRef) {
+    let unservable: Vec<_> = {
+        let state = host.state.borrow();
+        let set = state.config.resources();
+        let usable = state.pool.owned.iter().filter(|(key, _)| state.health.is_usable(**key));
+        let servers: Vec<_> = usable.filter_map(|(_, name)| set.servers.get(name)).collect();
+        let is_unservable = |entry: &PoolWork| {
+            entry.placed.is_none()
+                && !servers.iter().any(|server| serves(server, &entry.order.model))
+        };
+        let works = state.pool.works.iter();
+        works.filter(|(_, entry)| is_unservable(entry)).map(|(work, _)| *work).collect()
+    };
+    for work in unservable {
+        finish(host, work, StreamEvent::Moved);
+        step(host, SchedulerInput::Cancel(work));
+    }
+}
+
 fn push_load(host: &HostRef) {
-    let (targets, loads) = {
+    let now = host.now();
+    let (targets, push) = {
         let mut state = host.state.borrow_mut();
+        let state = &mut *state;
         let pool = &state.pool;
         let load = |(key, name): (&EngineKey, &Arc<str>)| EngineLoad {
-            engine: name.clone(),
+            engine: engine_id(name),
             tokens: pool.scheduler.load(*key),
+            rate: state.health.rate(*key) as u32,
+            is_usable: state.health.is_usable(*key),
         };
-        let loads: Vec<_> = pool.owned.iter().map(load).collect();
-        let targets: Vec<_> =
-            state.members.live().skip(1).map(|member| member.peer_address.clone()).collect();
-        loads.iter().for_each(|load| state.picker.report(load.clone()));
-        (targets, loads)
+        let owner = state.members.me().name.clone();
+        let push = LoadPush { owner, engines: pool.owned.iter().map(load).collect() };
+        state.picker.step(now, PlacementInput::Load(push.clone()));
+        state.notes.subscribers.retain(|_, until| now < *until);
+        (state.notes.subscribers.keys().cloned().collect::<Vec<_>>(), push)
     };
-    for to in targets {
-        peer::send(host, &to, &PeerDatagram::Load(loads.clone()));
+    for name in targets {
+        peer::send_to(host, &name, PeerDatagram::Load(push.clone()));
+    }
+}
+
+/// Another host asks for this host's load.
+pub fn subscribed(host: &HostRef, name: &Arc<str>) {
+    let until = host.now() + SUBSCRIPTION;
+    let subscribers = &mut host.state.borrow_mut().notes.subscribers;
+    if subscribers.len() < MAX_SUBSCRIBERS || subscribers.contains_key(name) {
+        subscribers.insert(name.clone(), until);
+    }
+}
+
+async fn sample_loop(host: HostRef) {
+    loop {
+        let outputs = host.state.borrow_mut().picker.step(host.now(), PlacementInput::Tick);
+        for PlacementOutput::Subscribe { owner } in outputs {
+            if owner != host.settings.name {
+                peer::send_to(&host, &owner, PeerDatagram::LoadSubscribe);
+            }
+        }
+        Timer::after(SAMPLE_TICK).await;
     }
 }
 
 /// Recomputes which engines this host owns, after membership or configuration changed.
 pub fn assign(host: &HostRef) {
-    let inputs = {
+    let now = host.now();
+    let (inputs, health) = {
         let mut state = host.state.borrow_mut();
-        let draining = host.is_draining_in(&state);
-        owned_engines(&mut state, draining)
+        let state = &mut *state;
+        state.picker.update(state.config.resources(), &state.members);
+        owned_engines(now, state)
     };
     for input in inputs {
         step(host, input);
     }
+    carry_out(host, health);
 }
 
-fn owned_engines(state: &mut HostState, draining: bool) -> Vec<SchedulerInput> {
-    let mut inputs = Vec::new();
+fn owned_engines(now: Time, state: &mut HostState) -> (Vec<SchedulerInput>, Vec<HealthOutput>) {
+    let (mut inputs, mut health) = (Vec::new(), Vec::new());
     let mut owned = BTreeMap::new();
     let me = state.members.me().name.clone();
-    for (name, server) in &state.config.resources().servers {
+    let is_draining = state.is_draining();
+    let names: Vec<_> = state.picker.owners().owned_by(&me).cloned().collect();
+    for name in names.into_iter().filter(|_| !is_draining) {
+        let Some(server) = state.config.resources().servers.get(&name) else { continue };
         let BackendRole::Engine { models, memory_tokens, batch } = &server.role else { continue };
-        let owner = engine_owner(&state.members, name, server);
-        if draining || server.leaving || owner.is_none_or(|owner| owner.name != me) {
+        if server.leaving {
             continue;
         }
-        let engine = EngineKey(state.engines.intern(name));
-        let models = models.iter().map(|model| ModelKey(state.models.intern(model) as u16));
-        owned.insert(engine, name.clone());
+        let engine = EngineKey(state.engines.intern(&name));
+        let models: Vec<_> =
+            models.iter().map(|model| ModelKey(state.models.intern(model) as u16)).collect();
+        let pool = models.first().copied().unwrap_or(ModelKey(0));
+        health.extend(state.health.step(now, HealthInput::Owned { engine, pool }));
+        let usable = state.health.is_usable(engine);
+        owned.insert(engine, name);
         inputs.push(SchedulerInput::EngineAdded(EngineSpec {
             engine,
-            models: models.collect(),
+            models,
             memory_tokens: *memory_tokens,
             batch: *batch,
         }));
+        inputs.push(SchedulerInput::EngineUsable { engine, usable });
+    }
+    for engine in state.pool.owned.keys().filter(|engine| !owned.contains_key(engine)) {
+        inputs.push(SchedulerInput::EngineRemoved(*engine));
+        health.extend(state.health.step(now, HealthInput::Disowned(*engine)));
+        state.notes.events.remove(engine);
     }
-    let gone = state.pool.owned.keys().filter(|engine| !owned.contains_key(engine));
-    inputs.extend(gone.map(|engine| SchedulerInput::EngineRemoved(*engine)));
     state.pool.owned = owned;
-    inputs
+    (inputs, health)
 }
 
 /// Hands queued requests back to their entry hosts.
@@ -99,12 +188,195 @@
     }
 }
 
+fn health_step(host: &HostRef, input: HealthInput) {
+    let outputs = host.state.borrow_mut().health.step(host.now(), input);
+    carry_out(host, outputs);
+}
+
+fn carry_out(host: &HostRef, outputs: Vec<HealthOutput>) {
+    for output in outputs {
+        match output {
+            HealthOutput::Usable { engine, is_usable: usable } => {
+                info!(host.log, "engine usable or not"; "event" => "E1301", "engine" => engine.0,
+                    "usable" => usable);
+                step(host, SchedulerInput::EngineUsable { engine, usable });
+            }
+            HealthOutput::Probe(engine) => host.spawn(probe(host.clone(), engine)),
+        }
+    }
+}
+
+/// A request failed by the engine's fault. One that does not answer is out at once.
 pub(super) fn eject(host: &HostRef, engine: EngineKey) {
-    info!(host.log, "engine ejected"; "event" => "E1301", "engine" => engine.0);
-    step(host, SchedulerInput::EngineUsable { engine, usable: false });
-    let host = host.clone();
-    host.clone().spawn(async move {
-        Timer::after(EJECTION).await;
-        step(&host, SchedulerInput::EngineUsable { engine, usable: true });
-    });
+    health_step(host, HealthInput::Outcome { engine, is_success: false });
+    host.spawn(report(host.clone(), engine));
+}
+
+/// A request succeeded on its engine, which now probably holds the prompt's prefixes.
+pub(super) fn succeeded(host: &HostRef, work: WorkKey) {
+    let placed = {
+        let state = host.state.borrow();
+        let entry = state.pool.works.get(&work);
+        entry.and_then(|entry| Some((entry.placed.as_ref()?.0, entry.order.prompt.clone())))
+    };
+    let Some((engine, prompt)) = placed else { return };
+    health_step(host, HealthInput::Outcome { engine, is_success: true });
+    let mut state = host.state.borrow_mut();
+    if let Some(name) = state.engines.name(engine.0).cloned() {
+        let served = PlacementInput::Served { engine: name, prefixes: prefix_hashes(&prompt) };
+        state.picker.step(host.now(), served);
+    }
+}
+
+/// The host list, as read by a host that watches it, names servers of this host as leaving.
+pub fn leaving(host: &HostRef, names: &[Arc<str>]) {
+    let now = host.now();
+    for name in names {
+        let engine = {
+            let mut state = host.state.borrow_mut();
+            let Some(engine) = state.engines.get(name).map(EngineKey) else { continue };
+            state.notes.leaving.insert(engine, now);
+            engine
+        };
+        let source = LeavingSource::HostList;
+        health_step(host, HealthInput::Leaving { engine, source, is_leaving: true });
+    }
+}
+
+async fn report_loop(host: HostRef) {
+    loop {
+        Timer::after(REPORT_PERIOD).await;
+        let now = host.now();
+        let (owned, stayed) = {
+            let mut state = host.state.borrow_mut();
+            let leaving = &mut state.notes.leaving;
+            let is_over = |since: &Time| now.since(*since) > LEAVING_LIMIT;
+            let stayed: Vec<_> =
+                leaving.iter().filter(|(_, since)| is_over(since)).map(|(key, _)| *key).collect();
+            leaving.retain(|_, since| !is_over(since));
+            (state.pool.owned.keys().copied().collect::<Vec<_>>(), stayed)
+        };
+        for engine in stayed {
+            let source = LeavingSource::HostList;
+            health_step(&host, HealthInput::Leaving { engine, source, is_leaving: false });
+        }
+        measure(&host);
+        for engine in owned {
+            host.spawn(report(host.clone(), engine));
+        }
+        health_step(&host, HealthInput::Tick);
+    }
+}
+
+/// Measures the rate of each engine from its streams that ran during the whole period.
+fn measure(host: &HostRef) {
+    let now = host.now();
+    let mut inputs = Vec::new();
+    {
+        let mut state = host.state.borrow_mut();
+        let state = &mut *state;
+        let before = std::mem::take(&mut state.notes.produced);
+        let mut streams: BTreeMap<EngineKey, (u64, u64)> = BTreeMap::new();
+        for (work, entry) in &state.pool.works {
+            let Some((engine, _)) = &entry.placed else { continue };
+            if let Some(produced) = before.get(work).filter(|produced| **produced > 0) {
+                let (tokens, count) = streams.entry(*engine).or_default();
+                *tokens += entry.produced.saturating_sub(*produced);
+                *count += 1;
+            }
+            state.notes.produced.insert(*work, entry.produced);
+        }
+        for (engine, (tokens, count)) in streams {
+            let server = state.engines.name(engine.0);
+            let server = server.and_then(|name| state.config.resources().servers.get(name));
+            let Some(BackendRole::Engine { batch, .. }) = server.map(|server| &server.role) else {
+                continue;
+            };
+            // Engines are compared by a full batch, as few streams make any engine look slow.
+            let rate = tokens as f64 / count as f64 * f64::from(*batch);
+            inputs.push(HealthInput::Rate { engine, rate });
+        }
+        let loads: Vec<_> = state.picker.loads(now).collect();
+        for (name, load) in loads {
+            let Some(server) = state.config.resources().servers.get(name) else { continue };
+            let BackendRole::Engine { models, .. } = &server.role else { continue };
+            let Some(model) = models.first() else { continue };
+            let engine = EngineKey(state.engines.intern(name));
+            if state.pool.owned.contains_key(&engine) {
+                continue;
+            }
+            let pool = ModelKey(state.models.intern(model) as u16);
+            let (rate, is_usable) = (f64::from(load.rate), load.is_usable);
+            inputs.push(HealthInput::Heard { engine, pool, rate, is_usable });
+        }
+    }
+    for input in inputs {
+        health_step(host, input);
+    }
+}
+
+fn engine_address(host: &HostRef, engine: EngineKey) -> Option<(Arc<str>, Arc<str>)> {
+    let state = host.state.borrow();
+    let name = state.engines.name(engine.0)?;
+    let server = state.config.resources().servers.get(name)?;
+    Some((name.clone(), server.address.clone()))
+}
+
+/// Reads an engine's load report and cache events.
+async fn report(host: HostRef, engine: EngineKey) {
+    let Some((name, address)) = engine_address(&host, engine) else { return };
+    let answer = engine::load(&address).await;
+    let is_answering = answer.is_ok();
+    health_step(&host, HealthInput::Answering { engine, is_answering });
+    let Ok(load) = answer else { return };
+    let source = LeavingSource::Report;
+    health_step(&host, HealthInput::Leaving { engine, source, is_leaving: load.leaving });
+    let report = EngineReport {
+        held_tokens: load.held_tokens,
+        running: load.running,
+        waiting: load.waiting,
+        leaving: load.leaving,
+    };
+    step(&host, SchedulerInput::Report { engine, report });
+    let after = host.state.borrow().notes.events.get(&engine).copied().unwrap_or(0);
+    let Ok(events) = engine::cache_events(&address, after).await else { return };
+    let mut state = host.state.borrow_mut();
+    for event in events {
+        state.notes.events.insert(engine, event.sequence);
+        state.picker.step(host.now(), PlacementInput::Cache { engine: name.clone(), event });
+    }
+}
+
+/// Sends one small request to an ejected engine.
+async fn probe(host: HostRef, engine: EngineKey) {
+    let Some((name, address)) = engine_address(&host, engine) else { return };
+    let (model, number) = {
+        let mut state = host.state.borrow_mut();
+        let server = state.config.resources().servers.get(&name);
+        let Some(BackendRole::Engine { models, .. }) = server.map(|server| server.role.clone())
+        else {
+            return;
+        };
+        (models.first().cloned(), state.rng.u64(..))
+    };
+    let order = EngineOrder {
+        stream: format!("probe-{number:016x}").into(),
+        model: model.unwrap_or_else(|| "".into()),
+        prompt: "probe".into(),
+        offset: 0,
+        max_tokens: 1,
+        priority: 0,
+    };
+    let run = async {
+        let EngineAnswer::Stream(mut stream) = engine::submit(&address, &order).await? else {
+            return Ok(false);
+        };
+        loop {
+            if let EngineEvent::End { complete } = stream.next().await? {
+                return Ok(complete);
+            }
+        }
+    };
+    let is_success = crate::http::within(PROBE_LIMIT, run).await.unwrap_or(false);
+    health_step(&host, HealthInput::Probed { engine, is_success });
 }
--- a/crates/node/src/pool/mod.rs
+++ b/crates/node/src/pool/mod.rs
@@ -103,7 +103,7 @@
 /// Starts the timers of the pool.
 pub fn start(host: &HostRef) {
     host.spawn(tick_loop(host.clone()));
-    host.spawn(assign::load_loop(host.clone()));
+    assign::start(host);
 }
 
 async fn tick_loop(host: HostRef) {
--- a/crates/node/src/pool/stream.rs
+++ b/crates/node/src/pool/stream.rs
@@ -116,6 +116,7 @@
                 pass_on(host, work, offset, tokens, text);
             }
             Ok(EngineEvent::End { complete: true }) => {
+                super::assign::succeeded(host, work);
                 finish(host, work, StreamEvent::Finished);
                 step(host, SchedulerInput::Finished(work));
                 return;
