Keep control work under 17 KB/s a host

Cause: added up at the planned size, load pushes every 400 ms (10,580 B/s), load reports of five engines every second with cache events (about 7 KB/s) and membership passed 17 KB/s; a shard holder's 20 reports a second alone would take 15 KB/s. Ruled out: a sample of fewer owners (fewer candidates a model). Change: pushes every 600 ms above 8 subscribers; reports every 2 s above 3 engines, cache events every fifth report; a holder reads 2 reports a second above 100 engines. Scale also measures the loss of a rack and an hour's cut at 50 hosts.

--- a/crates/node/src/order_sync.rs
+++ b/crates/node/src/order_sync.rs
@@ -26,8 +26,11 @@
 const TICK: Duration = Duration::from_millis(500);
 /// Ticks between two reads of the weight store's rate.
 const RATE_TICKS: u64 = 20;
-/// Reports of engines read in one tick, so that a shard of 1,250 engines costs a bounded rate.
-const REPORTS_PER_TICK: usize = 10;
+/// Reports of engines read in one tick. Each takes about 750 bytes.
+const REPORTS_PER_TICK: usize = 2;
+/// Above this number of engines one report is read in a tick, so that a holder stays within the
+/// bytes of a host. A shard of 1,250 engines then takes ten minutes; orders need no new report.
+const QUICK_ENGINES: usize = 100;
 
 /// Starts to send orders while that is this host's duty.
 pub fn start(host: &HostRef) {
@@ -73,8 +76,9 @@
     let engines: Vec<Arc<str>> = {
         let state = host.state.borrow();
         let watched: Vec<_> = state.orders.watched(now).cloned().collect();
-        let count = watched.len().min(REPORTS_PER_TICK);
-        let first = (round as usize * REPORTS_PER_TICK) % watched.len().max(1);
+        let count = if watched.len() > QUICK_ENGINES { 1 } else { REPORTS_PER_TICK };
+        let count = count.min(watched.len());
+        let first = (round as usize * count) % watched.len().max(1);
         watched.into_iter().cycle().skip(first).take(count).collect()
     };
     for engine in engines {
--- a/crates/node/src/pool/assign.rs
+++ b/crates/node/src/pool/assign.rs
@@ -24,9 +24,13 @@
 };
 
 const LOAD_PERIOD: Duration = Duration::from_millis(200);
-/// Above this number of subscribers only every second push is made: at 16, pushes of 132 bytes
+/// Above this number of subscribers only every third push is made: at 16, pushes of 132 bytes
 /// every 200 ms would take 21 KB/s in and out of the 17 KB/s of a host.
 const QUICK_SUBSCRIBERS: usize = 8;
+/// Above this number of engines only every second report is read; each takes about 750 bytes.
+const QUICK_ENGINES: usize = 3;
+/// Reports for one read of cache events, which come late anyway.
+const REPORTS_PER_EVENTS: u64 = 5;
 /// Time over which changes of membership are taken together. One costs 1.3 ms at 10,000 engines,
 /// and the loss of a failure domain brings 440.
 const ASSIGN_DELAY: Duration = Duration::from_millis(50);
@@ -107,7 +111,7 @@
         state.picker.step(now, PlacementInput::Load(push.clone()));
         state.notes.subscribers.retain(|_, until| now < *until);
         let subscribers = &state.notes.subscribers;
-        let is_due = subscribers.len() <= QUICK_SUBSCRIBERS || round.is_multiple_of(2);
+        let is_due = subscribers.len() <= QUICK_SUBSCRIBERS || round.is_multiple_of(3);
         let targets: Vec<_> = subscribers.keys().filter(|_| is_due).cloned().collect();
         (targets, push)
     };
@@ -276,7 +280,7 @@
 }
 
 async fn report_loop(host: HostRef) {
-    loop {
+    for round in 0u64.. {
         Timer::after(REPORT_PERIOD).await;
         let now = host.now();
         let (owned, stayed) = {
@@ -293,8 +297,12 @@
             health_step(&host, HealthInput::Leaving { engine, source, is_leaving: false });
         }
         measure(&host);
-        for engine in owned {
+        let is_due = owned.len() <= QUICK_ENGINES || round.is_multiple_of(2);
+        for engine in owned.into_iter().filter(|_| is_due) {
             host.spawn(report(host.clone(), engine));
+            if round.is_multiple_of(REPORTS_PER_EVENTS) {
+                host.spawn(read_events(host.clone(), engine));
+            }
         }
         health_step(&host, HealthInput::Tick);
     }
@@ -354,9 +362,9 @@
     Some((name.clone(), server.address.clone()))
 }
 
-/// Reads an engine's load report and cache events.
+/// Reads an engine's load report.
 async fn report(host: HostRef, engine: EngineKey) {
-    let Some((name, address)) = engine_address(&host, engine) else { return };
+    let Some((_, address)) = engine_address(&host, engine) else { return };
     let answer = engine::load(&address).await;
     let is_answering = answer.is_ok();
     health_step(&host, HealthInput::Answering { engine, is_answering });
@@ -370,6 +378,11 @@
         leaving: load.leaving,
     };
     step(&host, SchedulerInput::Report { engine, report });
+}
+
+/// Reads an engine's cache events.
+async fn read_events(host: HostRef, engine: EngineKey) {
+    let Some((name, address)) = engine_address(&host, engine) else { return };
     let after = host.state.borrow().notes.events.get(&engine).copied().unwrap_or(0);
     let Ok(events) = engine::cache_events(&address, after).await else { return };
     let mut state = host.state.borrow_mut();
--- a/crates/standins/examples/scale.rs
+++ b/crates/standins/examples/scale.rs
@@ -18,11 +18,12 @@
 Usage:
     scale [--seed N] [--sizes N,N,...] [PART...]
 
-Parts: quiet, change, death, loss, domain, partition, join, memory, config, placement, sampling,
-load. All by default.
+Parts: quiet, change, death, loss, rack, domain, partition, join, memory, config, placement,
+sampling, load. All by default.
 ";
 
-const PARTS: [&str; 12] = [
+const PARTS: [&str; 13] = [
+    "rack",
     "quiet",
     "change",
     "death",
@@ -59,7 +60,8 @@
             "change" => change(&args),
             "death" => death(&args),
             "loss" => loss(&args),
-            "domain" => domain(&args),
+            "rack" => lose(&args, "20 hosts of a failure domain", 20),
+            "domain" => lose(&args, "one of nine failure domains", usize::MAX),
             "partition" => partition(&args),
             "join" => join(&args),
             "memory" => sampling::memory(&args.sizes),
@@ -260,15 +262,15 @@
     wrong
 }
 
-fn domain(args: &Args) {
-    println!("\n### Loss of one of nine failure domains");
+fn lose(args: &Args, what: &str, most: usize) {
+    println!("\n### Loss of {what}");
     println!(
         "| hosts | all known gone everywhere, s | bytes/s a host meanwhile | core % | live hosts taken for dead |"
     );
     println!("|---|---|---|---|---|");
     for count in &args.sizes {
         let mut world = settled(*count, args.seed);
-        let lost: Vec<_> = (0..*count).filter(|index| index % 9 == 4).collect();
+        let lost: Vec<_> = (0..*count).filter(|index| index % 9 == 4).take(most).collect();
         lost.iter().for_each(|index| world.hosts[*index].is_up = false);
         let (start, bytes, busy) = (world.now, world.traffic().0, world.busy);
         let is_gone = |state| state >= MemberState::Unreachable;
@@ -294,7 +296,7 @@
 }
 
 fn partition(args: &Args) {
-    println!("\n### Region 2 cut off from both others for 120 s, then healed");
+    println!("\n### Region 2 cut off from both others for 120 s (50 hosts: 1 h), then healed");
     println!(
         "| hosts | views across the cut: unreachable / dead / other | live hosts taken for dead | views right again after, s | changes everywhere after, s | bytes/s a host after |"
     );
@@ -302,7 +304,7 @@
     for count in &args.sizes {
         let mut world = settled(*count, args.seed);
         world.cut = |from, to| (from == 2) != (to == 2);
-        world.run(seconds(120), never);
+        world.run(seconds(if *count == 50 { 3_600 } else { 120 }), never);
         let mut states = [0; 3];
         for viewer in (0..*count).filter(|index| region(*index) == 2) {
             for subject in (0..*count).filter(|index| region(*index) != 2) {
--- a/crates/standins/src/sampling.rs
+++ b/crates/standins/src/sampling.rs
@@ -277,6 +277,7 @@
     for (name, bytes, rate) in [
         ("LoadPush every 200 ms", push, 5.0 * MAX_OWNERS as f64),
         ("LoadPush every 400 ms", push, 2.5 * MAX_OWNERS as f64),
+        ("LoadPush every 600 ms", push, MAX_OWNERS as f64 / 0.6),
         ("LoadSubscribe every 5 s", subscribe, 0.2 * MAX_OWNERS as f64),
     ] {
         println!("| {name} | {bytes:.0} | {:.0} | {:.0} |", bytes * rate, bytes * rate * 2.0);
@@ -358,6 +359,7 @@
             Sampling::TwoChoices,
             Sampling::Subscribed(200),
             Sampling::Subscribed(400),
+            Sampling::Subscribed(600),
             Sampling::Subscribed(1_000),
             Sampling::Walk,
             Sampling::TwoWalks,
