Keep order shards off hosts that watch the KV service

Cause: by rendezvous order a host could have both duties and so take 17.9 KB/s (docs/CAPACITY.md). Ruled out: nothing; with no other host all watch, and all may hold. Change: shards fall to hosts that do not watch, where there are any.

--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -6,7 +6,7 @@
 //! stays in force.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -206,8 +206,7 @@
 
     /// Drops keys that a newer snapshot lacks: their deletions are no longer remembered anywhere.
     fn drop_absent(&mut self, snapshot: &ConfigDelta) -> bool {
-        let present: std::collections::BTreeSet<_> =
-            snapshot.items.iter().map(|item| item.key.clone()).collect();
+        let present: BTreeSet<_> = snapshot.items.iter().map(|item| item.key.clone()).collect();
         let is_absent =
             |item: &&ConfigItem| item.revision <= snapshot.complete && !present.contains(&item.key);
         let absent: Vec<_> =
@@ -244,6 +243,20 @@
     ahead.take(WATCHERS).count() < WATCHERS
 }
 
+/// The hosts of all regions that watch the key-value service.
+pub fn watchers(table: &MemberTable) -> BTreeSet<Arc<str>> {
+    let mut regions: BTreeMap<&Arc<str>, Vec<(f64, &Arc<str>)>> = BTreeMap::new();
+    for host in table.live() {
+        let score = rendezvous_score("config-watcher", host);
+        regions.entry(&host.region).or_default().push((score, &host.name));
+    }
+    for hosts in regions.values_mut() {
+        hosts.sort_by(|left, right| right.0.total_cmp(&left.0));
+        hosts.truncate(WATCHERS);
+    }
+    regions.into_values().flatten().map(|(_, name)| name.clone()).collect()
+}
+
 /// The key of a resource.
 pub fn resource_key(kind: ResourceKind, name: &str) -> Arc<str> {
     format!("{CONFIG_PREFIX}{}/{name}", kind.segment()).into()
--- a/crates/core/src/order/mod.rs
+++ b/crates/core/src/order/mod.rs
@@ -12,7 +12,8 @@
 };
 
 use crate::{
-    member::MemberTable,
+    config::watchers,
+    member::{MemberRecord, MemberTable},
     placement::{engine_id, rendezvous_score},
     resource::{BackendRole, ResourceSet},
     time::Time,
@@ -263,13 +264,22 @@
     format!("order/{}", shard.0)
 }
 
-/// The shards for which this host comes first in rendezvous order.
+/// The shards for which this host comes first in rendezvous order among hosts that do not watch the
+/// key-value service, as both duties together take more than 17 KB/s. Where all hosts watch, among
+/// all.
 pub fn shards_of(table: &MemberTable) -> BTreeSet<ShardKey> {
-    let me = table.me();
+    let watchers = watchers(table);
+    let all: Vec<_> = table.serving().collect();
+    let mut hosts = all.clone();
+    hosts.retain(|host| !watchers.contains(&host.name));
+    if hosts.is_empty() {
+        hosts = all;
+    }
     let is_first = |shard: &ShardKey| {
         let name = shard_key(*shard);
-        let mine = rendezvous_score(&name, me);
-        table.serving().all(|host| host.name == me.name || rendezvous_score(&name, host) < mine)
+        let score = |host: &MemberRecord| rendezvous_score(&name, host);
+        let first = hosts.iter().max_by(|left, right| score(left).total_cmp(&score(right)));
+        first.is_some_and(|host| host.name == table.me().name)
     };
     (0..SHARDS).map(ShardKey).filter(is_first).collect()
 }
--- a/crates/core/src/order/tests.rs
+++ b/crates/core/src/order/tests.rs
@@ -126,6 +126,45 @@
     assert_eq!(loads, 9, "half a load a second for 19 s");
 }
 
+/// Guards against a shard without a host or with two, and against a host that has to carry both
+/// the watch of the key-value service and a shard.
+#[test]
+fn each_shard_falls_to_one_host_that_does_not_watch() {
+    use crate::{
+        config::{Revision, is_watcher},
+        member::{MemberInput, MemberKind, MemberMessage, MemberRecord, MemberState},
+    };
+    let record = |index: usize| MemberRecord {
+        name: format!("host-{index}").into(),
+        region: format!("region-{}", index % 3).into(),
+        failure_domain: "d".into(),
+        address: "".into(),
+        peer_address: "".into(),
+        capacity: 1,
+        incarnation: 1,
+        state: MemberState::Alive,
+    };
+    for hosts in [1, 3, 8, 60] {
+        let mut shards = Vec::new();
+        for me in 0..hosts {
+            let rng = fastrand::Rng::with_seed(1);
+            let mut table = MemberTable::new(record(me), vec![], rng);
+            for other in (0..hosts).filter(|other| *other != me) {
+                let (from, kind) = (record(other), MemberKind::Gossip);
+                let (records, updates) = (vec![], vec![]);
+                let revision = Revision(0);
+                let message = MemberMessage { from, revision, kind, records, updates };
+                table.step(Time::ZERO, MemberInput::Received(message));
+            }
+            let mine = shards_of(&table);
+            assert!(hosts < 60 || mine.is_empty() || !is_watcher(&table), "host {me}");
+            shards.extend(mine);
+        }
+        shards.sort();
+        assert_eq!(shards, (0..SHARDS).map(ShardKey).collect::<Vec<_>>(), "{hosts} hosts");
+    }
+}
+
 /// Guards against engines left without the model after a replica is added or an engine leaves.
 #[test]
 fn replicas_are_spread_over_able_engines() {
