Measure real host processes against baselines

Cause: no decision could be judged on the whole path. The stand-in fleet seeds every host with every other one until membership spreads by itself.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -23,6 +23,8 @@
 
 /// Secret that the hosts of a stand-in fleet share.
 const PEER_KEY: &str = "stand-in fleet";
+/// Unit of processor time in `/proc`, in milliseconds.
+const TICK_MS: u64 = 10;
 /// Time within which a started fleet answers.
 const START_LIMIT: Duration = Duration::from_secs(15);
 
@@ -185,6 +187,19 @@
         Command::new("kill").args([&format!("-{signal}"), &pid]).status().map(drop)
     }
 
+    /// Processor time that a host's process has used.
+    pub fn host_cpu(&self, index: usize) -> io::Result<Duration> {
+        let Some(child) = &self.hosts[index].child else { return Ok(Duration::ZERO) };
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", child.id()))?;
+        // The command's name may contain spaces; the fields after its closing bracket do not.
+        let fields = stat.rsplit(')').next().unwrap_or_default();
+        let ticks = |index: usize| {
+            fields.split_whitespace().nth(index).and_then(|text| text.parse().ok()).unwrap_or(0)
+        };
+        let ticks: u64 = ticks(11) + ticks(12);
+        Ok(Duration::from_millis(ticks * TICK_MS))
+    }
+
     /// Waits until a host's process ended by itself. Returns whether it ended with success.
     pub fn wait_host(&mut self, index: usize) -> io::Result<bool> {
         let Some(mut child) = self.hosts[index].child.take() else { return Ok(false) };
@@ -317,7 +332,7 @@
         let addresses: Vec<_> =
             (0..self.builder.hosts * 2).map(|_| free_address()).collect::<io::Result<_>>()?;
         let addresses: Vec<_> = addresses.iter().map(|(address, _)| *address).collect();
-        let seeds: Vec<_> = addresses.iter().skip(1).step_by(2).take(3).collect();
+        let seeds: Vec<_> = addresses.iter().skip(1).step_by(2).take(9).collect();
         let run = fastrand::u64(..);
         for index in 0..self.builder.hosts {
             let name = format!("host-{index}");
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine_model;
 pub mod fleet;
 pub mod hostlist;
+pub mod load;
 pub mod server;
 pub mod service;
 pub mod store;
