Schedule by rank, fair share and size class

Cause: the scheduler was a FIFO queue; nothing kept room for urgent work, bounded an account or refused late work. Ruled out: deficit round robin (bursts of a million tokens at once) and virtual counters without lift (idle accounts hoard credit). Change: scheduler (start-time fair queueing by cost spent, rank floors, headroom, preemption, size classes, prefill window, drain for long prompts, forecast), admission (limits, forecast against target, retry budget), usage (two-level sums), group (all-or-nothing reservation).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,9 +4,11 @@
 //! and randomness are parameters and I/O is returned as typed outputs, so a test, a measurement and
 //! the node drive the same code.
 
+pub mod admission;
 pub mod arena;
 pub mod config;
 pub mod entry;
+pub mod group;
 pub mod key;
 pub mod member;
 pub mod placement;
@@ -16,3 +18,4 @@
 pub mod settings;
 pub mod time;
 pub mod token;
+pub mod usage;
--- a/crates/core/src/scheduler/message.rs
+++ b/crates/core/src/scheduler/message.rs
@@ -34,6 +34,10 @@
     pub finish: Duration,
     /// Share of service the rank keeps while others flood, 0 to 1.
     pub guaranteed: f64,
+    /// Limit of prompt and generated tokens a second over all accounts.
+    pub tokens_per_second: Option<u64>,
+    /// Limit of engine memory held over all accounts, in tokens.
+    pub memory_tokens: Option<u64>,
 }
 
 /// A client account as the scheduler needs it.
@@ -43,6 +47,8 @@
     pub account: AccountKey,
     /// Share relative to others.
     pub weight: u32,
+    /// Limit of prompt and generated tokens a second.
+    pub tokens_per_second: Option<u64>,
     /// Limit of engine memory held, in tokens.
     pub memory_tokens: Option<u64>,
 }
@@ -83,6 +89,21 @@
     pub leaving: bool,
 }
 
+/// What an account spent on this host since the last call of `PoolScheduler::take_usage`.
+#[value]
+pub struct AccountUsage {
+    /// The account.
+    pub account: AccountKey,
+    /// The rank.
+    pub rank: RankKey,
+    /// Cost units.
+    pub cost: u64,
+    /// Prompt and generated tokens.
+    pub tokens: u64,
+    /// Engine memory held now, in tokens.
+    pub held_tokens: u64,
+}
+
 /// Input of the scheduler.
 #[value]
 pub enum SchedulerInput {
@@ -103,8 +124,11 @@
     },
     /// A new request.
     Submit(WorkItem),
-    /// A request whose engine failed; it is queued again ahead of its equals.
+    /// A request that was preempted; it is queued again ahead of its equals.
     Requeue(WorkItem),
+    /// A request whose engine failed; it is queued again ahead of its equals if the retry budget
+    /// of its account allows, and fails otherwise.
+    Retry(WorkItem),
     /// A request that already runs on an engine, started by another host.
     Adopt {
         /// The request.
@@ -132,12 +156,39 @@
         /// The report.
         report: EngineReport,
     },
-    /// Service that an account received on other hosts, in cost units, since the last input.
+    /// Service that an account received on other hosts since the last input.
     RemoteUsage {
         /// The account.
         account: AccountKey,
+        /// The rank.
+        rank: RankKey,
         /// Cost units.
         cost: u64,
+        /// Prompt and generated tokens.
+        tokens: u64,
+        /// Engine memory held on other hosts now, in tokens.
+        held_tokens: u64,
+    },
+    /// Keep work off an engine for a time so that a group can reserve it.
+    Drain {
+        /// The engine.
+        engine: EngineKey,
+        /// Until when.
+        until: Time,
+    },
+    /// Memory that groups have reserved on an engine now, as far as this host knows.
+    Reserved {
+        /// The engine.
+        engine: EngineKey,
+        /// Tokens.
+        tokens: u64,
+    },
+    /// What a group of engines, whoever owns them, can hold for a model.
+    Groups {
+        /// The model.
+        model: ModelKey,
+        /// Memory of the largest possible group, in tokens.
+        tokens: u64,
     },
     /// Time passed.
     Tick,
@@ -155,6 +206,10 @@
         /// Engine priority; lower is more urgent.
         priority: u8,
     },
+    /// Reserve a group of engines for the request, which no single engine can hold.
+    Group(WorkKey),
+    /// Give the group of the request up; its time is over or its caller is gone.
+    AbortGroup(WorkKey),
     /// Cancel the request on the engine and submit the rest again with `Requeue`.
     Preempt {
         /// The request.
--- /dev/null
+++ b/crates/core/src/scheduler/queue.rs
@@ -0,0 +1,230 @@
+//! The queue of one rank: start-time fair queueing between accounts, one lane for each model and
+//! size class so that a long prompt without room blocks no short one.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use super::{
+    WorkItem,
+    cost::{FadingSum, size_class},
+};
+use crate::{
+    key::{AccountKey, ModelKey, WorkKey},
+    time::Time,
+};
+
+/// Span over which an account's recent service is compared with its share.
+const RECENT_SPAN: Duration = Duration::from_secs(5);
+/// Resolution of tags: tag units for one unit of cost at weight 1.
+const TAG_UNITS: f64 = 1_000.0;
+
+/// A lane: model and size class.
+pub(super) type LaneKey = (ModelKey, usize);
+
+/// A queued request.
+pub(super) struct Waiting {
+    pub item: WorkItem,
+    /// Estimated cost.
+    pub cost: u64,
+    pub since: Time,
+    order: i64,
+}
+
+/// The request that a lane would serve next.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Head {
+    pub tag: u64,
+    pub class: usize,
+    pub account: AccountKey,
+    pub work: WorkKey,
+}
+
+#[derive(Default)]
+struct Lane {
+    heads: BTreeSet<(u64, AccountKey)>,
+    works: BTreeMap<AccountKey, BTreeMap<i64, WorkKey>>,
+}
+
+#[derive(Default)]
+struct Client {
+    tag: u64,
+    weight: u32,
+    /// Requests queued and running.
+    open: u32,
+    queued: u32,
+    queued_cost: u64,
+    recent: FadingSum,
+    lanes: BTreeSet<LaneKey>,
+}
+
+/// The queue of one rank.
+#[derive(Default)]
+pub(super) struct RankQueue {
+    virtual_time: u64,
+    clients: BTreeMap<AccountKey, Client>,
+    lanes: BTreeMap<LaneKey, Lane>,
+    waiting: BTreeMap<WorkKey, Waiting>,
+    cost: u64,
+    active_weight: u64,
+    last_order: i64,
+    first_order: i64,
+}
+
+impl RankQueue {
+    /// Whether nothing is queued.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Estimated cost of everything queued.
+    pub fn cost(&self) -> u64 {
+        self.cost
+    }
+
+    /// Estimated cost of what an account has queued.
+    pub fn client_cost(&self, account: AccountKey) -> u64 {
+        self.clients.get(&account).map_or(0, |client| client.queued_cost)
+    }
+
+    /// The queued request.
+    pub fn get(&self, work: WorkKey) -> Option<&Waiting> {
+        self.waiting.get(&work)
+    }
+
+    /// Queues a request behind those of its account, or ahead of them.
+    pub fn push(&mut self, now: Time, item: WorkItem, weight: u32, cost: u64, ahead: bool) {
+        let order = if ahead {
+            self.first_order -= 1;
+            self.first_order
+        } else {
+            self.last_order += 1;
+            self.last_order
+        };
+        let (work, account) = (item.work, item.account);
+        let lane = (item.model, size_class(item.prompt_tokens));
+        self.open(account, weight);
+        let client = self.clients.get_mut(&account).expect("opened above");
+        // Idle time earns no credit.
+        if client.queued == 0 {
+            client.tag = client.tag.max(self.virtual_time);
+        }
+        client.queued += 1;
+        client.queued_cost += cost;
+        client.lanes.insert(lane);
+        self.cost += cost;
+        let tag = client.tag;
+        let lane = self.lanes.entry(lane).or_default();
+        lane.heads.insert((tag, account));
+        lane.works.entry(account).or_default().insert(order, work);
+        self.waiting.insert(work, Waiting { item, cost, since: now, order });
+    }
+
+    /// Removes a queued request.
+    pub fn remove(&mut self, work: WorkKey) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&work)?;
+        let account = waiting.item.account;
+        let key = (waiting.item.model, size_class(waiting.item.prompt_tokens));
+        self.cost -= waiting.cost;
+        let client = self.clients.get_mut(&account).expect("has queued work");
+        client.queued -= 1;
+        client.queued_cost -= waiting.cost;
+        let lane = self.lanes.get_mut(&key).expect("holds the work");
+        let works = lane.works.get_mut(&account).expect("holds the work");
+        works.remove(&waiting.order);
+        if works.is_empty() {
+            lane.works.remove(&account);
+            lane.heads.remove(&(client.tag, account));
+            client.lanes.remove(&key);
+        }
+        if lane.works.is_empty() {
+            self.lanes.remove(&key);
+        }
+        self.close(account);
+        Some(waiting)
+    }
+
+    /// The heads of all lanes, fairest first.
+    pub fn heads(&self) -> Vec<Head> {
+        let mut heads: Vec<_> = self.lanes.keys().filter_map(|lane| self.head(*lane)).collect();
+        heads.sort_unstable();
+        heads
+    }
+
+    /// The head of a lane.
+    pub fn head(&self, key: LaneKey) -> Option<Head> {
+        let lane = self.lanes.get(&key)?;
+        let (tag, account) = *lane.heads.first()?;
+        let (_, work) = lane.works[&account].first_key_value()?;
+        Some(Head { tag, class: key.1, account, work: *work })
+    }
+
+    /// Counts a request of the account that was not queued as open.
+    pub fn open(&mut self, account: AccountKey, weight: u32) {
+        let client = self.clients.entry(account).or_default();
+        if client.open == 0 {
+            client.weight = weight.max(1);
+            self.active_weight += u64::from(client.weight);
+        }
+        client.open += 1;
+    }
+
+    /// Ends what [`RankQueue::open`] began.
+    pub fn close(&mut self, account: AccountKey) {
+        let Some(client) = self.clients.get_mut(&account) else { return };
+        client.open -= 1;
+        if client.open == 0 {
+            self.active_weight -= u64::from(client.weight);
+        }
+    }
+
+    /// Notes that the account is served next: the virtual time reaches its tag.
+    pub fn serve(&mut self, account: AccountKey) {
+        let tag = self.clients.get(&account).map_or(0, |client| client.tag);
+        self.virtual_time = self.virtual_time.max(tag);
+    }
+
+    /// Charges an account, or gives back what was charged too much.
+    pub fn charge(&mut self, account: AccountKey, cost: i64) {
+        let Some(client) = self.clients.get_mut(&account) else { return };
+        let units = (cost as f64 * TAG_UNITS / f64::from(client.weight.max(1))) as i64;
+        let tag = client.tag.saturating_add_signed(units);
+        for key in &client.lanes {
+            let heads = &mut self.lanes.get_mut(key).expect("client is queued there").heads;
+            heads.remove(&(client.tag, account));
+            heads.insert((tag, account));
+        }
+        client.tag = tag;
+    }
+
+    /// Adds actual service to the account's recent use.
+    pub fn note_use(&mut self, now: Time, account: AccountKey, cost: u64) {
+        let client = self.clients.entry(account).or_default();
+        client.recent.add(now, RECENT_SPAN, cost as f64);
+    }
+
+    /// The account's share among the accounts with open requests, 0 to 1.
+    pub fn share(&self, account: AccountKey, weight: u32) -> f64 {
+        let own = f64::from(weight.max(1));
+        let is_open = self.clients.get(&account).is_some_and(|client| client.open > 0);
+        let others = self.active_weight as f64 - if is_open { own } else { 0.0 };
+        own / (own + others.max(0.0))
+    }
+
+    /// Service that the account received lately, in cost a second.
+    pub fn recent_rate(&self, now: Time, account: AccountKey) -> f64 {
+        let recent = self.clients.get(&account).map_or(0.0, |c| c.recent.get(now, RECENT_SPAN));
+        recent / RECENT_SPAN.as_secs_f64()
+    }
+
+    /// Forgets accounts that have nothing open and are not ahead of the virtual time.
+    pub fn forget_idle(&mut self, now: Time) {
+        let virtual_time = self.virtual_time;
+        self.clients.retain(|_, client| {
+            client.open > 0
+                || client.tag > virtual_time
+                || client.recent.get(now, RECENT_SPAN) > 1.0
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/scheduler/tests.rs
@@ -0,0 +1,355 @@
+//! Tests of this slice in virtual time.
+
+use std::collections::BTreeSet;
+
+use super::*;
+
+const TOP: RankKey = RankKey(0);
+const LOW: RankKey = RankKey(2);
+const MODEL: ModelKey = ModelKey(0);
+
+fn spec(engine: u32, batch: u32) -> EngineSpec {
+    let memory_tokens = 100_000;
+    EngineSpec { engine: EngineKey(engine), models: vec![MODEL], memory_tokens, batch }
+}
+
+fn rank(level: u8, first_token_ms: u64, guaranteed: f64) -> RankSpec {
+    RankSpec {
+        first_token: Duration::from_millis(first_token_ms),
+        finish: Duration::from_secs(60),
+        guaranteed,
+        ..unknown_rank(RankKey(level))
+    }
+}
+
+fn account(number: u32, memory_tokens: Option<u64>) -> AccountSpec {
+    AccountSpec { account: AccountKey(number), weight: 1, tokens_per_second: None, memory_tokens }
+}
+
+fn item(work: u64, account: u32, rank: RankKey, prompt_tokens: u64) -> WorkItem {
+    WorkItem {
+        work: WorkKey(work),
+        account: AccountKey(account),
+        rank,
+        model: MODEL,
+        prompt_tokens,
+        max_tokens: 100,
+        prefixes: Vec::new(),
+        preferred: None,
+        deadline: Time(60_000_000),
+    }
+}
+
+fn pool(engines: u32, batch: u32) -> PoolScheduler {
+    let mut pool = PoolScheduler::default();
+    let ranks = vec![rank(0, 1_000, 0.3), rank(1, 5_000, 0.4), rank(2, 60_000, 0.1)];
+    pool.step(Time::ZERO, SchedulerInput::Ranks(ranks));
+    let accounts = (0..20).map(|number| account(number, None)).collect();
+    pool.step(Time::ZERO, SchedulerInput::Accounts(accounts));
+    for engine in 0..engines {
+        pool.step(Time::ZERO, SchedulerInput::EngineAdded(spec(engine, batch)));
+    }
+    pool
+}
+
+fn submit(pool: &mut PoolScheduler, now: Time, item: WorkItem) -> Vec<SchedulerOutput> {
+    pool.step(now, SchedulerInput::Submit(item))
+}
+
+fn dispatched(outputs: &[SchedulerOutput]) -> Vec<u64> {
+    let work = |output: &SchedulerOutput| match output {
+        SchedulerOutput::Dispatch { work, .. } => Some(work.0),
+        _ => None,
+    };
+    outputs.iter().filter_map(work).collect()
+}
+
+/// Confirms every preemption. Returns the requests that run then and did not before.
+fn settle(pool: &mut PoolScheduler, now: Time, mut outputs: Vec<SchedulerOutput>) -> Vec<u64> {
+    let mut sent = Vec::new();
+    while let Some(output) = outputs.pop() {
+        match output {
+            SchedulerOutput::Dispatch { work, .. } => sent.push(work.0),
+            SchedulerOutput::Preempt { work, .. } => {
+                sent.retain(|sent| *sent != work.0);
+                let item = pool.running[&work].item.clone();
+                outputs.extend(pool.step(now, SchedulerInput::Requeue(item)));
+            }
+            _ => {}
+        }
+    }
+    sent
+}
+
+/// Sends the first token and the end of a request.
+fn finish(pool: &mut PoolScheduler, now: Time, work: u64) -> Vec<SchedulerOutput> {
+    let work = WorkKey(work);
+    let mut outputs = pool.step(now, SchedulerInput::Progress { work, tokens: 100 });
+    outputs.extend(pool.step(now, SchedulerInput::Finished(work)));
+    outputs
+}
+
+/// Guards against urgent work that finds every place taken by a flood of the lowest rank.
+#[test]
+fn low_rank_leaves_headroom() {
+    let mut pool = pool(1, 8);
+    for work in 0..20 {
+        submit(&mut pool, Time(work), item(work, 1, LOW, 500));
+    }
+    assert_eq!(pool.running(), 7);
+    let outputs = submit(&mut pool, Time(30), item(30, 2, TOP, 500));
+    assert_eq!(dispatched(&outputs), [30]);
+}
+
+/// Guards against urgent work that waits for lower-ranked work to end, and against work that is
+/// lost or counted twice when it is preempted.
+#[test]
+fn urgent_work_preempts_and_the_rest_is_resumed() {
+    let mut pool = pool(1, 8);
+    submit(&mut pool, Time(1), item(1, 1, LOW, 60_000));
+    let outputs = submit(&mut pool, Time(2), item(2, 2, TOP, 70_000));
+    let engine = EngineKey(0);
+    assert_eq!(outputs, [SchedulerOutput::Preempt { work: WorkKey(1), engine }]);
+    let again = pool.step(Time(3), SchedulerInput::Requeue(item(1, 1, LOW, 60_000)));
+    assert_eq!(dispatched(&again), [2]);
+    assert_eq!(dispatched(&finish(&mut pool, Time(4), 2)), [1]);
+    finish(&mut pool, Time(5), 1);
+    assert_eq!((pool.held(engine), pool.running(), pool.queued()), (0, 0, 0));
+}
+
+/// Guards against a short prompt that waits behind a long one without room.
+#[test]
+fn long_prompt_without_room_blocks_no_short_one() {
+    let mut pool = pool(1, 8);
+    submit(&mut pool, Time(1), item(1, 1, RankKey(1), 90_000));
+    submit(&mut pool, Time(2), item(2, 1, RankKey(1), 50_000));
+    let outputs = submit(&mut pool, Time(3), item(3, 1, RankKey(1), 300));
+    assert_eq!(dispatched(&outputs), [3]);
+    assert_eq!(pool.queued(), 1);
+}
+
+/// Guards against a long prompt that never finds memory because short ones take each free part.
+#[test]
+fn engine_is_drained_for_a_waiting_long_prompt() {
+    let mut pool = pool(1, 64);
+    let mut now = Time(1);
+    (0..40).for_each(|work| drop(submit(&mut pool, now, item(work, 1, RankKey(1), 1_900))));
+    submit(&mut pool, now, item(100, 2, RankKey(1), 60_000));
+    let mut order = Vec::new();
+    for work in 0..40 {
+        now = now + Duration::from_millis(100);
+        submit(&mut pool, now, item(200 + work, 3, RankKey(1), 1_900));
+        order.extend(dispatched(&finish(&mut pool, now, work)));
+    }
+    assert!(order.contains(&100), "{order:?}");
+}
+
+/// Guards against an account that gets more service the more it asks for.
+#[test]
+fn backlogged_accounts_get_equal_service() {
+    let mut pool = pool(1, 4);
+    let mut next = 0;
+    let mut served = [0u32; 3];
+    let mut running = Vec::new();
+    let mut owner = BTreeMap::new();
+    // Account 0 queues ten times what the others do.
+    for (number, count) in [(0, 1000), (1, 100), (2, 100)] {
+        for _ in 0..count {
+            next += 1;
+            owner.insert(next, number);
+            let outputs = submit(&mut pool, Time(1), item(next, number as u32, LOW, 500));
+            running.extend(dispatched(&outputs));
+        }
+    }
+    let mut now = Time(1_000);
+    for _ in 0..150 {
+        now = now + Duration::from_millis(10);
+        let work = running.remove(0);
+        served[owner[&work] as usize] += 1;
+        running.extend(dispatched(&finish(&mut pool, now, work)));
+    }
+    let (least, most) = (served.iter().min().unwrap(), served.iter().max().unwrap());
+    assert!(most - least <= 4, "{served:?}");
+}
+
+/// Guards against a flood of the urgent rank that leaves the others nothing.
+#[test]
+fn lower_rank_keeps_its_floor() {
+    let mut pool = pool(1, 4);
+    let mut running = Vec::new();
+    for work in 0..600 {
+        let rank = if work % 2 == 0 { TOP } else { RankKey(1) };
+        let outputs = submit(&mut pool, Time(1), item(work, 1, rank, 500));
+        running.extend(settle(&mut pool, Time(1), outputs));
+        running.retain(|work| pool.running.contains_key(&WorkKey(*work)));
+    }
+    let mut now = Time(1_000);
+    let mut served = [0u32; 2];
+    for _ in 0..300 {
+        now = now + Duration::from_millis(20);
+        let outputs = pool.step(now, SchedulerInput::Tick);
+        running.extend(settle(&mut pool, now, outputs));
+        let work = running.remove(0);
+        served[(work % 2) as usize] += 1;
+        let outputs = finish(&mut pool, now, work);
+        running.extend(settle(&mut pool, now, outputs));
+        running.retain(|work| pool.running.contains_key(&WorkKey(*work)));
+    }
+    let share = f64::from(served[1]) / 300.0;
+    assert!((0.36..0.7).contains(&share), "{served:?}");
+}
+
+/// Guards against a request that is queued although it cannot be served in time, and against a
+/// `Retry-After` that does not shrink as the queue does.
+#[test]
+fn late_work_is_refused_at_once_with_the_time_to_wait() {
+    let mut pool = pool(1, 2);
+    let mut next = 0;
+    let mut now = Time(1_000);
+    let mut running = Vec::new();
+    let mut waits = Vec::new();
+    for _ in 0..400 {
+        next += 1;
+        let outputs = submit(&mut pool, now, item(next, 1, RankKey(1), 500));
+        running.extend(dispatched(&outputs));
+        if let Some(SchedulerOutput::Refuse { refusal, .. }) = outputs.first() {
+            assert_eq!(refusal.reason, Reason::Overloaded);
+            waits.push(refusal.retry_after.unwrap());
+        }
+        now = now + Duration::from_millis(50);
+        running.extend(dispatched(&pool.step(now, SchedulerInput::Tick)));
+        if next % 4 == 0 {
+            let outputs = finish(&mut pool, now, running.remove(0));
+            running.extend(dispatched(&outputs));
+        }
+    }
+    // One request is served in 200 ms, so that about 25 fit into the target of 5 s.
+    assert!((15..60).contains(&pool.queued()), "{}", pool.queued());
+    assert!(waits.len() > 200 && waits.iter().all(|wait| *wait < Duration::from_secs(5)));
+}
+
+/// Guards against work that stays queued or held after its deadline or its caller is gone.
+#[test]
+fn expired_and_cancelled_work_leaves_at_once() {
+    let mut pool = pool(1, 2);
+    let late = |work| WorkItem { deadline: Time(5_000), ..item(work, 1, LOW, 500) };
+    (1..=4).for_each(|work| drop(submit(&mut pool, Time(1), late(work))));
+    pool.step(Time(2), SchedulerInput::Cancel(WorkKey(4)));
+    assert_eq!(pool.queued(), 2);
+    let outputs = pool.step(Time(5_000), SchedulerInput::Tick);
+    let refused = outputs.iter().filter(|o| matches!(o, SchedulerOutput::Refuse { .. })).count();
+    let aborted = outputs.iter().filter(|o| matches!(o, SchedulerOutput::Abort { .. })).count();
+    assert_eq!((refused, aborted, pool.queued()), (2, 1, 0));
+    pool.step(Time(6_000), SchedulerInput::Finished(WorkKey(1)));
+    assert_eq!(pool.held(EngineKey(0)), 0);
+}
+
+/// Guards against a request that gets no end or two, memory that is never given back, an account
+/// over its memory limit, and an engine over its memory, whatever the order of inputs.
+#[test]
+fn every_request_gets_one_end() {
+    arbtest::arbtest(|data| {
+        let mut pool = pool(2, 3);
+        let limit = 60_000;
+        let accounts = (0..3).map(|number| account(number, Some(limit))).collect();
+        pool.step(Time::ZERO, SchedulerInput::Accounts(accounts));
+        let mut model = Ends::default();
+        let mut now = Time(1);
+        for step in 0..data.int_in_range(1..=60)? {
+            now = now + Duration::from_millis(data.int_in_range(0..=3_000)?);
+            let input = model.input(data, step, now)?;
+            let outputs = pool.step(now, input);
+            model.note(outputs);
+            for number in 0..3 {
+                let held = pool.gate.held(AccountKey(number));
+                assert!(held <= limit, "account holds {held}");
+            }
+            let held: Vec<_> = (0..2).map(|engine| pool.held(EngineKey(engine))).collect();
+            assert!(held.iter().all(|held| *held <= 100_000), "{held:?}");
+        }
+        while let Some(work) = model.running.first().copied() {
+            model.running.remove(&work);
+            model.ended(work);
+            let outputs = pool.step(now, SchedulerInput::Finished(work));
+            model.note(outputs);
+        }
+        now = now + Duration::from_secs(120);
+        let outputs = pool.step(now, SchedulerInput::Tick);
+        model.note(outputs);
+        assert!(model.open.is_empty(), "without end: {:?}", model.open);
+        let held: u64 = (0..2).map(|engine| pool.held(EngineKey(engine))).sum();
+        assert_eq!((pool.queued(), pool.running(), held), (0, 0, 0));
+        assert!(pool.deadlines.is_empty() && pool.produced.is_empty() && pool.held.is_empty());
+        Ok(())
+    });
+}
+
+/// What a correct host would believe.
+#[derive(Default)]
+struct Ends {
+    open: BTreeSet<WorkKey>,
+    running: BTreeSet<WorkKey>,
+    items: BTreeMap<WorkKey, WorkItem>,
+    preempted: Vec<WorkKey>,
+}
+
+impl Ends {
+    fn input(
+        &mut self,
+        data: &mut arbtest::arbitrary::Unstructured<'_>,
+        step: u64,
+        now: Time,
+    ) -> arbtest::arbitrary::Result<SchedulerInput> {
+        if let Some(work) = self.preempted.pop() {
+            return Ok(SchedulerInput::Requeue(self.items[&work].clone()));
+        }
+        let some = self.running.iter().nth(data.int_in_range(0..=3)?).copied();
+        let choice: u8 = data.int_in_range(0..=7)?;
+        let Some(work) = some.filter(|_| choice > 2) else {
+            let prompt = data.int_in_range(1..=80_000)?;
+            let rank = RankKey(data.int_in_range(0..=2)?);
+            let mut item = item(step, data.int_in_range(0..=2)?, rank, prompt);
+            item.deadline = now + Duration::from_millis(data.int_in_range(0..=20_000)?);
+            self.open.insert(item.work);
+            self.items.insert(item.work, item.clone());
+            return Ok(SchedulerInput::Submit(item));
+        };
+        Ok(match choice {
+            3 => SchedulerInput::Progress { work, tokens: 3 },
+            4 => {
+                self.running.remove(&work);
+                SchedulerInput::Retry(self.items[&work].clone())
+            }
+            5 => {
+                self.running.remove(&work);
+                SchedulerInput::Rejected(work)
+            }
+            6 => {
+                self.running.remove(&work);
+                self.ended(work);
+                SchedulerInput::Finished(work)
+            }
+            _ => SchedulerInput::Cancel(work),
+        })
+    }
+
+    fn ended(&mut self, work: WorkKey) {
+        assert!(self.open.remove(&work), "{work:?} ended twice");
+    }
+
+    fn note(&mut self, outputs: Vec<SchedulerOutput>) {
+        for output in outputs {
+            match output {
+                SchedulerOutput::Dispatch { work, .. } => assert!(self.running.insert(work)),
+                SchedulerOutput::Preempt { work, .. } => {
+                    self.running.remove(&work);
+                    self.preempted.push(work);
+                }
+                SchedulerOutput::Refuse { work, .. } | SchedulerOutput::Move(work) => {
+                    self.ended(work);
+                }
+                _ => {}
+            }
+        }
+    }
+}
