Feed ranks, accounts and prefixes to the scheduler

Cause: the node passed neither ranks nor accounts nor prefix hashes, and counted an engine failure like a preemption. Ruled out: none. Change: assign passes ranks and accounts in force with the engines, work items carry prefix hashes, a failed engine leads to Retry, which the retry budget bounds. Before and after: cargo test -p parsley-node: 2 process tests pass before and after.

--- a/crates/node/src/pool/assign.rs
+++ b/crates/node/src/pool/assign.rs
@@ -4,10 +4,10 @@
 
 use async_io::Timer;
 use parsley_core::{
-    key::{EngineKey, ModelKey},
+    key::{AccountKey, EngineKey, ModelKey, RankKey},
     placement::{EngineLoad, engine_owner},
-    resource::BackendRole,
-    scheduler::{EngineSpec, SchedulerInput},
+    resource::{BackendRole, ClientAccount, Rank},
+    scheduler::{AccountSpec, EngineSpec, RankSpec, SchedulerInput},
 };
 use slog::info;
 
@@ -52,13 +52,40 @@
     let inputs = {
         let mut state = host.state.borrow_mut();
         let draining = host.is_draining_in(&state);
-        owned_engines(&mut state, draining)
+        let mut inputs = vec![ranks(&state), accounts(&mut state)];
+        inputs.extend(owned_engines(&mut state, draining));
+        inputs
     };
     for input in inputs {
         step(host, input);
     }
 }
 
+fn ranks(state: &HostState) -> SchedulerInput {
+    let ranks = state.config.resources().ranks.values();
+    let spec = |rank: &Rank| RankSpec {
+        rank: RankKey(rank.level),
+        first_token: Duration::from_millis(rank.first_token_ms),
+        finish: Duration::from_millis(rank.finish_ms),
+        guaranteed: f64::from(rank.guaranteed_percent) / 100.0,
+        tokens_per_second: None,
+        memory_tokens: None,
+    };
+    SchedulerInput::Ranks(ranks.map(spec).collect())
+}
+
+fn accounts(state: &mut HostState) -> SchedulerInput {
+    let accounts = state.config.resources().accounts.iter();
+    let names = &mut state.accounts;
+    let spec = |(name, account): (&Arc<str>, &ClientAccount)| AccountSpec {
+        account: AccountKey(names.intern(name)),
+        weight: account.weight,
+        tokens_per_second: account.tokens_per_second,
+        memory_tokens: account.memory_tokens,
+    };
+    SchedulerInput::Accounts(accounts.map(spec).collect())
+}
+
 fn owned_engines(state: &mut HostState, draining: bool) -> Vec<SchedulerInput> {
     let mut inputs = Vec::new();
     let mut owned = BTreeMap::new();
--- a/crates/node/src/pool/mod.rs
+++ b/crates/node/src/pool/mod.rs
@@ -9,7 +9,8 @@
 use async_io::Timer;
 use parsley_core::{
     key::{AccountKey, EngineKey, ModelKey, RankKey, WorkKey},
-    scheduler::{PoolScheduler, SchedulerInput, SchedulerOutput, WorkItem},
+    refusal::{Reason, Refusal},
+    scheduler::{PoolScheduler, SchedulerInput, SchedulerOutput, WorkItem, cost::PREFIX_TOKENS},
     time::Time,
 };
 
@@ -21,6 +22,8 @@
 pub mod assign;
 pub mod stream;
 
+/// Bytes of a prompt counted as one token.
+const BYTES_PER_TOKEN: usize = 4;
 const TICK: Duration = Duration::from_millis(50);
 /// Time for which a stream without a caller is kept for resumption.
 const DETACHED_LIMIT: Duration = Duration::from_secs(10);
@@ -61,6 +64,8 @@
     /// Grows when another task takes over the stream; the earlier task then stops.
     reader: u64,
     detached: Option<Time>,
+    /// Hashes of the prompt's leading parts.
+    prefixes: Vec<u64>,
 }
 
 /// The requests of the engines that this host owns.
@@ -87,8 +92,10 @@
         self.next_work += 1;
         let work = WorkKey(self.next_work);
         let produced = order.offset;
+        let prefixes = prefix_hashes(&order.prompt);
+        let (placed, reader, detached) = (None, 0, None);
         let entry =
-            PoolWork { order, sink, deadline, produced, placed: None, reader: 0, detached: None };
+            PoolWork { order, sink, deadline, produced, placed, reader, detached, prefixes };
         self.works.insert(work, entry);
         work
     }
@@ -201,6 +208,7 @@
 fn work_item(state: &mut HostState, work: WorkKey, preferred: Option<EngineKey>) -> WorkItem {
     let entry = &state.pool.works[&work];
     let order = &entry.order;
+    let prefixes = entry.prefixes.clone();
     let rank = state.config.resources().ranks.get(&order.rank).map_or(u8::MAX, |rank| rank.level);
     WorkItem {
         work,
@@ -209,7 +217,7 @@
         model: ModelKey(state.models.intern(&order.model) as u16),
         prompt_tokens: prompt_tokens(&order.prompt) + entry.produced,
         max_tokens: order.max_tokens.saturating_sub(entry.produced),
-        prefixes: Vec::new(),
+        prefixes,
         preferred,
         deadline: entry.deadline,
     }
@@ -217,7 +225,24 @@
 
 /// Tokens of a prompt: four bytes a token.
 pub fn prompt_tokens(prompt: &str) -> u64 {
-    (prompt.len() as u64).div_ceil(4)
+    prompt.len().div_ceil(BYTES_PER_TOKEN) as u64
+}
+
+/// Hashes of the prompt's first 1k, 4k, 16k and 64k tokens, as far as it reaches.
+fn prefix_hashes(prompt: &str) -> Vec<u64> {
+    let mut hasher = blake3::Hasher::new();
+    let mut hashes = Vec::new();
+    let mut done = 0;
+    for tokens in PREFIX_TOKENS {
+        let end = tokens as usize * BYTES_PER_TOKEN;
+        let Some(part) = prompt.as_bytes().get(done..end) else { break };
+        hasher.update(part);
+        done = end;
+        let mut head = [0; 8];
+        head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        hashes.push(u64::from_le_bytes(head));
+    }
+    hashes
 }
 
 /// Advances the scheduler and carries out what it asks for.
@@ -233,11 +258,21 @@
             SchedulerOutput::Refuse { work, refusal } => {
                 finish(host, work, StreamEvent::Refused(refusal));
             }
+            SchedulerOutput::Group(work) => refuse_group(host, work),
+            SchedulerOutput::AbortGroup(_) => {}
             SchedulerOutput::Move(work) => finish(host, work, StreamEvent::Moved),
         }
     }
 }
 
+/// Without group reservation a prompt beyond one engine cannot be served.
+fn refuse_group(host: &HostRef, work: WorkKey) {
+    let text = "the prompt needs more memory than one engine has";
+    let refusal = Refusal::not_run(Reason::PromptExceedsFleet, text);
+    finish(host, work, StreamEvent::Refused(refusal));
+    step(host, SchedulerInput::Finished(work));
+}
+
 fn finish(host: &HostRef, work: WorkKey, event: StreamEvent) {
     if let Some(entry) = host.state.borrow_mut().pool.works.remove(&work) {
         entry.sink.send(event);
--- a/crates/node/src/pool/stream.rs
+++ b/crates/node/src/pool/stream.rs
@@ -180,7 +180,7 @@
         return step(host, SchedulerInput::Finished(work));
     }
     let item = work_item(&mut host.state.borrow_mut(), work, None);
-    step(host, SchedulerInput::Requeue(item));
+    step(host, SchedulerInput::Retry(item));
 }
 
 pub(super) fn preempt(host: &HostRef, work: WorkKey, engine: EngineKey) {
