Report all mistakes of a settings file at once

Cause: `check` stopped at the first mistake, had no line or column, read port 0, an empty store list and duplicate addresses as valid, and exited with 1 on an unreadable file. Ruled out: serde with a path tracker, since it stops at the first error. Change: `document` reads JSON with comments through jsonc-parser's syntax tree, goes on after syntax errors and collects findings; `settings` reads its fields through it; a builder applies the same rules; TLS files and limits are part of the settings. Conclusion: nothing starts on a wrong file; one run shows every mistake.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod arena;
 pub mod config;
+pub mod document;
 pub mod entry;
 pub mod key;
 pub mod member;
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -1,9 +1,27 @@
 //! The settings file of a host: JSON with comments.
+//!
+//! Settings name the host and its surroundings. Behaviour is changed through resources, so there
+//! are no tuning parameters here beyond the sizes and times that protect the host itself.
 
 use std::sync::Arc;
 
 use parsley_macros::message;
 
+use crate::document::{self, Field, Finding, ObjectReader};
+
+mod builder;
+#[cfg(test)]
+mod tests;
+
+pub use builder::SettingsBuilder;
+
+/// Longest secret or path, in bytes.
+const TEXT_BYTES: usize = 4096;
+/// Shortest secret shared by the hosts, in bytes.
+const PEER_KEY_BYTES: usize = 12;
+/// Most addresses or digests in one list.
+const LIST_LIMIT: usize = 64;
+
 /// Settings of one host.
 #[message]
 #[serde(deny_unknown_fields)]
@@ -21,35 +39,133 @@
     /// Secret shared by all hosts.
     pub peer_key: Arc<str>,
     /// BLAKE3 hex digests of the operators' bearer tokens; anyone may administer if empty.
-    #[serde(default)]
     pub operator_digests: Vec<Arc<str>>,
     /// Addresses of the key-value service, as `ip:port`.
     pub store: Vec<Arc<str>>,
     /// Address of the host list, as `ip:port`.
-    #[serde(default)]
     pub host_list: Option<Arc<str>>,
     /// Peer addresses to contact first, as `ip:port`.
-    #[serde(default)]
     pub seeds: Vec<Arc<str>>,
-    /// Largest request body in bytes.
-    #[serde(default = "default_body_bytes")]
-    pub body_bytes: u64,
     /// Capacity of the host relative to others.
-    #[serde(default = "one")]
     pub capacity: u32,
+    /// Files for TLS towards callers and operators; plain HTTP if absent.
+    pub tls: Option<TlsFiles>,
+    /// Bounds on what a caller may send.
+    pub limits: RequestLimits,
+}
+
+/// Files for TLS. They are read again when they change.
+#[message]
+#[serde(deny_unknown_fields)]
+pub struct TlsFiles {
+    /// Certificate chain in PEM.
+    pub certificate_file: Arc<str>,
+    /// Private key in PEM.
+    pub key_file: Arc<str>,
+}
+
+/// Bounds on what a caller or operator may send.
+#[message]
+#[serde(deny_unknown_fields)]
+pub struct RequestLimits {
+    /// Largest request body in bytes.
+    pub body_bytes: u64,
+    /// Largest request head in bytes.
+    pub header_bytes: u64,
+    /// Deepest nesting of a JSON body.
+    pub json_depth: u64,
+    /// Time within which a request must have arrived, in milliseconds.
+    pub receive_ms: u64,
+    /// Most connections at a time.
+    pub connections: u64,
+}
+
+impl Default for RequestLimits {
+    fn default() -> RequestLimits {
+        RequestLimits {
+            // A million tokens at four bytes each, with room for multi-byte text and escapes.
+            body_bytes: 16 << 20,
+            // The HTTP library reads at most 8 KiB of head.
+            header_bytes: 8 << 10,
+            json_depth: 32,
+            receive_ms: 30_000,
+            connections: 10_000,
+        }
+    }
+}
+
+impl HostSettings {
+    /// Starts to build settings in code; [`SettingsBuilder::build`] checks them like a file.
+    pub fn builder(name: &str) -> SettingsBuilder {
+        SettingsBuilder::new(name)
+    }
+}
+
+/// Reads settings from JSON with comments. Returns every finding if there is one.
+pub fn parse(text: &str) -> Result<HostSettings, Vec<Finding>> {
+    document::read(text, read_settings)
+}
+
+fn read_settings(reader: &mut ObjectReader) -> Option<HostSettings> {
+    let name = reader.field("name").required("\"host-1\"").name();
+    let region = reader.field("region").required("\"north\"").name();
+    let failure_domain = reader.field("failure_domain").required("\"north-1\"").name();
+    let listen = reader.field("listen").required("\"10.0.0.5:7100\"").address();
+    let peer_field = reader.field("peer_listen").required("\"10.0.0.5:7200\"");
+    let peer_listen = peer_field.address();
+    if peer_listen.is_some() && peer_listen == listen {
+        peer_field.report("the same address as listen", "use another port");
+    }
+    let peer_key = read_peer_key(&reader.field("peer_key").required("\"a long shared secret\""));
+    let operator_digests = reader.field("operator_digests").list(LIST_LIMIT, Field::digest);
+    let store = reader.field("store").required("[\"10.0.0.9:2379\"]");
+    let store = store.filled_list(LIST_LIMIT, Field::address);
+    let host_list = reader.field("host_list").address();
+    let seeds = reader.field("seeds").list(LIST_LIMIT, Field::address);
+    let capacity = reader.field("capacity").number(1..=1_000);
+    let tls = reader.field("tls").object(read_tls);
+    let limits = reader.field("limits").object(|reader| Some(read_limits(reader)));
+    Some(HostSettings {
+        name: name?,
+        region: region?,
+        failure_domain: failure_domain?,
+        listen: listen?,
+        peer_listen: peer_listen?,
+        peer_key: peer_key?,
+        operator_digests: operator_digests.unwrap_or_default(),
+        store: store?,
+        host_list,
+        seeds: seeds.unwrap_or_default(),
+        capacity: capacity.and_then(|capacity| u32::try_from(capacity).ok()).unwrap_or(1),
+        tls,
+        limits: limits.unwrap_or_default(),
+    })
 }
 
-fn default_body_bytes() -> u64 {
-    16 << 20
+fn read_peer_key(field: &Field) -> Option<Arc<str>> {
+    let key = field.text(TEXT_BYTES)?;
+    if key.len() < PEER_KEY_BYTES {
+        field.report("too short", &format!("write at least {PEER_KEY_BYTES} bytes"));
+    }
+    Some(key)
 }
 
-fn one() -> u32 {
-    1
+fn read_tls(reader: &mut ObjectReader) -> Option<TlsFiles> {
+    let certificate = reader.field("certificate_file").required("\"/etc/parsleystage/host.pem\"");
+    let certificate_file = certificate.text(TEXT_BYTES);
+    let key_file = reader.field("key_file").required("\"/etc/parsleystage/host.key\"");
+    let key_file = key_file.text(TEXT_BYTES);
+    Some(TlsFiles { certificate_file: certificate_file?, key_file: key_file? })
 }
 
-/// Reads settings from JSON with comments.
-pub fn parse(text: &str) -> Result<HostSettings, Arc<str>> {
-    let value = jsonc_parser::parse_to_serde_value::<serde_json::Value>(text, &Default::default())
-        .map_err(|err| Arc::<str>::from(err.to_string()))?;
-    serde_json::from_value(value).map_err(|err| err.to_string().into())
+fn read_limits(reader: &mut ObjectReader) -> RequestLimits {
+    let usual = RequestLimits::default();
+    let mut number = |name, range, usual| reader.field(name).number(range).unwrap_or(usual);
+    RequestLimits {
+        body_bytes: number("body_bytes", 1 << 10..=64 << 20, usual.body_bytes),
+        header_bytes: number("header_bytes", 512..=8 << 10, usual.header_bytes),
+        json_depth: number("json_depth", 4..=128, usual.json_depth),
+        receive_ms: number("receive_ms", 100..=600_000, usual.receive_ms),
+        connections: number("connections", 16..=100_000, usual.connections),
+    }
 }
--- a/crates/node/src/command/mod.rs
+++ b/crates/node/src/command/mod.rs
@@ -2,7 +2,10 @@
 
 use std::{path::PathBuf, process::ExitCode, sync::Arc};
 
-use parsley_core::settings::{self, HostSettings};
+use parsley_core::{
+    document,
+    settings::{self, HostSettings},
+};
 
 use crate::error::NodeError;
 
@@ -40,7 +43,10 @@
     pub fn load(&self) -> Result<HostSettings, NodeError> {
         let text = std::fs::read_to_string(&self.settings)
             .map_err(|err| NodeError::Read(self.settings.clone(), err))?;
-        settings::parse(&text).map_err(NodeError::Settings)
+        settings::parse(&text).map_err(|findings| {
+            let file = self.settings.display().to_string();
+            NodeError::Settings(document::render(&file, &findings).into())
+        })
     }
 }
 
@@ -54,7 +60,10 @@
     let Err(err) = result else { return ExitCode::SUCCESS };
     eprintln!("{err}");
     match err {
-        NodeError::Usage(_) | NodeError::Settings(_) | NodeError::Arguments(_) => ExitCode::from(2),
+        NodeError::Usage(_)
+        | NodeError::Settings(_)
+        | NodeError::Arguments(_)
+        | NodeError::Read(..) => ExitCode::from(2),
         _ => ExitCode::FAILURE,
     }
 }
