Check values, references and limits of resources

Cause: a spec was read by serde alone: the first mistake hid the others, references and limits over several resources were not checked, and a bad value in the key-value service (weight 0) went in force. Ruled out: a second validator beside the settings reader; both now read through `document`, so findings have one form with line and column. Change: `read_spec` returns all findings; `StoredResource` is the value in the key-value service (spec, write id, operator, time) and a bare spec is still accepted; `conditions` reports an invalid stored value and missing references; `users` names what keeps a resource from being deleted. Before: no test. After: `cargo test -p parsley-core`: 19 passed. Conclusion: the administration API can refuse with all findings at once.

--- a/crates/core/src/resource/mod.rs
+++ b/crates/core/src/resource/mod.rs
@@ -6,7 +6,18 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use parsley_macros::{key, message};
-use serde::Deserialize;
+
+use crate::document::Finding;
+
+mod read;
+mod status;
+mod stored;
+#[cfg(test)]
+mod tests;
+
+pub use read::{ResourceSpec, read_spec};
+pub use status::{Condition, conditions, users};
+pub use stored::StoredResource;
 
 /// Kinds of resources.
 #[key]
@@ -41,6 +52,16 @@
         }
     }
 
+    /// The name of the kind in files and messages.
+    pub fn name(self) -> &'static str {
+        match self {
+            ResourceKind::ClientAccount => "ClientAccount",
+            ResourceKind::Rank => "Rank",
+            ResourceKind::Model => "Model",
+            ResourceKind::BackendServer => "BackendServer",
+        }
+    }
+
     /// The kind with the given segment.
     pub fn from_segment(segment: &str) -> Option<ResourceKind> {
         ResourceKind::ALL.into_iter().find(|kind| kind.segment() == segment)
@@ -151,14 +172,31 @@
 }
 
 impl ResourceSet {
-    /// Puts one resource in force from its JSON `spec`. Returns what is wrong with a bad one,
-    /// which leaves the set as it was.
-    pub fn put(&mut self, kind: ResourceKind, name: &str, spec: &str) -> Result<(), Arc<str>> {
+    /// Puts one resource in force from its value in the key-value service. Returns what is wrong
+    /// with a bad one, which leaves the set as it was.
+    ///
+    /// References are not checked: a resource may arrive before the one it refers to.
+    pub fn put(&mut self, kind: ResourceKind, name: &str, value: &str) -> Result<(), Arc<str>> {
+        let stored = StoredResource::decode(value)?;
+        let spec = read_spec(kind, name, &stored.spec.to_string(), None)
+            .map_err(|findings| summary(&findings))?;
+        let name = name.into();
+        match spec {
+            ResourceSpec::ClientAccount(spec) => drop(self.accounts.insert(name, spec)),
+            ResourceSpec::Rank(spec) => drop(self.ranks.insert(name, spec)),
+            ResourceSpec::Model(spec) => drop(self.models.insert(name, spec)),
+            ResourceSpec::BackendServer(spec) => drop(self.servers.insert(name, spec)),
+        }
+        Ok(())
+    }
+
+    /// Whether the set has a resource.
+    pub fn contains(&self, kind: ResourceKind, name: &str) -> bool {
         match kind {
-            ResourceKind::ClientAccount => insert(&mut self.accounts, name, spec),
-            ResourceKind::Rank => insert(&mut self.ranks, name, spec),
-            ResourceKind::Model => insert(&mut self.models, name, spec),
-            ResourceKind::BackendServer => insert(&mut self.servers, name, spec),
+            ResourceKind::ClientAccount => self.accounts.contains_key(name),
+            ResourceKind::Rank => self.ranks.contains_key(name),
+            ResourceKind::Model => self.models.contains_key(name),
+            ResourceKind::BackendServer => self.servers.contains_key(name),
         }
     }
 
@@ -173,14 +211,8 @@
     }
 }
 
-fn insert<T: for<'de> Deserialize<'de>>(
-    map: &mut BTreeMap<Arc<str>, T>,
-    name: &str,
-    spec: &str,
-) -> Result<(), Arc<str>> {
-    let resource = serde_json::from_str(spec).map_err(|err| Arc::<str>::from(err.to_string()))?;
-    map.insert(name.into(), resource);
-    Ok(())
+fn summary(findings: &[Finding]) -> Arc<str> {
+    findings.iter().map(Finding::to_string).collect::<Vec<_>>().join("; ").into()
 }
 
 fn one() -> u32 {
