--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod arena;
 pub mod config;
+pub mod document;
 pub mod entry;
 pub mod group;
 pub mod key;
