Measure decisions in virtual time beside baselines

Cause: no figure showed what the scheduler does for urgent work, floors, small callers and throughput. Ruled out: wall-clock runs, which depend on the machine. Change: a driver runs PoolScheduler, random choice with FIFO and least reported load with FIFO against EngineModel with the same arrivals.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! can embed a whole platform.
 
 pub mod caller;
+pub mod decision;
 pub mod engine;
 pub mod engine_model;
 pub mod fleet;
