Predict waits by size class and account

Cause: long prompts in the queue counted as ahead of short ones that pass them, so standard work was refused under floods. Ruled out: counting only the own class: shorter work is ahead too. Change: the wait counts cost up to the own size class, and the measured throughput of the class, scaled by the account's share.

--- a/crates/core/src/scheduler/dispatch.rs
+++ b/crates/core/src/scheduler/dispatch.rs
@@ -205,6 +205,7 @@
         let book = self.engines.get_mut(&engine).expect("was just chosen");
         let prefill = book.take(now, &item, &place);
         let class = place.class;
+        self.class_pace[class].spend(waiting.cost);
         self.class_recent[class].add(now, RECENT_SPAN, waiting.cost as f64);
         self.start(now, item, Site::Engine(engine), prefill);
         outputs.push(SchedulerOutput::Dispatch { work, engine, priority: place.priority });
--- a/crates/core/src/scheduler/forecast.rs
+++ b/crates/core/src/scheduler/forecast.rs
@@ -90,15 +90,25 @@
         }
         let state = &self.ranks[&item.rank];
         let available = self.available_rate(now, item.rank);
-        let above = self.ranks.range(..=item.rank);
-        let ahead: f64 = above.map(|(_, state)| state.queue.cost() as f64).sum();
+        let class = size_class(item.prompt_tokens);
+        let queued = state.queue.cost_up_to(class) as f64;
+        let above = || self.ranks.range(..=item.rank).map(|(_, state)| &state.queue);
+        let ahead: f64 = above().map(|queue| queue.cost_up_to(class) as f64).sum();
         let floor = rate * state.spec.guaranteed;
-        let by_rank = (ahead / rate).max(state.queue.cost() as f64 / available);
-        let by_floor = state.queue.cost() as f64 / floor.max(1.0);
+        let by_rank = (ahead / rate).max(queued / available);
+        let by_floor = queued / floor.max(1.0);
         let weight = self.weight(item.account);
         let share = state.queue.share(item.account, weight);
-        let own = state.queue.client_cost(item.account) as f64;
-        by_rank.min(by_floor).min(own / (available * share))
+        let own = state.queue.client_cost(item.account);
+        let own_up_to: u64 = own[..=class].iter().sum();
+        let by_share = by_rank.min(by_floor).min(own_up_to as f64 / (available * share));
+        // A class can have less room than its cost suggests, for example one long prefill at a time.
+        let class_rate = self.class_pace[class].rate();
+        if class_rate == 0.0 {
+            return by_share;
+        }
+        let in_class: f64 = above().map(|queue| queue.class_cost(class) as f64).sum();
+        by_share.max(in_class.min(own[class] as f64 / share) / class_rate)
     }
 
     /// Throughput left for a rank by the ranks above it, in cost a second.
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -99,6 +99,8 @@
     /// Tokens admitted for each open request, to give back what it does not use.
     produced: BTreeMap<WorkKey, u64>,
     pace: PoolPace,
+    /// Cost sent to engines a second, by size class.
+    class_pace: [PoolPace; CLASSES],
     /// Average seconds a request of a size class holds memory, and seconds a token takes.
     typical_seconds: [f64; CLASSES],
     token_seconds: f64,
@@ -403,6 +405,10 @@
 
     fn tick(&mut self, now: Time) {
         self.pace.observe(now, !self.queued.is_empty());
+        for (class, pace) in self.class_pace.iter_mut().enumerate() {
+            let is_queued = |state: &RankState| state.queue.class_cost(class) > 0;
+            pace.observe(now, self.ranks.values().any(is_queued));
+        }
         self.advance_engines(now);
         if now.since(self.forgotten) >= FORGET_PERIOD {
             self.forgotten = now;
--- a/crates/core/src/scheduler/queue.rs
+++ b/crates/core/src/scheduler/queue.rs
@@ -8,7 +8,7 @@
 
 use super::{
     WorkItem,
-    cost::{FadingSum, size_class},
+    cost::{CLASSES, FadingSum, size_class},
 };
 use crate::{
     key::{AccountKey, ModelKey, WorkKey},
@@ -54,7 +54,8 @@
     /// Requests queued and running.
     open: u32,
     queued: u32,
-    queued_cost: u64,
+    /// Estimated cost queued, by size class.
+    queued_cost: [u64; CLASSES],
     recent: FadingSum,
     lanes: BTreeSet<LaneKey>,
 }
@@ -66,7 +67,7 @@
     clients: BTreeMap<AccountKey, Client>,
     lanes: BTreeMap<LaneKey, Lane>,
     waiting: BTreeMap<WorkKey, Waiting>,
-    cost: u64,
+    cost: [u64; CLASSES],
     active_weight: u64,
     last_order: i64,
     first_order: i64,
@@ -78,14 +79,20 @@
         self.waiting.is_empty()
     }
 
-    /// Estimated cost of everything queued.
-    pub fn cost(&self) -> u64 {
-        self.cost
+    /// Estimated cost of what is queued up to a size class. Longer prompts that find no room are
+    /// passed by shorter ones, so they are not ahead of them.
+    pub fn cost_up_to(&self, class: usize) -> u64 {
+        self.cost[..=class].iter().sum()
     }
 
-    /// Estimated cost of what an account has queued.
-    pub fn client_cost(&self, account: AccountKey) -> u64 {
-        self.clients.get(&account).map_or(0, |client| client.queued_cost)
+    /// Estimated cost of what is queued in a size class.
+    pub fn class_cost(&self, class: usize) -> u64 {
+        self.cost[class]
+    }
+
+    /// Estimated cost of what an account has queued, by size class.
+    pub fn client_cost(&self, account: AccountKey) -> [u64; CLASSES] {
+        self.clients.get(&account).map_or([0; CLASSES], |client| client.queued_cost)
     }
 
     /// The queued request.
@@ -111,9 +118,9 @@
             client.tag = client.tag.max(self.virtual_time);
         }
         client.queued += 1;
-        client.queued_cost += cost;
+        client.queued_cost[lane.1] += cost;
         client.lanes.insert(lane);
-        self.cost += cost;
+        self.cost[lane.1] += cost;
         let tag = client.tag;
         let lane = self.lanes.entry(lane).or_default();
         lane.heads.insert((tag, account));
@@ -126,10 +133,10 @@
         let waiting = self.waiting.remove(&work)?;
         let account = waiting.item.account;
         let key = (waiting.item.model, size_class(waiting.item.prompt_tokens));
-        self.cost -= waiting.cost;
+        self.cost[key.1] -= waiting.cost;
         let client = self.clients.get_mut(&account).expect("has queued work");
         client.queued -= 1;
-        client.queued_cost -= waiting.cost;
+        client.queued_cost[key.1] -= waiting.cost;
         let lane = self.lanes.get_mut(&key).expect("holds the work");
         let works = lane.works.get_mut(&account).expect("holds the work");
         works.remove(&waiting.order);
