Report work that an engine took as run

Cause: a request that was preempted before its first token and then expired was reported as not run, although an engine had taken it; the rule went by generated tokens. Ruled out: the node's outcome, which passes the scheduler's refusal on unchanged. Change: the scheduler notes for each open request whether an engine took it. Before: 'cargo test -p parsley-core preempted_request': left Some(NotRun), right Some(Ran). After: it passes, with all tests of the package. Conclusion: a refusal says not-run only for work that never left the queue.

--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -78,6 +78,15 @@
     stopping: Option<Time>,
 }
 
+/// What is known of a request over all its attempts.
+#[derive(Default)]
+struct OpenWork {
+    /// Tokens generated, to give back what was admitted and not used.
+    produced: u64,
+    /// Whether an engine took the request, even if it generated no token.
+    ran: bool,
+}
+
 #[derive(Default)]
 struct AccountState {
     weight: u32,
@@ -96,8 +105,8 @@
     queued_tokens: u64,
     running: BTreeMap<WorkKey, RunningWork>,
     deadlines: BTreeSet<(Time, WorkKey)>,
-    /// Tokens admitted for each open request, to give back what it does not use.
-    produced: BTreeMap<WorkKey, u64>,
+    /// Requests admitted and not ended.
+    open: BTreeMap<WorkKey, OpenWork>,
     pace: PoolPace,
     /// Cost sent to engines a second, by size class.
     class_pace: [PoolPace; CLASSES],
@@ -282,7 +291,7 @@
                 return outputs.push(SchedulerOutput::Refuse { work, refusal });
             }
         }
-        self.produced.insert(work, 0);
+        self.open.insert(work, OpenWork::default());
         let state = self.rank(item.rank);
         cost::blend(&mut state.typical_need, need as f64, 0.05);
         if is_group {
@@ -325,16 +334,17 @@
         if item.deadline <= now {
             return self.give_up(now, item.work, outputs);
         }
-        if !self.produced.contains_key(&item.work) {
+        if !self.open.contains_key(&item.work) {
             self.adopt_limits(now, &item);
         }
+        self.open.entry(item.work).or_default().ran = true;
         self.enqueue(now, item, true);
     }
 
     fn retry(&mut self, now: Time, item: WorkItem, outputs: &mut Vec<SchedulerOutput>) {
         let work = item.work;
         self.release(now, work);
-        if !self.produced.contains_key(&work) {
+        if !self.open.contains_key(&work) {
             self.adopt_limits(now, &item);
         }
         for output in self.gate.step(now, AdmissionInput::Retry(work)) {
@@ -349,7 +359,7 @@
     }
 
     fn give_up(&mut self, now: Time, work: WorkKey, outputs: &mut Vec<SchedulerOutput>) {
-        let ran = self.produced.get(&work).is_some_and(|tokens| *tokens > 0);
+        let ran = self.open.get(&work).is_some_and(|open| open.ran);
         let refuse = if ran { Refusal::ran } else { Refusal::not_run };
         let refusal = refuse(Reason::DeadlineExceeded, "not served within the time left");
         self.close(now, work);
@@ -359,7 +369,7 @@
     fn adopt_limits(&mut self, now: Time, item: &WorkItem) {
         let ask = self.ask(now, item);
         self.gate.step(now, AdmissionInput::Adopt(ask));
-        self.produced.insert(item.work, 0);
+        self.open.insert(item.work, OpenWork::default());
     }
 
     fn remove_engine(&mut self, now: Time, engine: EngineKey, outputs: &mut Vec<SchedulerOutput>) {
--- a/crates/core/src/scheduler/running.rs
+++ b/crates/core/src/scheduler/running.rs
@@ -16,9 +16,10 @@
         self.release(now, item.work);
         self.unqueue(item.work);
         self.rank(item.rank);
-        if !self.produced.contains_key(&item.work) {
+        if !self.open.contains_key(&item.work) {
             self.adopt_limits(now, &item);
         }
+        self.open.entry(item.work).or_default().ran = true;
         let Some(book) = self.engines.get_mut(&engine) else { return };
         book.hold(&item);
         self.start(now, item, Site::Engine(engine), 0);
@@ -85,7 +86,7 @@
                 book.first_token(now, item, prefill);
             }
         }
-        *self.produced.entry(work).or_default() += tokens;
+        self.open.entry(work).or_default().produced += tokens;
         let spent_tokens = tokens + if is_first { prefill } else { 0 };
         self.spend(now, account, rank, cost, spent_tokens);
         is_first
@@ -114,7 +115,7 @@
     pub(super) fn close(&mut self, now: Time, work: WorkKey) {
         self.unqueue(work);
         let finished = self.release(now, work);
-        let produced = self.produced.remove(&work).unwrap_or(0);
+        let produced = self.open.remove(&work).unwrap_or_default().produced;
         if let Some(running) = finished
             && running.stopping.is_none()
         {
--- a/crates/core/src/scheduler/tests.rs
+++ b/crates/core/src/scheduler/tests.rs
@@ -279,7 +279,7 @@
         assert!(model.open.is_empty(), "without end: {:?}", model.open);
         let held: u64 = (0..2).map(|engine| pool.held(EngineKey(engine))).sum();
         assert_eq!((pool.queued(), pool.running(), held), (0, 0, 0));
-        assert!(pool.deadlines.is_empty() && pool.produced.is_empty() && pool.held.is_empty());
+        assert!(pool.deadlines.is_empty() && pool.open.is_empty() && pool.held.is_empty());
         Ok(())
     });
 }
@@ -353,3 +353,21 @@
         }
     }
 }
+
+/// Guards against telling a caller that a request was not run after an engine had taken it and was
+/// then told to stop before the first token.
+#[test]
+fn preempted_request_that_expires_is_reported_as_run() {
+    let mut pool = pool(1, 1);
+    let first = item(1, 0, LOW, 1_000);
+    assert_eq!(dispatched(&submit(&mut pool, Time::ZERO, first.clone())), [1]);
+    let outputs = submit(&mut pool, Time(1), item(2, 1, TOP, 100));
+    assert_eq!(outputs, [SchedulerOutput::Preempt { work: WorkKey(1), engine: EngineKey(0) }]);
+    pool.step(Time(2), SchedulerInput::Requeue(first));
+    let outputs = pool.step(Time(60_000_000), SchedulerInput::Tick);
+    let outcome = outputs.iter().find_map(|output| match output {
+        SchedulerOutput::Refuse { work: WorkKey(1), refusal } => Some(refusal.outcome),
+        _ => None,
+    });
+    assert_eq!(outcome, Some(crate::refusal::Outcome::Ran));
+}
