Add the administration API

Cause: operators could change the configuration only by writing into the key-value service past all checks; /healthz was also readiness and any route was open to anyone. Ruled out: holding a list of pending writes on the host, since hosts keep nothing; the write id in the stored value resolves a lost answer alone. Change: /admin/v1 lists, reads, watches, applies and deletes resources by compare-and-swap with If-Match or If-None-Match, answers 409 with the current revision, 503 while the service is out, and writes audit events; status, dump and drain; roles before every route; bounded heads, bodies, nesting, times and connections; /metrics and /readyz; events through one catalogue; TLS when files are given. Test ports come from random loopback addresses: on 127.0.0.1 another test's stand-in sometimes took the port. Conclusion: an accepted write is never lost and never overwrites unseen.

--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -46,6 +46,16 @@
     BodyTooLarge,
     /// The fleet can never hold the prompt.
     PromptExceedsFleet,
+    /// The request did not arrive within the time.
+    ReceiveTimeout,
+    /// The host serves as many connections as it may.
+    TooManyConnections,
+    /// A resource has mistakes.
+    InvalidResource,
+    /// A resource has another revision than the writer expects.
+    RevisionConflict,
+    /// Other resources refer to the resource.
+    InUse,
     /// The client account exceeds its limit.
     AccountLimit,
     /// The rank's target cannot be met at the current load.
@@ -65,6 +75,31 @@
 }
 
 impl Reason {
+    /// All reasons.
+    pub const ALL: [Reason; 21] = [
+        Reason::BadRequest,
+        Reason::Unauthenticated,
+        Reason::Forbidden,
+        Reason::NotFound,
+        Reason::DeadlineExceeded,
+        Reason::Conflict,
+        Reason::BodyTooLarge,
+        Reason::PromptExceedsFleet,
+        Reason::ReceiveTimeout,
+        Reason::TooManyConnections,
+        Reason::InvalidResource,
+        Reason::RevisionConflict,
+        Reason::InUse,
+        Reason::AccountLimit,
+        Reason::Overloaded,
+        Reason::NoEngine,
+        Reason::StoreUnavailable,
+        Reason::EngineFailed,
+        Reason::Draining,
+        Reason::Cancelled,
+        Reason::OutcomeUnknown,
+    ];
+
     /// The name in answers, logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
@@ -76,6 +111,11 @@
             Reason::Conflict => "conflict",
             Reason::BodyTooLarge => "body-too-large",
             Reason::PromptExceedsFleet => "prompt-exceeds-fleet",
+            Reason::ReceiveTimeout => "receive-timeout",
+            Reason::TooManyConnections => "too-many-connections",
+            Reason::InvalidResource => "invalid-resource",
+            Reason::RevisionConflict => "revision-conflict",
+            Reason::InUse => "in-use",
             Reason::AccountLimit => "account-limit",
             Reason::Overloaded => "overloaded",
             Reason::NoEngine => "no-engine",
@@ -90,15 +130,20 @@
     /// The HTTP status of the answer.
     pub fn status(self) -> u16 {
         match self {
-            Reason::BadRequest => 400,
+            Reason::BadRequest | Reason::InvalidResource => 400,
             Reason::Unauthenticated => 401,
             Reason::Forbidden => 403,
             Reason::NotFound => 404,
-            Reason::DeadlineExceeded => 408,
-            Reason::Conflict | Reason::Cancelled | Reason::OutcomeUnknown => 409,
+            Reason::DeadlineExceeded | Reason::ReceiveTimeout => 408,
+            Reason::Conflict
+            | Reason::Cancelled
+            | Reason::OutcomeUnknown
+            | Reason::RevisionConflict
+            | Reason::InUse => 409,
             Reason::BodyTooLarge | Reason::PromptExceedsFleet => 413,
             Reason::AccountLimit => 429,
             Reason::Overloaded
+            | Reason::TooManyConnections
             | Reason::NoEngine
             | Reason::StoreUnavailable
             | Reason::EngineFailed
--- a/crates/core/src/resource/mod.rs
+++ b/crates/core/src/resource/mod.rs
@@ -169,6 +169,8 @@
     pub models: BTreeMap<Arc<str>, Model>,
     /// Backend servers by name.
     pub servers: BTreeMap<Arc<str>, BackendServer>,
+    /// Names of client accounts by the digest of a token.
+    pub digests: BTreeMap<Arc<str>, Arc<str>>,
 }
 
 impl ResourceSet {
@@ -180,9 +182,15 @@
         let stored = StoredResource::decode(value)?;
         let spec = read_spec(kind, name, &stored.spec.to_string(), None)
             .map_err(|findings| summary(&findings))?;
-        let name = name.into();
+        let name: Arc<str> = name.into();
         match spec {
-            ResourceSpec::ClientAccount(spec) => drop(self.accounts.insert(name, spec)),
+            ResourceSpec::ClientAccount(spec) => {
+                self.remove(kind, &name);
+                for digest in &spec.credential_digests {
+                    self.digests.insert(digest.clone(), name.clone());
+                }
+                self.accounts.insert(name, spec);
+            }
             ResourceSpec::Rank(spec) => drop(self.ranks.insert(name, spec)),
             ResourceSpec::Model(spec) => drop(self.models.insert(name, spec)),
             ResourceSpec::BackendServer(spec) => drop(self.servers.insert(name, spec)),
@@ -203,7 +211,10 @@
     /// Removes one resource.
     pub fn remove(&mut self, kind: ResourceKind, name: &str) {
         match kind {
-            ResourceKind::ClientAccount => drop(self.accounts.remove(name)),
+            ResourceKind::ClientAccount => {
+                self.accounts.remove(name);
+                self.digests.retain(|_, account| **account != *name);
+            }
             ResourceKind::Rank => drop(self.ranks.remove(name)),
             ResourceKind::Model => drop(self.models.remove(name)),
             ResourceKind::BackendServer => drop(self.servers.remove(name)),
--- a/crates/node/src/adapter/store.rs
+++ b/crates/node/src/adapter/store.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http_types::{Method, StatusCode};
+use http_types::{Method, Response, StatusCode};
 use parsley_core::config::{ConfigDelta, ConfigItem, Revision};
 use serde::Deserialize;
 use serde_json::json;
@@ -31,6 +31,12 @@
     revision: u64,
 }
 
+#[derive(Deserialize)]
+struct ValueBody {
+    revision: u64,
+    value: Arc<str>,
+}
+
 /// Result of a compare-and-swap that the service answered.
 pub enum SwapAnswer {
     /// It took effect at this revision.
@@ -72,7 +78,32 @@
 ) -> Result<SwapAnswer, NodeError> {
     let body = json!({"value": value, "expect": expect.0}).to_string();
     let path = format!("/kv/{key}");
-    let mut response = http::send(address, Method::Put, &path, Some(body), CALL_LIMIT).await?;
+    let response = http::send(address, Method::Put, &path, Some(body), CALL_LIMIT).await?;
+    swap_answer(response).await
+}
+
+/// A key's revision and value, if it exists.
+pub async fn read(address: &str, key: &str) -> Result<Option<(Revision, Arc<str>)>, NodeError> {
+    let path = format!("/kv/{key}");
+    let mut response = http::send(address, Method::Get, &path, None, CALL_LIMIT).await?;
+    match response.status() {
+        StatusCode::Ok => {
+            let body: ValueBody = response.body_json().await?;
+            Ok(Some((Revision(body.revision), body.value)))
+        }
+        StatusCode::NotFound => Ok(None),
+        _ => Err(NodeError::Protocol("the key-value service refused the read")),
+    }
+}
+
+/// Deletes a key if its revision is `expect`.
+pub async fn remove(address: &str, key: &str, expect: Revision) -> Result<SwapAnswer, NodeError> {
+    let path = format!("/kv/{key}?expect={}", expect.0);
+    let response = http::send(address, Method::Delete, &path, None, CALL_LIMIT).await?;
+    swap_answer(response).await
+}
+
+async fn swap_answer(mut response: Response) -> Result<SwapAnswer, NodeError> {
     let status = response.status();
     let body: RevisionBody = response.body_json().await?;
     match status {
--- a/crates/node/src/api/chat.rs
+++ b/crates/node/src/api/chat.rs
@@ -47,7 +47,7 @@
 
 /// Answers a request for a completion.
 pub async fn complete(host: &HostRef, mut request: Request) -> Result<Response, Refusal> {
-    let account = authenticate(host, &request)?;
+    let account = super::access::account(host, &request)?;
     let body: ChatBody = request.body_json().await.map_err(|err| bad_request(&err.to_string()))?;
     let order = order(host, &request, account, &body)?;
     let (order, placed) = continuation(host, &request, order)?;
@@ -61,18 +61,6 @@
     }
 }
 
-fn authenticate(host: &HostRef, request: &Request) -> Result<Arc<str>, Refusal> {
-    let denied = || Refusal::not_run(Reason::Unauthenticated, "no valid bearer token");
-    let header = request.header("authorization").map(|values| values.as_str());
-    let token = header.and_then(|value| value.strip_prefix("Bearer ")).ok_or_else(denied)?;
-    let digest = blake3::hash(token.as_bytes()).to_hex();
-    let state = host.state.borrow();
-    let mut accounts = state.config.resources().accounts.iter();
-    let found = accounts
-        .find(|(_, account)| account.credential_digests.iter().any(|known| **known == *digest));
-    found.map(|(name, _)| name.clone()).ok_or_else(denied)
-}
-
 fn order(
     host: &HostRef,
     request: &Request,
--- /dev/null
+++ b/crates/node/src/api/gate.rs
@@ -0,0 +1,164 @@
+//! What stands before every route: roles, sizes, times and the record of refusals.
+
+use std::{
+    cell::Cell,
+    time::{Duration, Instant},
+};
+
+use futures_lite::AsyncReadExt;
+use http_types::{Body, Method, Request, Response};
+use parsley_core::refusal::{Outcome, Reason, Refusal};
+
+use super::{
+    access::{self, Role},
+    problem::problem,
+};
+use crate::{
+    error::NodeError,
+    event,
+    host::{Host, HostRef},
+    http::within,
+};
+
+/// Refusals logged in one second; a flood of them must not flood the log.
+const LOGGED_REFUSALS: u32 = 50;
+
+/// A group of routes with one role.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteGroup {
+    /// Name in logs and metrics.
+    pub name: &'static str,
+    /// Who may use it.
+    pub role: Role,
+}
+
+/// The group that a request belongs to.
+pub fn route_group(request: &Request) -> RouteGroup {
+    let mut parts = request.url().path().split('/').filter(|part| !part.is_empty());
+    let (name, role) = match (parts.next(), parts.next()) {
+        (Some("v1"), Some("entry")) => ("entry", Role::Anyone),
+        (Some("v1"), Some("models")) => ("models", Role::Caller),
+        (Some("v1"), Some("chat")) => ("chat", Role::Caller),
+        (Some("v1"), Some("services")) => ("services", Role::Caller),
+        (Some("v1"), Some("requests")) => ("requests", Role::Caller),
+        (Some("admin"), _) => ("admin", Role::Operator),
+        (Some("metrics"), _) => ("metrics", Role::Operator),
+        (Some("healthz"), _) => ("healthz", Role::Anyone),
+        (Some("readyz"), _) => ("readyz", Role::Anyone),
+        _ => ("other", Role::Anyone),
+    };
+    RouteGroup { name, role }
+}
+
+/// Checks the credential, then receives the body within its limits. The credential comes first, so
+/// that nobody without one makes the host hold a large body.
+pub async fn admit(
+    host: &HostRef,
+    group: RouteGroup,
+    request: &mut Request,
+) -> Result<(), Refusal> {
+    access::check(host, group.role, request)?;
+    if !has_body(request) {
+        return Ok(());
+    }
+    let bytes = receive(host, request).await?;
+    let is_json = request.content_type().is_none_or(|mime| mime.subtype().ends_with("json"));
+    if is_json && depth(&bytes) > host.settings.limits.json_depth {
+        return Err(Refusal::not_run(Reason::BadRequest, "the JSON body is nested too deeply"));
+    }
+    let mime = request.content_type();
+    request.set_body(Body::from_bytes(bytes));
+    if let Some(mime) = mime {
+        request.set_content_type(mime);
+    }
+    Ok(())
+}
+
+/// Whether a request can have a body.
+pub fn has_body(request: &Request) -> bool {
+    matches!(request.method(), Method::Post | Method::Put | Method::Patch)
+}
+
+async fn receive(host: &HostRef, request: &mut Request) -> Result<Vec<u8>, Refusal> {
+    let limits = &host.settings.limits;
+    let too_large = || {
+        let detail = format!("the body has more than {} bytes", limits.body_bytes);
+        Refusal::not_run(Reason::BodyTooLarge, &detail)
+    };
+    let declared = request.len().map_or(0, |bytes| u64::try_from(bytes).unwrap_or(u64::MAX));
+    if declared > limits.body_bytes {
+        return Err(too_large());
+    }
+    let mut body = request.take_body().take(limits.body_bytes + 1);
+    let mut bytes = Vec::new();
+    let reading = async { Ok(body.read_to_end(&mut bytes).await?) };
+    match within(Duration::from_millis(limits.receive_ms), reading).await {
+        Ok(_) => {}
+        Err(NodeError::Timeout) => {
+            let detail = "the request did not arrive in time";
+            return Err(Refusal::not_run(Reason::ReceiveTimeout, detail));
+        }
+        Err(err) => return Err(Refusal::not_run(Reason::BadRequest, &err.to_string())),
+    }
+    let received = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
+    if received > limits.body_bytes {
+        return Err(too_large());
+    }
+    if received < declared {
+        return Err(Refusal::not_run(Reason::BadRequest, "the body ended early"));
+    }
+    Ok(bytes)
+}
+
+/// Nesting of a JSON text. Brackets in strings do not count.
+fn depth(bytes: &[u8]) -> u64 {
+    let (mut depth, mut deepest, mut in_string, mut escaped) = (0_u64, 0, false, false);
+    for byte in bytes {
+        match byte {
+            _ if escaped => escaped = false,
+            b'\\' if in_string => escaped = true,
+            b'"' => in_string = !in_string,
+            b'{' | b'[' if !in_string => {
+                depth += 1;
+                deepest = deepest.max(depth);
+            }
+            b'}' | b']' if !in_string => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+    }
+    deepest
+}
+
+thread_local! {
+    // One host runs on a thread.
+    static LOGGED: Cell<(Option<Instant>, u32)> = const { Cell::new((None, 0)) };
+}
+
+/// Counts and logs a refusal under its reason's name.
+pub fn record(host: &Host, group: RouteGroup, refusal: &Refusal) {
+    record_parts(host, group, refusal.reason, refusal.outcome, &refusal.detail);
+}
+
+fn record_parts(host: &Host, group: RouteGroup, reason: Reason, outcome: Outcome, detail: &str) {
+    host.metrics.refusals.with_label_values(&[reason.name()]).inc();
+    let (start, count) = LOGGED.get();
+    let is_current = start.is_some_and(|start| start.elapsed() < Duration::from_secs(1));
+    if !is_current && count > LOGGED_REFUSALS {
+        event!(host.log, REFUSALS_NOT_LOGGED, "count" => count - LOGGED_REFUSALS);
+    }
+    let (start, count) = if is_current { (start, count + 1) } else { (Some(Instant::now()), 1) };
+    LOGGED.set((start, count));
+    if count <= LOGGED_REFUSALS {
+        event!(host.log, REQUEST_REFUSED, "reason" => reason.name(), "outcome" => outcome.name(),
+            "route" => group.name, "detail" => detail);
+    }
+}
+
+/// The answer to a refused request, after it was recorded.
+pub fn refuse(host: &Host, group: RouteGroup, refusal: &Refusal) -> Response {
+    record(host, group, refusal);
+    problem(refusal)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/node/src/api/gate/tests.rs
@@ -0,0 +1,29 @@
+use super::*;
+
+/// Guards against deep nesting that passes because of brackets in strings or escaped quotes, and
+/// against flat text refused for its brackets.
+#[test]
+fn depth_ignores_strings() {
+    assert_eq!(depth(br#"{"a":[1,{"b":2}]}"#), 3);
+    assert_eq!(depth(br#"{"a":"[[[[\"[["}"#), 1);
+    assert_eq!(depth(br#"["\\",[[]]]"#), 3);
+    assert_eq!(depth(&[b'['; 1000]), 1000);
+    assert_eq!(depth(b"]]][["), 2);
+}
+
+/// Guards against a route that is reachable without the role it needs.
+#[test]
+fn routes_need_their_roles() {
+    let role = |path: &str| {
+        let url = http_types::Url::parse(&format!("http://host{path}")).unwrap();
+        route_group(&Request::new(Method::Get, url)).role
+    };
+    for path in
+        ["/v1/chat/completions", "//v1//chat", "/v1/models", "/v1/services/a", "/v1/requests/1"]
+    {
+        assert_eq!(role(path), Role::Caller, "{path}");
+    }
+    for path in ["/admin", "/admin/v1/status", "//admin/v1/ranks/a", "/metrics"] {
+        assert_eq!(role(path), Role::Operator, "{path}");
+    }
+}
--- a/crates/node/src/api/mod.rs
+++ b/crates/node/src/api/mod.rs
@@ -13,46 +13,71 @@
 
 use crate::{error::NodeError, host::HostRef};
 
+pub mod access;
+mod admin;
+mod admin_state;
+mod admin_write;
 mod chat;
+mod connection;
+pub mod gate;
 mod problem;
+mod stream;
+mod tls;
 
 pub use problem::problem;
 
 /// Starts to accept callers and operators.
 pub fn start(host: &HostRef) -> Result<(), NodeError> {
     let listener = Async::<TcpListener>::try_from(TcpListener::bind(&*host.settings.listen)?)?;
-    host.spawn(accept_loop(host.clone(), listener));
+    let files = host.settings.tls.as_ref();
+    let acceptor = files.map(|files| tls::start(host, files)).transpose()?;
+    host.spawn(accept_loop(host.clone(), listener, acceptor));
     Ok(())
 }
 
-async fn accept_loop(host: HostRef, listener: Async<TcpListener>) {
+async fn accept_loop(
+    host: HostRef,
+    listener: Async<TcpListener>,
+    acceptor: Option<tls::AcceptorCell>,
+) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
+        let Ok((stream, from)) = listener.accept().await else { continue };
         let _ = stream.get_ref().set_nodelay(true);
-        let stream = TcpStream::from(stream);
-        let serving = host.clone();
-        host.spawn(async move {
-            let answer = |request| {
-                let host = serving.clone();
-                async move { Ok(answer(&host, request).await) }
-            };
-            // A broken connection concerns only its client.
-            let _ = async_h1::accept(stream, answer).await;
-        });
+        let acceptor = acceptor.as_ref().map(|cell| cell.borrow().clone());
+        host.spawn(connection::serve(host.clone(), TcpStream::from(stream), acceptor, from));
     }
 }
 
-async fn answer(host: &HostRef, request: Request) -> Response {
+async fn answer(host: &HostRef, request: Request) -> Result<Response, Refusal> {
     let path = request.url().path().to_owned();
     let parts: Vec<_> = path.split('/').filter(|part| !part.is_empty()).collect();
-    let result = match (request.method(), parts.as_slice()) {
+    match (request.method(), parts.as_slice()) {
         (Method::Get, ["v1", "entry"]) => Ok(entry(host, &request)),
         (Method::Get, ["v1", "models"]) => Ok(models(host)),
         (Method::Post, ["v1", "chat", "completions"]) => chat::complete(host, request).await,
-        (Method::Get, ["healthz" | "readyz"]) => Ok(json_answer(&json!({"status": "ok"}))),
+        (_, ["admin", "v1", parts @ ..]) => admin::answer(host, parts, request).await,
+        (Method::Get, ["metrics"]) => Ok(metrics(host)),
+        (Method::Get, ["healthz"]) => Ok(json_answer(&json!({"status": "ok"}))),
+        (Method::Get, ["readyz"]) => ready(host),
         _ => Err(Refusal::not_run(Reason::NotFound, "no such route")),
-    };
-    result.unwrap_or_else(|refusal| problem(&refusal))
+    }
+}
+
+fn ready(host: &HostRef) -> Result<Response, Refusal> {
+    if host.is_draining() {
+        return Err(Refusal::not_run(Reason::Draining, "the host is draining"));
+    }
+    if !host.is_ready() {
+        return Err(Refusal::not_run(Reason::StoreUnavailable, "no configuration is held yet"));
+    }
+    Ok(json_answer(&json!({"status": "ready"})))
+}
+
+fn metrics(host: &HostRef) -> Response {
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(host.metrics.render(host));
+    response.insert_header("content-type", prometheus::TEXT_FORMAT);
+    response
 }
 
 fn entry(host: &HostRef, request: &Request) -> Response {
--- a/crates/node/src/api/problem.rs
+++ b/crates/node/src/api/problem.rs
@@ -18,9 +18,14 @@
 
 /// The answer to a request that was refused or failed.
 pub fn problem(refusal: &Refusal) -> Response {
+    problem_with(refusal, problem_body(refusal))
+}
+
+/// The answer with a body that has further members.
+pub fn problem_with(refusal: &Refusal, body: Value) -> Response {
     let status = StatusCode::try_from(refusal.reason.status()).expect("statuses are valid");
     let mut response = Response::new(status);
-    response.set_body(problem_body(refusal).to_string());
+    response.set_body(body.to_string());
     response.insert_header("content-type", "application/problem+json");
     if let Some(span) = refusal.retry_after {
         response.insert_header("retry-after", span.as_secs().max(1).to_string());
--- a/crates/node/src/command/serve.rs
+++ b/crates/node/src/command/serve.rs
@@ -1,22 +1,21 @@
 //! `parsleystage serve`: runs a host until SIGTERM or SIGINT.
 
-use std::{rc::Rc, time::Duration};
-
-use async_executor::LocalExecutor;
-use async_io::Timer;
-use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
-use parsley_core::{entry::ENTRY_LIFETIME, member::MemberInput, settings::HostSettings};
-use slog::info;
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use crate::{
     api,
     command::SettingsArgs,
     config_sync,
     error::NodeError,
+    event,
     host::{Host, HostRef},
     log, peer, pool,
 };
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_signal::{Signal, Signals};
+use futures_lite::{FutureExt, StreamExt};
+use parsley_core::{entry::ENTRY_LIFETIME, member::MemberInput, settings::HostSettings};
 
 const USAGE: &str = "\
 Run a host until SIGTERM or SIGINT.
@@ -31,11 +30,14 @@
     serve(args.load()?)
 }
 
-/// Runs a host with these settings until SIGTERM or SIGINT.
+/// Runs a host with these settings until SIGTERM, SIGINT or an operator's request.
 pub fn serve(settings: HostSettings) -> Result<(), NodeError> {
     let executor = Rc::new(LocalExecutor::new());
-    let host = Host::new(settings, executor.clone(), log::root());
-    async_io::block_on(executor.run(run_host(host)))
+    let (log, guard) = log::root();
+    let host = Host::new(settings, executor.clone(), log);
+    let result = async_io::block_on(executor.run(run_host(host)));
+    drop(guard);
+    result
 }
 
 async fn run_host(host: HostRef) -> Result<(), NodeError> {
@@ -44,18 +46,24 @@
     api::start(&host)?;
     pool::start(&host);
     config_sync::start(&host);
-    info!(host.log, "host started"; "event" => "E1001", "listen" => &*host.settings.listen);
-    signals.next().await;
-    drain(&host).await;
-    info!(host.log, "host stopped"; "event" => "E1002");
+    event!(host.log, HOST_STARTED, "listen" => &*host.settings.listen,
+        "peer_listen" => &*host.settings.peer_listen, "tls" => host.settings.tls.is_some(),
+        "version" => env!("CARGO_PKG_VERSION"));
+    let signal = async {
+        signals.next().await;
+        Arc::from("signal")
+    };
+    let by = signal.or(host.stop_requested()).await;
+    drain(&host, &by).await;
+    event!(host.log, HOST_STOPPED);
     Ok(())
 }
 
 /// Leaves the entry answers at once, keeps accepting while callers may hold an old answer, and
 /// returns when no request is open.
-async fn drain(host: &HostRef) {
+async fn drain(host: &HostRef, by: &str) {
     host.drain();
-    info!(host.log, "draining"; "event" => "E1003");
+    event!(host.log, DRAINING, "by" => by);
     peer::member_step(host, MemberInput::Drain);
     pool::assign::hand_back(host);
     Timer::after(ENTRY_LIFETIME).await;
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -2,19 +2,18 @@
 
 use std::{sync::Arc, time::Duration};
 
-use async_io::Timer;
-use parsley_core::{
-    config::{CONFIG_PREFIX, ConfigDelta},
-    member::MemberInput,
-};
-use slog::info;
-
 use crate::{
     adapter::store,
+    event,
     host::HostRef,
     peer::{self, frame::PeerFrame, link},
     pool,
 };
+use async_io::Timer;
+use parsley_core::{
+    config::{CONFIG_PREFIX, ConfigDelta},
+    member::MemberInput,
+};
 
 const WATCH_WAIT: Duration = Duration::from_secs(5);
 const RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -31,8 +30,7 @@
             match store::changes(address, CONFIG_PREFIX, after, Some(WATCH_WAIT)).await {
                 Ok(delta) => apply(&host, delta),
                 Err(err) => {
-                    info!(host.log, "key-value service does not answer"; "event" => "E1201",
-                        "error" => %err);
+                    event!(host.log, STORE_SILENT, "error" => %err);
                     Timer::after(RETRY_DELAY).await;
                 }
             }
@@ -48,7 +46,7 @@
     };
     peer::member_step(host, MemberInput::Revision(complete));
     if changed {
-        info!(host.log, "configuration in force"; "event" => "E1202", "revision" => complete.0);
+        event!(host.log, CONFIG_IN_FORCE, "revision" => complete.0);
         pool::assign::assign(host);
     }
 }
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -2,10 +2,11 @@
 
 use std::{cell::RefCell, collections::BTreeMap, future::Future, rc::Rc, sync::Arc, time::Instant};
 
+use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use parsley_core::{
     arena::NameTable,
-    config::ConfigStore,
+    config::{ConfigStore, Revision},
     member::{MemberRecord, MemberState, MemberTable},
     placement::EnginePicker,
     settings::HostSettings,
@@ -14,7 +15,7 @@
 };
 use slog::Logger;
 
-use crate::{peer::link::PeerLink, pool::EnginePool};
+use crate::{metrics::HostMetrics, peer::link::PeerLink, pool::EnginePool};
 
 /// A host. No borrow of [`Host::state`] may be held across an await.
 pub struct Host {
@@ -26,9 +27,12 @@
     pub log: Logger,
     /// Signs continuation tokens.
     pub signer: TokenSigner,
+    /// Counters and histograms.
+    pub metrics: HostMetrics,
     /// Mutable state.
     pub state: RefCell<HostState>,
     started: Instant,
+    stop: (Sender<Arc<str>>, Receiver<Arc<str>>),
 }
 
 /// A shared host.
@@ -83,8 +87,10 @@
             settings,
             executor,
             log,
+            metrics: HostMetrics::new(),
             state: RefCell::new(state),
             started: Instant::now(),
+            stop: async_channel::bounded(1),
         })
     }
 
@@ -103,6 +109,23 @@
         self.state.borrow_mut().draining = true;
     }
 
+    /// Asks the host to drain and stop, on behalf of `by`. A second call has no effect.
+    pub fn request_stop(&self, by: &str) {
+        // The channel is full when the host was asked before.
+        let _ = self.stop.0.try_send(by.into());
+    }
+
+    /// Waits until somebody asks the host to stop, and tells who.
+    pub async fn stop_requested(&self) -> Arc<str> {
+        self.stop.1.recv().await.unwrap_or_else(|_| "host".into())
+    }
+
+    /// Whether this host holds a configuration, so that it can serve callers.
+    pub fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        !state.draining && state.config.complete() > Revision(0)
+    }
+
     /// Whether the host is draining.
     pub fn is_draining(&self) -> bool {
         self.state.borrow().draining
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod host;
 pub mod http;
 pub mod log;
+pub mod metrics;
 pub mod peer;
 pub mod pool;
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -1,16 +1,100 @@
-//! Structured logs. Each event has a number; `docs/events.md` lists them.
+//! Structured logs: a terminal form on a terminal, JSON lines otherwise.
+//!
+//! Every event is an entry of [`CATALOGUE`] and is written with [`event!`](crate::event), so that
+//! its number, level and text cannot differ between places. `docs/events.md` tells operators what
+//! each one means; a test compares the two.
 
-use std::io::IsTerminal;
+use std::io::{IsTerminal, Write};
 
-use slog::{Drain, Logger, o};
+use slog::{Drain, Level, Logger, o};
+use slog_async::{Async, AsyncGuard};
 
-/// The root logger: a terminal form on a terminal, JSON lines otherwise.
-pub fn root() -> Logger {
+/// Lines that wait for the terminal or pipe; further ones are dropped and counted in a line.
+const WAITING_LINES: usize = 4_096;
+
+/// One event that a host can log.
+#[derive(Clone, Copy, Debug)]
+pub struct LogEvent {
+    /// Number.
+    pub number: &'static str,
+    /// Level.
+    pub level: Level,
+    /// Text for a person.
+    pub text: &'static str,
+    /// Names of the fields.
+    pub fields: &'static [&'static str],
+}
+
+/// Declares events as constants and collects them.
+macro_rules! catalogue {
+    ($($name:ident: $number:literal $level:ident $text:literal [$($field:literal),*];)*) => {
+        $(
+            #[doc = concat!($number, ": ", $text, ".")]
+            pub const $name: LogEvent = LogEvent {
+                number: $number,
+                level: Level::$level,
+                text: $text,
+                fields: &[$($field),*],
+            };
+        )*
+        /// Every event.
+        pub const CATALOGUE: &[LogEvent] = &[$($name),*];
+    };
+}
+
+catalogue! {
+    HOST_STARTED: "E1001" Info "host started" ["listen", "peer_listen", "tls", "version"];
+    HOST_STOPPED: "E1002" Info "host stopped" [];
+    DRAINING: "E1003" Info "draining" ["by"];
+    TLS_RELOADED: "E1004" Info "certificate reloaded" ["file"];
+    TLS_NOT_RELOADED: "E1005" Error "certificate not reloaded" ["file", "error"];
+    PEER_LINK_ENDED: "E1101" Info "peer connection ended" ["peer", "error"];
+    PEER_SERVING_ENDED: "E1102" Info "connection from peer ended" ["error"];
+    STORE_SILENT: "E1201" Warning "key-value service does not answer" ["error"];
+    CONFIG_IN_FORCE: "E1202" Info "configuration in force" ["revision"];
+    ENGINE_EJECTED: "E1301" Warning "engine ejected" ["engine"];
+    CANCEL_FAILED: "E1302" Warning "cancel failed" ["stream", "error"];
+    RESOURCE_APPLIED: "E1401" Info "resource applied"
+        ["operator", "resource", "revision", "write_id"];
+    RESOURCE_DELETED: "E1402" Info "resource deleted"
+        ["operator", "resource", "revision", "write_id"];
+    WRITE_REFUSED: "E1403" Warning "write to a resource refused"
+        ["operator", "resource", "reason", "detail"];
+    DRAIN_REQUESTED: "E1404" Info "drain requested" ["operator"];
+    REQUEST_REFUSED: "E1501" Info "request refused" ["reason", "outcome", "route", "detail"];
+    REFUSALS_NOT_LOGGED: "E1502" Warning "refusals not logged" ["count"];
+    CONNECTION_CLOSED: "E1503" Info "connection closed" ["reason", "from"];
+}
+
+/// Writes an event of the catalogue: `event!(log, EVENT, "field" => value)`.
+#[macro_export]
+macro_rules! event {
+    ($log:expr, $event:ident $(, $key:literal => $($value:tt)*)?) => {
+        ::slog::log!(
+            $log, $crate::log::$event.level, "", "{}", $crate::log::$event.text;
+            "event" => $crate::log::$event.number $(, $key => $($value)*)?
+        )
+    };
+}
+
+/// The root logger to standard error. The guard writes out what is waiting when it is dropped.
+pub fn root() -> (Logger, AsyncGuard) {
     if std::io::stderr().is_terminal() {
         let decorator = slog_term::TermDecorator::new().stderr().build();
-        let drain = slog_term::FullFormat::new(decorator).build().fuse();
-        return Logger::root(slog_async::Async::new(drain).build().fuse(), o!());
+        return background(slog_term::FullFormat::new(decorator).build().fuse());
     }
-    let drain = slog_json::Json::default(std::io::stderr()).fuse();
-    Logger::root(slog_async::Async::new(drain).build().fuse(), o!())
+    background(json(std::io::stderr()).fuse())
+}
+
+/// One JSON object a line: `ts`, `level`, `event`, `msg` and the event's fields.
+pub fn json<W: Write + Send + 'static>(output: W) -> slog_json::Json<W> {
+    slog_json::Json::new(output).set_flush(true).add_default_keys().build()
+}
+
+fn background<D>(drain: D) -> (Logger, AsyncGuard)
+where
+    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+{
+    let (drain, guard) = Async::new(drain).chan_size(WAITING_LINES).build_with_guard();
+    (Logger::root(drain.fuse(), o!()), guard)
 }
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -2,19 +2,18 @@
 
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 
-use async_channel::{Receiver, Sender};
-use async_io::Timer;
-use async_net::TcpStream;
-use futures_lite::{FutureExt, io::BufReader};
-use slog::info;
-
 use super::frame::{PeerFrame, StreamEvent, hello_tag, read_frame, write_frame};
 use crate::{
     config_sync,
     error::NodeError,
+    event,
     host::{Host, HostRef},
     http::within,
 };
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use async_net::TcpStream;
+use futures_lite::{FutureExt, io::BufReader};
 
 /// Time between two pings.
 pub const PING_PERIOD: Duration = Duration::from_millis(500);
@@ -75,7 +74,7 @@
 ) {
     let result = exchange(&host, &address, &link, outgoing).await;
     if let Err(err) = result {
-        info!(host.log, "peer connection ended"; "event" => "E1101", "peer" => &*name,
+        event!(host.log, PEER_LINK_ENDED, "peer" => &*name,
             "error" => %err);
     }
     // Closing the channels tells every open request that it must attach elsewhere.
--- a/crates/node/src/peer/serve.rs
+++ b/crates/node/src/peer/serve.rs
@@ -2,23 +2,22 @@
 
 use std::{collections::BTreeMap, net::TcpListener, time::Duration};
 
-use async_channel::{Receiver, Sender};
-use async_io::Async;
-use async_net::TcpStream;
-use futures_lite::{FutureExt, io::BufReader};
-use parsley_core::key::WorkKey;
-use slog::info;
-
 use super::{
     frame::{PeerFrame, hello_tag, read_frame, write_frame},
     link::{SILENCE_LIMIT, next_or_ping, unix_ms},
 };
 use crate::{
     error::NodeError,
+    event,
     host::HostRef,
     http::within,
     pool::{self, EventSink},
 };
+use async_channel::{Receiver, Sender};
+use async_io::Async;
+use async_net::TcpStream;
+use futures_lite::{FutureExt, io::BufReader};
+use parsley_core::key::WorkKey;
 
 /// Largest difference between the clocks of two hosts.
 const CLOCK_TOLERANCE: Duration = Duration::from_secs(60);
@@ -47,7 +46,7 @@
     let result = write_loop(stream, outgoing).or(reading).await;
     frames.close();
     if let Err(err) = result {
-        info!(host.log, "connection from peer ended"; "event" => "E1102", "error" => %err);
+        event!(host.log, PEER_SERVING_ENDED, "error" => %err);
     }
     for work in channels.into_values() {
         pool::detach(&host, work);
--- a/crates/node/src/pool/assign.rs
+++ b/crates/node/src/pool/assign.rs
@@ -2,6 +2,12 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use super::{finish, step};
+use crate::{
+    event,
+    host::{HostRef, HostState},
+    peer::{self, PeerDatagram, frame::StreamEvent},
+};
 use async_io::Timer;
 use parsley_core::{
     key::{EngineKey, ModelKey},
@@ -9,13 +15,6 @@
     resource::BackendRole,
     scheduler::{EngineSpec, SchedulerInput},
 };
-use slog::info;
-
-use super::{finish, step};
-use crate::{
-    host::{HostRef, HostState},
-    peer::{self, PeerDatagram, frame::StreamEvent},
-};
 
 const LOAD_PERIOD: Duration = Duration::from_millis(200);
 /// Time for which an engine that failed gets no work.
@@ -100,7 +99,7 @@
 }
 
 pub(super) fn eject(host: &HostRef, engine: EngineKey) {
-    info!(host.log, "engine ejected"; "event" => "E1301", "engine" => engine.0);
+    event!(host.log, ENGINE_EJECTED, "engine" => engine.0);
     step(host, SchedulerInput::EngineUsable { engine, usable: false });
     let host = host.clone();
     host.clone().spawn(async move {
--- a/crates/node/src/pool/stream.rs
+++ b/crates/node/src/pool/stream.rs
@@ -2,20 +2,19 @@
 
 use std::{sync::Arc, time::Duration};
 
-use async_io::Timer;
-use parsley_core::{
-    key::{EngineKey, WorkKey},
-    refusal::{Reason, Refusal},
-    scheduler::SchedulerInput,
-};
-use slog::info;
-
 use super::{assign::eject, finish, step, work_item};
 use crate::{
     adapter::engine::{self, EngineAnswer, EngineEvent, EngineOrder, EngineStream},
+    event,
     host::HostRef,
     peer::frame::{RequestOrder, StreamEvent},
 };
+use async_io::Timer;
+use parsley_core::{
+    key::{EngineKey, WorkKey},
+    refusal::{Reason, Refusal},
+    scheduler::SchedulerInput,
+};
 
 /// Delay before work that an engine refused for lack of memory is offered again.
 const REJECTED_DELAY: Duration = Duration::from_millis(50);
@@ -229,7 +228,7 @@
     };
     let Some(address) = address else { return };
     if let Err(err) = engine::cancel(&address, stream).await {
-        info!(host.log, "cancel failed"; "event" => "E1302", "stream" => stream, "error" => %err);
+        event!(host.log, CANCEL_FAILED, "stream" => stream, "error" => %err);
     }
 }
 
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -354,7 +354,10 @@
         let Ok(entries) = async_io::block_on(caller::entries(host.address)) else { return false };
         let address = host.address.to_string();
         let models = async_io::block_on(async {
-            let request = caller::request(Method::Get, &address, "/v1/models");
+            let mut request = caller::request(Method::Get, &address, "/v1/models");
+            if let Some(account) = self.builder.accounts.first() {
+                request.insert_header("authorization", format!("Bearer token-{account}"));
+            }
             let mut response = caller::send(&address, request).await?;
             response.body_json::<Value>().await.map_err(|err| err.to_string())
         });
@@ -378,7 +381,11 @@
 }
 
 /// A loopback address that nothing listens on, with the listener that reserved it.
-fn free_address() -> io::Result<(SocketAddr, Arc<TcpListener>)> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+///
+/// The IP address is random within 127.0.0.0/8: on 127.0.0.1 a port that was just released is often
+/// given to a stand-in of another test before the host binds it.
+pub(crate) fn free_address() -> io::Result<(SocketAddr, Arc<TcpListener>)> {
+    let [a, b, c] = std::array::from_fn(|_| fastrand::u8(1..255));
+    let listener = TcpListener::bind((Ipv4Addr::new(127, a, b, c), 0))?;
     Ok((listener.local_addr()?, Arc::new(listener)))
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod hostlist;
 pub mod server;
 pub mod service;
+pub mod solo;
 pub mod store;
