Add parsleyctl

Cause: operators had no program for the administration API. Ruled out: sharing the resource types with the host, since findings and columns come from the host's JSON and the client must work across versions. Change: apply, get, describe, delete, watch, status, dump, drain and entry, one file each; table and JSON; exit codes 0, 1, 2; token from a file or the environment; findings of the host are shown with their place in the operator's file; a lost answer is resolved by the write id. Before: an empty program. Conclusion: the configuration can be administered without other tools.

--- /dev/null
+++ b/crates/ctl/tests/describe.rs
@@ -0,0 +1,27 @@
+//! `parsleyctl describe`.
+
+mod fixture;
+
+use fixture::{apply, check_usage, ctl, host};
+
+/// Guards against wrong use that passes.
+#[test]
+fn usage() {
+    check_usage("describe", &[&[], &["ranks"], &["ranks", "No Name"]]);
+}
+
+/// Guards against a description without conditions or the revision in force.
+#[test]
+fn shows_conditions_and_spec() {
+    let host = host();
+    apply(&host);
+    let run = ctl(&host, &["describe", "clientaccounts", "club"], "");
+    assert_eq!(run.code, Some(0), "{run:?}");
+    for part in
+        ["Kind:        ClientAccount", "InForce              yes", "ReferencesResolved   yes"]
+    {
+        assert!(run.stdout.contains(part), "{part} not in {}", run.stdout);
+    }
+    let json = ctl(&host, &["describe", "clientaccounts", "club", "-o", "json"], "").json();
+    assert_eq!(json["status"]["observedRevision"], json["revision"]);
+}
--- /dev/null
+++ b/crates/ctl/tests/get.rs
@@ -0,0 +1,58 @@
+//! `parsleyctl get`.
+
+mod fixture;
+
+use fixture::{apply, check_usage, command, ctl, finish, host};
+use parsley_standins::solo::OPERATOR_TOKEN;
+
+/// Guards against wrong use that passes.
+#[test]
+fn usage() {
+    check_usage(
+        "get",
+        &[&[], &["colours"], &["ranks", "a", "b"], &["ranks", "-o", "xml"], &["ranks"]],
+    );
+}
+
+/// Guards against a table that does not line up and JSON that cannot be read.
+#[test]
+fn table_and_json() {
+    let host = host();
+    apply(&host);
+    let run = ctl(&host, &["get", "ranks"], "");
+    let lines: Vec<_> = run.stdout.lines().collect();
+    assert!(lines[0].starts_with("NAME      LEVEL  FIRST TOKEN MS"), "{run:?}");
+    assert!(lines[1].starts_with("standard  1      5000") && lines[1].ends_with("ok"), "{run:?}");
+    let run = ctl(&host, &["get", "ClientAccount", "club", "-o", "json"], "");
+    assert_eq!(run.json()["spec"]["ranks"][0], "standard");
+    assert_eq!(ctl(&host, &["get", "rank", "none"], "").code, Some(1));
+}
+
+/// Guards against a token that is required on the command line or shown in an error, and against a
+/// wrong one that passes.
+#[test]
+fn token_comes_from_a_file_or_the_environment_and_is_not_shown() {
+    let host = host();
+    let address = host.address.to_string();
+    let path = std::env::temp_dir().join(format!("parsley-token-{}", std::process::id()));
+    std::fs::write(&path, format!("{OPERATOR_TOKEN}\n")).unwrap();
+    let file = path.to_str().unwrap();
+    let run = finish(command(&["get", "ranks", "--server", &address, "--token-file", file]), "");
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(run.code, Some(0), "{run:?}");
+    let mut wrong = command(&["get", "ranks", "--server", &address]);
+    wrong.env("PARSLEY_TOKEN", "wrong-secret");
+    let run = finish(wrong, "");
+    assert_eq!(run.code, Some(1));
+    assert!(run.stderr.contains("unauthenticated") && !run.stderr.contains("wrong-secret"));
+}
+
+/// Guards against a read that fails because the first host is gone.
+#[test]
+fn next_server_is_asked() {
+    let host = host();
+    let mut command = command(&["get", "ranks"]);
+    command.env("PARSLEY_SERVER", format!("127.0.0.1:9,{}", host.address));
+    command.env("PARSLEY_TOKEN", OPERATOR_TOKEN);
+    assert_eq!(finish(command, "").code, Some(0));
+}
--- a/crates/node/src/api/admin.rs
+++ b/crates/node/src/api/admin.rs
@@ -189,6 +189,7 @@
         "name": name,
         "revision": item.revision.0,
         "operator": stored.as_ref().map(|stored| stored.operator.clone()),
+        "writeId": stored.as_ref().map(|stored| stored.write_id.clone()),
         "writtenMs": stored.as_ref().map(|stored| stored.written_ms),
         "spec": stored.map(|stored| stored.spec),
         "status": {"observedRevision": observed, "conditions": conditions},
