--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,10 +4,12 @@
 //! and randomness are parameters and I/O is returned as typed outputs, so a test, a measurement and
 //! the node drive the same code.
 
+pub mod admission;
 pub mod arena;
 pub mod config;
 pub mod document;
 pub mod entry;
+pub mod group;
 pub mod key;
 pub mod member;
 pub mod placement;
@@ -17,3 +19,4 @@
 pub mod settings;
 pub mod time;
 pub mod token;
+pub mod usage;
