--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -8,6 +8,7 @@
 
 use slog::{Drain, Level, Logger, o};
 use slog_async::{Async, AsyncGuard};
+use slog_term::Decorator;
 
 /// Lines that wait for the terminal or pipe; further ones are dropped and counted in a line.
 const WAITING_LINES: usize = 4_096;
@@ -80,8 +81,7 @@
 /// The root logger to standard error. The guard writes out what is waiting when it is dropped.
 pub fn root() -> (Logger, AsyncGuard) {
     if std::io::stderr().is_terminal() {
-        let decorator = slog_term::TermDecorator::new().stderr().build();
-        return background(slog_term::FullFormat::new(decorator).build().fuse());
+        return background(terminal(slog_term::TermDecorator::new().stderr().build()).fuse());
     }
     background(json(std::io::stderr()).fuse())
 }
@@ -91,6 +91,11 @@
     slog_json::Json::new(output).set_flush(true).add_default_keys().build()
 }
 
+/// One line an event for a person at a terminal.
+pub fn terminal<D: Decorator>(decorator: D) -> slog_term::FullFormat<D> {
+    slog_term::FullFormat::new(decorator).use_original_order().build()
+}
+
 fn background<D>(drain: D) -> (Logger, AsyncGuard)
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
