Bound heads and measure first tokens and control bytes

Cause: header_bytes was not kept for heads below the HTTP library's own limit; the time to first token and control bytes were not measured; a refusal after the head of a stream was sent was not recorded. Ruled out: a task that meters each stream, since it would add a hop per chunk; the meter is a cell read on the first chunk.

--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -46,6 +46,8 @@
     BodyTooLarge,
     /// The fleet can never hold the prompt.
     PromptExceedsFleet,
+    /// The head is larger than the limit.
+    HeadTooLarge,
     /// The request did not arrive within the time.
     ReceiveTimeout,
     /// The host serves as many connections as it may.
@@ -76,7 +78,7 @@
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Reason; 21] = [
+    pub const ALL: [Reason; 22] = [
         Reason::BadRequest,
         Reason::Unauthenticated,
         Reason::Forbidden,
@@ -85,6 +87,7 @@
         Reason::Conflict,
         Reason::BodyTooLarge,
         Reason::PromptExceedsFleet,
+        Reason::HeadTooLarge,
         Reason::ReceiveTimeout,
         Reason::TooManyConnections,
         Reason::InvalidResource,
@@ -111,6 +114,7 @@
             Reason::Conflict => "conflict",
             Reason::BodyTooLarge => "body-too-large",
             Reason::PromptExceedsFleet => "prompt-exceeds-fleet",
+            Reason::HeadTooLarge => "head-too-large",
             Reason::ReceiveTimeout => "receive-timeout",
             Reason::TooManyConnections => "too-many-connections",
             Reason::InvalidResource => "invalid-resource",
@@ -140,7 +144,7 @@
             | Reason::OutcomeUnknown
             | Reason::RevisionConflict
             | Reason::InUse => 409,
-            Reason::BodyTooLarge | Reason::PromptExceedsFleet => 413,
+            Reason::BodyTooLarge | Reason::HeadTooLarge | Reason::PromptExceedsFleet => 413,
             Reason::AccountLimit => 429,
             Reason::Overloaded
             | Reason::TooManyConnections
--- a/crates/node/src/api/chat.rs
+++ b/crates/node/src/api/chat.rs
@@ -13,11 +13,12 @@
 use serde::Deserialize;
 use serde_json::json;
 
-use super::problem::problem_body;
+use super::{gate, problem::problem_body};
 use crate::{
     carrier::{self, PlacedStream},
     host::{HostRef, RequestGuard},
     http::ChannelReader,
+    metrics::FirstTokenMeter,
     peer::{
         frame::{RequestOrder, StreamEvent},
         link::unix_ms,
@@ -52,7 +53,8 @@
     let order = order(host, &request, account, &body)?;
     let (order, placed) = continuation(host, &request, order)?;
     let guard = host.open_request();
-    let call = ChatCall { host: host.clone(), order: order.clone(), guard };
+    let meter = FirstTokenMeter::start(&order.rank, order.prompt.len());
+    let call = ChatCall { host: host.clone(), order: order.clone(), guard, meter };
     let events = carrier::start(host, order, placed);
     match first_event(&events).await? {
         StreamEvent::Refused(refusal) => Err(refusal),
@@ -132,6 +134,7 @@
     host: HostRef,
     order: RequestOrder,
     guard: RequestGuard,
+    meter: FirstTokenMeter,
 }
 
 impl ChatCall {
@@ -139,7 +142,10 @@
         let mut answer = String::new();
         loop {
             match first_event(&events).await? {
-                StreamEvent::Chunk { text, .. } => answer.push_str(&text),
+                StreamEvent::Chunk { text, .. } => {
+                    self.meter.chunk(&self.host.metrics);
+                    answer.push_str(&text);
+                }
                 StreamEvent::Refused(refusal) => return Err(refusal),
                 StreamEvent::Finished => break,
                 _ => {}
@@ -191,6 +197,7 @@
                 format!("event: continuation\ndata: {token}\n\n")
             }
             StreamEvent::Chunk { offset, tokens, text } => {
+                self.meter.chunk(&self.host.metrics);
                 let delta = json!({
                     "id": self.order.request, "object": "chat.completion.chunk",
                     "model": self.order.model,
@@ -200,6 +207,8 @@
             }
             StreamEvent::Finished => "data: [DONE]\n\n".to_owned(),
             StreamEvent::Refused(refusal) => {
+                // The head of the answer is gone, so the refusal was not recorded with it.
+                gate::record(&self.host, gate::CHAT, &refusal);
                 format!("event: error\ndata: {}\n\n", problem_body(&refusal))
             }
         }
--- a/crates/node/src/api/gate.rs
+++ b/crates/node/src/api/gate.rs
@@ -7,7 +7,7 @@
 
 use futures_lite::AsyncReadExt;
 use http_types::{Body, Method, Request, Response};
-use parsley_core::refusal::{Outcome, Reason, Refusal};
+use parsley_core::refusal::{Reason, Refusal};
 
 use super::{
     access::{self, Role},
@@ -32,13 +32,16 @@
     pub role: Role,
 }
 
+/// The group of requests for completions.
+pub const CHAT: RouteGroup = RouteGroup { name: "chat", role: Role::Caller };
+
 /// The group that a request belongs to.
 pub fn route_group(request: &Request) -> RouteGroup {
     let mut parts = request.url().path().split('/').filter(|part| !part.is_empty());
     let (name, role) = match (parts.next(), parts.next()) {
         (Some("v1"), Some("entry")) => ("entry", Role::Anyone),
         (Some("v1"), Some("models")) => ("models", Role::Caller),
-        (Some("v1"), Some("chat")) => ("chat", Role::Caller),
+        (Some("v1"), Some("chat")) => return CHAT,
         (Some("v1"), Some("services")) => ("services", Role::Caller),
         (Some("v1"), Some("requests")) => ("requests", Role::Caller),
         (Some("admin"), _) => ("admin", Role::Operator),
@@ -57,6 +60,11 @@
     group: RouteGroup,
     request: &mut Request,
 ) -> Result<(), Refusal> {
+    let head_limit = host.settings.limits.header_bytes;
+    if head_bytes(request) > head_limit {
+        let detail = format!("the head has more than {head_limit} bytes");
+        return Err(Refusal::not_run(Reason::HeadTooLarge, &detail));
+    }
     access::check(host, group.role, request)?;
     if !has_body(request) {
         return Ok(());
@@ -74,6 +82,15 @@
     Ok(())
 }
 
+/// Size of a request's head; the HTTP library keeps no more than 8 KiB of it.
+fn head_bytes(request: &Request) -> u64 {
+    let line = request.url().as_str().len();
+    let fields = request.iter().flat_map(|(name, values)| {
+        values.iter().map(|value| name.as_str().len() + value.as_str().len() + 4)
+    });
+    u64::try_from(line + fields.sum::<usize>()).unwrap_or(u64::MAX)
+}
+
 /// Whether a request can have a body.
 pub fn has_body(request: &Request) -> bool {
     matches!(request.method(), Method::Post | Method::Put | Method::Patch)
@@ -136,11 +153,8 @@
 
 /// Counts and logs a refusal under its reason's name.
 pub fn record(host: &Host, group: RouteGroup, refusal: &Refusal) {
-    record_parts(host, group, refusal.reason, refusal.outcome, &refusal.detail);
-}
-
-fn record_parts(host: &Host, group: RouteGroup, reason: Reason, outcome: Outcome, detail: &str) {
-    host.metrics.refusals.with_label_values(&[reason.name()]).inc();
+    let reason = refusal.reason.name();
+    host.metrics.refusals.with_label_values(&[reason]).inc();
     let (start, count) = LOGGED.get();
     let is_current = start.is_some_and(|start| start.elapsed() < Duration::from_secs(1));
     if !is_current && count > LOGGED_REFUSALS {
@@ -149,8 +163,9 @@
     let (start, count) = if is_current { (start, count + 1) } else { (Some(Instant::now()), 1) };
     LOGGED.set((start, count));
     if count <= LOGGED_REFUSALS {
-        event!(host.log, REQUEST_REFUSED, "reason" => reason.name(), "outcome" => outcome.name(),
-            "route" => group.name, "detail" => detail);
+        event!(host.log, REQUEST_REFUSED, "reason" => reason,
+            "outcome" => refusal.outcome.name(), "route" => group.name,
+            "detail" => &*refusal.detail);
     }
 }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -3,7 +3,7 @@
 //! Names carry base units. Every label takes its values from a fixed list or from the ranks in
 //! force, so that callers cannot create series.
 
-use std::time::Duration;
+use std::{cell::Cell, sync::Arc, time::Instant};
 
 use parsley_core::refusal::Reason;
 use prometheus::{
@@ -13,6 +13,8 @@
 
 use crate::host::Host;
 
+/// Bytes of a prompt that are taken for one token.
+const BYTES_PER_TOKEN: usize = 4;
 /// Upper bounds for the time to the first token, in seconds.
 const FIRST_TOKEN_BUCKETS: [f64; 12] =
     [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0];
@@ -95,12 +97,6 @@
         metrics
     }
 
-    /// Counts the first token of a request.
-    pub fn first_token(&self, rank: &str, prompt_tokens: u64, time: Duration) {
-        let class = length_class(prompt_tokens);
-        self.first_token.with_label_values(&[rank, class]).observe(time.as_secs_f64());
-    }
-
     /// All metrics as text.
     pub fn render(&self, host: &Host) -> String {
         let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
@@ -114,8 +110,30 @@
     }
 }
 
+/// Measures the time from a request's arrival to its first token, once.
+pub struct FirstTokenMeter {
+    rank: Arc<str>,
+    class: &'static str,
+    start: Cell<Option<Instant>>,
+}
+
+impl FirstTokenMeter {
+    /// Starts to measure. Ranks are those in force, so their number is bounded.
+    pub fn start(rank: &Arc<str>, prompt_bytes: usize) -> FirstTokenMeter {
+        let class = length_class(prompt_bytes / BYTES_PER_TOKEN);
+        FirstTokenMeter { rank: rank.clone(), class, start: Cell::new(Some(Instant::now())) }
+    }
+
+    /// Notes that a chunk arrived; only the first one counts.
+    pub fn chunk(&self, metrics: &HostMetrics) {
+        let Some(start) = self.start.take() else { return };
+        let histogram = metrics.first_token.with_label_values(&[&self.rank, self.class]);
+        histogram.observe(start.elapsed().as_secs_f64());
+    }
+}
+
 /// The name of a prompt's size class.
-pub fn length_class(prompt_tokens: u64) -> &'static str {
+pub fn length_class(prompt_tokens: usize) -> &'static str {
     match prompt_tokens {
         0..=2_048 => "2k",
         2_049..=16_384 => "16k",
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -55,6 +55,7 @@
     loop {
         let Ok((size, _)) = socket.recv_from(&mut buffer).await else { continue };
         let Some(datagram) = open(&host, &buffer[..size]) else { continue };
+        count_bytes(&host, "received", &datagram, size);
         match datagram {
             PeerDatagram::Member(message) => member_step(&host, MemberInput::Received(message)),
             PeerDatagram::Load(loads) => {
@@ -81,6 +82,7 @@
 pub fn send(host: &HostRef, to: &Arc<str>, datagram: &PeerDatagram) {
     let Ok(address) = to.parse::<std::net::SocketAddr>() else { return };
     let bytes = seal(host, datagram);
+    count_bytes(host, "sent", datagram, bytes.len());
     SOCKET.with_borrow(|socket| {
         let Some(socket) = socket else { return };
         // A full socket buffer drops the datagram, as the network may.
@@ -88,6 +90,15 @@
     });
 }
 
+fn count_bytes(host: &HostRef, direction: &str, datagram: &PeerDatagram, bytes: usize) {
+    let content = match datagram {
+        PeerDatagram::Member(_) => "member",
+        PeerDatagram::Load(_) => "load",
+    };
+    let counter = host.metrics.control_bytes.with_label_values(&[direction, content]);
+    counter.inc_by(u64::try_from(bytes).unwrap_or(0));
+}
+
 fn seal(host: &HostRef, datagram: &PeerDatagram) -> Vec<u8> {
     let mut bytes = postcard::to_stdvec(datagram).expect("datagrams are plain data");
     let tag = blake3::keyed_hash(&datagram_key(host), &bytes);
