--- a/crates/ctl/src/resource_file.rs
+++ b/crates/ctl/src/resource_file.rs
@@ -13,6 +13,9 @@
 
 use crate::{error::CtlError, kind::ResourceKind};
 
+#[cfg(test)]
+mod tests;
+
 /// Fields that hosts add to a resource; a file written by `get -o json` may have them.
 const HOST_FIELDS: [&str; 4] = ["operator", "writeId", "writtenMs", "status"];
 
@@ -44,7 +47,7 @@
             "" => "spec".to_owned(),
             field => format!("spec.{field}"),
         };
-        let (line, column) = (line + self.start.0, column + shift);
+        let (line, column) = (line.saturating_add(self.start.0), column.saturating_add(shift));
         let (problem, fix) = (text("problem"), text("fix"));
         format!("{}:{line}:{column}: {field}: {problem}; {fix}", self.file)
     }
--- a/crates/node/src/peer/frame.rs
+++ b/crates/node/src/peer/frame.rs
@@ -14,6 +14,9 @@
 /// Largest frame, in bytes.
 pub const FRAME_BYTES: usize = 20 << 20;
 
+/// Largest first frame, in bytes. It arrives from somebody who has not yet proved to be a peer.
+pub const HELLO_BYTES: usize = 256;
+
 /// A request as hosts pass it on.
 #[message]
 pub struct RequestOrder {
@@ -141,10 +144,22 @@
 
 /// Reads one frame.
 pub async fn read_frame(reader: &mut (impl AsyncRead + Unpin)) -> Result<PeerFrame, NodeError> {
+    read_within(reader, FRAME_BYTES).await
+}
+
+/// Reads the first frame of a connection.
+pub async fn read_hello(reader: &mut (impl AsyncRead + Unpin)) -> Result<PeerFrame, NodeError> {
+    read_within(reader, HELLO_BYTES).await
+}
+
+async fn read_within(
+    reader: &mut (impl AsyncRead + Unpin),
+    limit: usize,
+) -> Result<PeerFrame, NodeError> {
     let mut length = [0; 4];
     reader.read_exact(&mut length).await?;
     let length = u32::from_le_bytes(length) as usize;
-    if length > FRAME_BYTES {
+    if length > limit {
         return Err(NodeError::Protocol("frame too large"));
     }
     let mut body = vec![0; length];
--- a/crates/node/src/peer/serve.rs
+++ b/crates/node/src/peer/serve.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::TcpListener, time::Duration};
 
 use super::{
-    frame::{PeerFrame, hello_tag, read_frame, write_frame},
+    frame::{PeerFrame, hello_tag, read_frame, read_hello, write_frame},
     link::{SILENCE_LIMIT, next_or_ping, unix_ms},
 };
 use crate::{
@@ -66,7 +66,7 @@
     frames: &Sender<PeerFrame>,
     channels: &mut BTreeMap<u64, WorkKey>,
 ) -> Result<(), NodeError> {
-    let hello = within(SILENCE_LIMIT, read_frame(&mut reader)).await?;
+    let hello = within(SILENCE_LIMIT, read_hello(&mut reader)).await?;
     check_hello(host, &hello)?;
     let sink = |channel| EventSink::Peer { channel, frames: frames.clone() };
     loop {
