--- a/crates/ctl/src/kind.rs
+++ b/crates/ctl/src/kind.rs
@@ -82,6 +82,7 @@
 pub fn cell(value: Option<&Value>) -> String {
     match value {
         None | Some(Value::Null) => "-".to_owned(),
+        Some(Value::String(text)) if text.is_empty() => "-".to_owned(),
         Some(Value::String(text)) => text.clone(),
         Some(Value::Array(values)) if values.is_empty() => "-".to_owned(),
         Some(Value::Array(values)) => {
--- a/crates/node/src/api/gate.rs
+++ b/crates/node/src/api/gate.rs
@@ -35,6 +35,8 @@
 /// The group of requests for completions.
 pub const CHAT: RouteGroup = RouteGroup { name: "chat", role: Role::Caller };
 
+const SERVICES: &str = "services";
+
 /// The group that a request belongs to.
 pub fn route_group(request: &Request) -> RouteGroup {
     let mut parts = request.url().path().split('/').filter(|part| !part.is_empty());
@@ -42,7 +44,7 @@
         (Some("v1"), Some("entry")) => ("entry", Role::Anyone),
         (Some("v1"), Some("models")) => ("models", Role::Caller),
         (Some("v1"), Some("chat")) => return CHAT,
-        (Some("v1"), Some("services")) => ("services", Role::Caller),
+        (Some("v1"), Some("services")) => (SERVICES, Role::Caller),
         (Some("v1"), Some("requests")) => ("requests", Role::Caller),
         (Some("admin"), _) => ("admin", Role::Operator),
         (Some("metrics"), _) => ("metrics", Role::Operator),
@@ -70,8 +72,10 @@
         return Ok(());
     }
     let bytes = receive(host, request).await?;
-    let is_json = request.content_type().is_none_or(|mime| mime.subtype().ends_with("json"));
-    if is_json && depth(&bytes) > host.settings.limits.json_depth {
+    // A plain service may take any body; every other route reads JSON whatever type is stated.
+    let is_opaque = group.name == SERVICES
+        && request.content_type().is_some_and(|mime| !mime.subtype().ends_with("json"));
+    if !is_opaque && depth(&bytes) > host.settings.limits.json_depth {
         return Err(Refusal::not_run(Reason::BadRequest, "the JSON body is nested too deeply"));
     }
     let mime = request.content_type();
--- a/crates/node/tests/hardening.rs
+++ b/crates/node/tests/hardening.rs
@@ -105,6 +105,11 @@
     let (status, body) = chat(&host, Some("caller"), &deep);
     assert_eq!((status, &body["reason"]), (400, &"bad-request".into()));
     assert!(body["detail"].as_str().unwrap().contains("nested"));
+    // The type that a caller states must not turn the limit off.
+    let head = "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer caller\r\n";
+    let length = deep.len();
+    let plain = format!("{head}Content-Type: text/plain\r\nContent-Length: {length}\r\n\r\n{deep}");
+    assert!(exchange(&host, plain.as_bytes()).contains("nested"));
 }
 
 /// Guards against a refusal that is named differently in answer, log and metric.
--- a/crates/standins/examples/quickstart.rs
+++ b/crates/standins/examples/quickstart.rs
@@ -1,5 +1,6 @@
 //! Runs the whole path on embedded stand-ins: three hosts, three engines, a short and a very long
-//! prompt. The host processes are this program again, with the arguments of `parsleystage`.
+//! prompt. The host processes are this program again, with the arguments of `parsleystage`. With
+//! `--keep` the fleet stays until standard input ends, to be tried with `parsleyctl`.
 
 use std::{process::ExitCode, time::Duration};
 
@@ -11,12 +12,19 @@
 
 fn main() -> ExitCode {
     let mut parser = lexopt::Parser::from_env();
-    if let Ok(Some(lexopt::Arg::Value(name))) = parser.next()
-        && name == "serve"
-    {
-        return command::exit_code(serve::run(parser));
+    let mut keep = false;
+    match parser.next() {
+        Ok(Some(lexopt::Arg::Value(name))) if name == "serve" => {
+            return command::exit_code(serve::run(parser));
+        }
+        Ok(Some(lexopt::Arg::Long("keep"))) => keep = true,
+        Ok(None) => {}
+        _ => {
+            eprintln!("Usage: quickstart [--keep]");
+            return ExitCode::from(2);
+        }
     }
-    match run() {
+    match run(keep) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             eprintln!("{err}");
@@ -25,7 +33,7 @@
     }
 }
 
-fn run() -> Result<(), String> {
+fn run(keep: bool) -> Result<(), String> {
     let program = std::env::current_exe().map_err(|err| err.to_string())?;
     let fleet = FleetBuilder::new(program)
         .step(Duration::from_millis(5))
@@ -58,6 +66,12 @@
         let first = answer.first_token.unwrap_or_default().as_millis();
         println!("{name} prompt ({tokens} tokens), first token after {first} ms: {}", answer.text);
     }
+    if keep {
+        println!("\nexport PARSLEY_SERVER={}", addresses.join(","));
+        println!("The fleet runs until the end of standard input (Ctrl-D).");
+        let end = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+        end.map_err(|err| err.to_string())?;
+    }
     fleet.close();
     Ok(())
 }
