--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod load;
 pub mod server;
 pub mod service;
+pub mod solo;
 pub mod store;
