--- a/crates/core/src/settings/builder.rs
+++ b/crates/core/src/settings/builder.rs
@@ -24,6 +24,7 @@
             operator_digests: Vec::new(),
             store: Vec::new(),
             host_list: None,
+            weight_store: None,
             seeds: Vec::new(),
             capacity: 1,
             tls: None,
@@ -70,6 +71,12 @@
         self
     }
 
+    /// Address of the weight store, as `ip:port`.
+    pub fn weight_store(mut self, address: &str) -> SettingsBuilder {
+        self.settings.weight_store = Some(address.into());
+        self
+    }
+
     /// Adds a peer address to contact first.
     pub fn seed(mut self, address: &str) -> SettingsBuilder {
         self.settings.seeds.push(address.into());
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -44,6 +44,9 @@
     pub store: Vec<Arc<str>>,
     /// Address of the host list, as `ip:port`.
     pub host_list: Option<Arc<str>>,
+    /// Address of the weight store, as `ip:port`; without it engines get no load orders.
+    #[serde(default)]
+    pub weight_store: Option<Arc<str>>,
     /// Peer addresses to contact first, as `ip:port`.
     pub seeds: Vec<Arc<str>>,
     /// Capacity of the host relative to others.
@@ -121,6 +124,7 @@
     let store = reader.field("store").required("[\"10.0.0.9:2379\"]");
     let store = store.filled_list(LIST_LIMIT, Field::address);
     let host_list = reader.field("host_list").address();
+    let weight_store = reader.field("weight_store").address();
     let seeds = reader.field("seeds").list(LIST_LIMIT, Field::address);
     let capacity = reader.field("capacity").number(1..=1_000);
     let tls = reader.field("tls").object(read_tls);
@@ -135,6 +139,7 @@
         operator_digests: operator_digests.unwrap_or_default(),
         store: store?,
         host_list,
+        weight_store,
         seeds: seeds.unwrap_or_default(),
         capacity: capacity.and_then(|capacity| u32::try_from(capacity).ok()).unwrap_or(1),
         tls,
--- a/crates/node/src/api/admin_state.rs
+++ b/crates/node/src/api/admin_state.rs
@@ -22,8 +22,8 @@
         "failureDomain": host.settings.failure_domain,
         "version": env!("CARGO_PKG_VERSION"),
         "uptimeSeconds": host.now().0 / 1_000_000,
-        "ready": !host.is_draining_in(&state) && state.config.complete() > Revision(0),
-        "draining": host.is_draining_in(&state),
+        "ready": !state.is_draining() && state.config.complete() > Revision(0),
+        "draining": state.is_draining(),
         "openRequests": open,
         "revision": state.config.complete().0,
         "resources": {
--- a/crates/node/src/command/serve.rs
+++ b/crates/node/src/command/serve.rs
@@ -9,7 +9,7 @@
     error::NodeError,
     event,
     host::{Host, HostRef},
-    log, peer, pool,
+    host_watch, log, order_sync, peer, pool,
 };
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -46,6 +46,8 @@
     api::start(&host)?;
     pool::start(&host);
     config_sync::start(&host);
+    host_watch::start(&host);
+    order_sync::start(&host);
     event!(host.log, HOST_STARTED, "listen" => &*host.settings.listen,
         "peer_listen" => &*host.settings.peer_listen, "tls" => host.settings.tls.is_some(),
         "version" => env!("CARGO_PKG_VERSION"));
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -51,10 +51,14 @@
     TLS_NOT_RELOADED: "E1005" Error "certificate not reloaded" ["file", "error"];
     PEER_LINK_ENDED: "E1101" Info "peer connection ended" ["peer", "error"];
     PEER_SERVING_ENDED: "E1102" Info "connection from peer ended" ["error"];
+    DECLARED_DEAD: "E1103" Warning "other hosts took this host for dead" [];
+    DATAGRAM_TOO_LARGE: "E1104" Warning "datagram larger than networks carry" ["bytes"];
     STORE_SILENT: "E1201" Warning "key-value service does not answer" ["error"];
     CONFIG_IN_FORCE: "E1202" Info "configuration in force" ["revision"];
-    ENGINE_EJECTED: "E1301" Warning "engine ejected" ["engine"];
+    ENGINE_USABLE: "E1301" Warning "engine usable or not" ["engine", "usable"];
     CANCEL_FAILED: "E1302" Warning "cancel failed" ["stream", "error"];
+    LEASE_CALL_FAILED: "E1303" Warning "lease call failed" ["shard", "error"];
+    ORDER_SENT: "E1304" Info "order sent" ["engine", "action", "model", "fencing", "result"];
     RESOURCE_APPLIED: "E1401" Info "resource applied"
         ["operator", "resource", "revision", "write_id"];
     RESOURCE_DELETED: "E1402" Info "resource deleted"
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -103,7 +103,7 @@
         self.open_requests.set(count(host.open_requests()));
         let state = host.state.borrow();
         self.config_revision.set(i64::try_from(state.config.complete().0).unwrap_or(i64::MAX));
-        self.draining.set(i64::from(host.is_draining_in(&state)));
+        self.draining.set(i64::from(state.is_draining()));
         self.members.with_label_values(&["serving"]).set(count(state.members.serving().count()));
         self.members.with_label_values(&["live"]).set(count(state.members.live().count()));
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
--- a/crates/node/src/pool/stream.rs
+++ b/crates/node/src/pool/stream.rs
@@ -115,6 +115,7 @@
                 pass_on(host, work, offset, tokens, text);
             }
             Ok(EngineEvent::End { complete: true }) => {
+                super::assign::succeeded(host, work);
                 finish(host, work, StreamEvent::Finished);
                 step(host, SchedulerInput::Finished(work));
                 return;
--- a/crates/node/tests/decoders.rs
+++ b/crates/node/tests/decoders.rs
@@ -8,7 +8,7 @@
 use parsley_node::{
     error::NodeError,
     peer::{
-        PeerDatagram,
+        datagram::PeerDatagram,
         frame::{HELLO_BYTES, PeerFrame, read_frame, read_hello},
     },
 };
