--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -399,7 +399,7 @@
 ///
 /// The IP address is random within 127.0.0.0/8: on 127.0.0.1 a port that was just released is often
 /// given to a stand-in of another test before the host binds it.
-pub(crate) fn free_address() -> io::Result<(SocketAddr, Arc<TcpListener>)> {
+pub fn free_address() -> io::Result<(SocketAddr, Arc<TcpListener>)> {
     let [a, b, c] = std::array::from_fn(|_| fastrand::u8(1..255));
     let listener = TcpListener::bind((Ipv4Addr::new(127, a, b, c), 0))?;
     Ok((listener.local_addr()?, Arc::new(listener)))
--- a/crates/standins/src/solo.rs
+++ b/crates/standins/src/solo.rs
@@ -30,6 +30,7 @@
     command: Command,
     settings: Value,
     lost_answers: bool,
+    address: Option<SocketAddr>,
 }
 
 impl SoloBuilder {
@@ -37,7 +38,7 @@
     pub fn new(program: &str) -> SoloBuilder {
         let mut command = Command::new(program);
         command.args(["serve", "--settings"]);
-        SoloBuilder { command, settings: json!({}), lost_answers: false }
+        SoloBuilder { command, settings: json!({}), lost_answers: false, address: None }
     }
 
     /// A host that runs this very test program with a filter that selects `test`, which must serve
@@ -45,7 +46,7 @@
     pub fn this_program(test: &str) -> io::Result<SoloBuilder> {
         let mut command = Command::new(std::env::current_exe()?);
         command.args(["--exact", test, "--nocapture", "--skip"]);
-        Ok(SoloBuilder { command, settings: json!({}), lost_answers: false })
+        Ok(SoloBuilder { command, settings: json!({}), lost_answers: false, address: None })
     }
 
     /// Sets a field of the settings.
@@ -54,6 +55,12 @@
         self
     }
 
+    /// Sets the address for callers and operators, which is a free one otherwise.
+    pub fn address(mut self, address: SocketAddr) -> SoloBuilder {
+        self.address = Some(address);
+        self
+    }
+
     /// Makes the key-value service drop the answer of each first write of a key, after it took
     /// effect.
     pub fn lost_answers(mut self) -> SoloBuilder {
@@ -65,7 +72,10 @@
     pub fn start(mut self) -> io::Result<SoloHost> {
         let store = store::start(0)?;
         let relay = if self.lost_answers { Some(lossy_relay(store.address())?) } else { None };
-        let (address, _) = free_address()?;
+        let address = match self.address {
+            Some(address) => address,
+            None => free_address()?.0,
+        };
         let (peer_address, _) = free_address()?;
         let own = json!({
             "name": "solo", "region": "region-0", "failure_domain": "domain-0",
@@ -89,7 +99,7 @@
             .stdout(Stdio::null())
             .stderr(std::fs::File::create(&log)?)
             .spawn()?;
-        let host = SoloHost {
+        let mut host = SoloHost {
             address,
             peer_address,
             store: Some(store),
@@ -190,11 +200,17 @@
         Ok(self.child.try_wait()?.is_none())
     }
 
-    fn wait_answer(&self) -> io::Result<()> {
+    /// Sends a signal, such as `TERM`, to the process.
+    pub fn signal(&self, signal: &str) -> io::Result<()> {
+        let pid = self.child.id().to_string();
+        Command::new("kill").args([&format!("-{signal}"), &pid]).status().map(drop)
+    }
+
+    fn wait_answer(&mut self) -> io::Result<()> {
         let end = Instant::now() + START_LIMIT;
         // A connection shows that the host listens, with TLS or without.
         while std::net::TcpStream::connect(self.address).is_err() {
-            if Instant::now() >= end {
+            if Instant::now() >= end || !self.is_running()? {
                 let log = std::fs::read_to_string(&self.log)?;
                 return Err(io::Error::other(format!("the host did not start: {log}")));
             }
