Name the address that cannot be listened on

Cause: "Address already in use" did not tell which of the two addresses. Ruled out: a log event, since the log may not be read when a start fails. Change: `NodeError::Listen` carries the address. Conclusion: an operator sees what to change.

--- a/crates/node/src/api/mod.rs
+++ b/crates/node/src/api/mod.rs
@@ -11,7 +11,7 @@
 };
 use serde_json::json;
 
-use crate::{error::NodeError, host::HostRef};
+use crate::{error::NodeError, host::HostRef, http};
 
 pub mod access;
 mod admin;
@@ -28,7 +28,7 @@
 
 /// Starts to accept callers and operators.
 pub fn start(host: &HostRef) -> Result<(), NodeError> {
-    let listener = Async::<TcpListener>::try_from(TcpListener::bind(&*host.settings.listen)?)?;
+    let listener = http::listen(&host.settings.listen)?;
     let files = host.settings.tls.as_ref();
     let acceptor = files.map(|files| tls::start(host, files)).transpose()?;
     host.spawn(accept_loop(host.clone(), listener, acceptor));
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -27,6 +27,11 @@
         Settings(findings: Arc<str>) {
             display("{findings}")
         }
+        /// An address cannot be listened on.
+        Listen(address: Arc<str>, err: io::Error) {
+            source(err)
+            display("{address}: {err}")
+        }
         /// A socket failed.
         Io(err: io::Error) {
             from()
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -2,19 +2,27 @@
 
 use std::{
     future::Future,
+    net::TcpListener,
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll},
     time::Duration,
 };
 
 use async_channel::Receiver;
-use async_io::Timer;
+use async_io::{Async, Timer};
 use async_net::TcpStream;
 use futures_lite::{AsyncBufRead, AsyncRead, FutureExt, Stream, io};
 use http_types::{Method, Request, Response, Url};
 
 use crate::error::NodeError;
 
+/// Listens on an address. The error names it.
+pub fn listen(address: &Arc<str>) -> Result<Async<TcpListener>, NodeError> {
+    let listener = TcpListener::bind(&**address).and_then(Async::try_from);
+    listener.map_err(|err| NodeError::Listen(address.clone(), err))
+}
+
 /// Runs a future for at most `limit`.
 pub async fn within<T>(
     limit: Duration,
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -35,8 +35,10 @@
 
 /// Starts to listen for other hosts.
 pub fn start(host: &HostRef) -> Result<(), NodeError> {
-    let address = &*host.settings.peer_listen;
-    let socket = Rc::new(Async::<UdpSocket>::try_from(UdpSocket::bind(address)?)?);
+    let address = &host.settings.peer_listen;
+    let socket = UdpSocket::bind(&**address).and_then(Async::<UdpSocket>::try_from);
+    let socket = socket.map_err(|err| NodeError::Listen(address.clone(), err))?;
+    let socket = Rc::new(socket);
     SOCKET.with_borrow_mut(|slot| *slot = Some(socket.clone()));
     host.spawn(receive_loop(host.clone(), socket));
     host.spawn(probe_loop(host.clone()));
--- a/crates/node/src/peer/serve.rs
+++ b/crates/node/src/peer/serve.rs
@@ -10,7 +10,7 @@
     error::NodeError,
     event,
     host::HostRef,
-    http::within,
+    http::{self, within},
     pool::{self, EventSink},
 };
 use async_channel::{Receiver, Sender};
@@ -24,7 +24,7 @@
 
 /// Starts to accept connections of other hosts.
 pub fn start(host: &HostRef) -> Result<(), NodeError> {
-    let listener = Async::<TcpListener>::try_from(TcpListener::bind(&*host.settings.peer_listen)?)?;
+    let listener = http::listen(&host.settings.peer_listen)?;
     host.spawn(accept_loop(host.clone(), listener));
     Ok(())
 }
--- a/crates/node/tests/serve.rs
+++ b/crates/node/tests/serve.rs
@@ -32,10 +32,11 @@
     assert_eq!(host.admin(Put, "ranks/a", &create, rank).unwrap().0, 201);
     host.signal("TERM").unwrap();
     // The host still answers while callers may hold its address, and no longer hands it out.
-    let is_draining = || host.request(Get, "/readyz", None, &[], "").unwrap().0 == 503;
-    while !is_draining() {
+    let is_draining = |_| {
         std::thread::sleep(std::time::Duration::from_millis(10));
-    }
+        host.request(Get, "/readyz", None, &[], "").unwrap().0 == 503
+    };
+    assert!((0..1_000).any(is_draining));
     let (status, body) = host.request(Get, "/v1/entry", None, &[], "").unwrap();
     assert_eq!((status, body["addresses"].as_array().unwrap().len()), (200, 0));
     assert!(host.wait().unwrap());
@@ -64,5 +65,6 @@
         .unwrap();
     std::fs::remove_file(&path).unwrap();
     assert_eq!(output.status.code(), Some(1));
-    assert!(String::from_utf8(output.stderr).unwrap().contains("in use"));
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(text.contains("in use") && text.contains(&first.address.to_string()), "{text}");
 }
