Page lists and settle conflicts of racing writes

Cause: one answer held every resource: at 10,000 backend servers building it would hold up the host's only thread. A token given to two accounts by a race counted for whichever account a host learned of last, and nothing showed the conflict. Ruled out: checking all conflicts in lists, since each check reads all resources of a kind; lists show the cheap conditions only. Change: pages of 50 for lists and watches; the first account by name keeps a shared token; the condition `Consistent`. A test of racing operators counted log lines before the log's thread had written them; it now waits. Conclusion: every host agrees, and operators see what is left to mend.

--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -66,6 +66,11 @@
         self.items.get(key)
     }
 
+    /// Every item in the order of keys, tombstones included.
+    pub fn items(&self) -> impl Iterator<Item = &ConfigItem> {
+        self.items.values()
+    }
+
     /// Every change after a revision.
     pub fn delta(&self, after: Revision) -> ConfigDelta {
         let items = self.items.values().filter(|item| item.revision > after).cloned().collect();
--- a/crates/core/src/resource/mod.rs
+++ b/crates/core/src/resource/mod.rs
@@ -16,7 +16,7 @@
 mod tests;
 
 pub use read::{ResourceSpec, read_spec};
-pub use status::{Condition, conditions, users};
+pub use status::{Condition, brief_conditions, conditions, users};
 pub use stored::StoredResource;
 
 /// Kinds of resources.
@@ -187,7 +187,11 @@
             ResourceSpec::ClientAccount(spec) => {
                 self.remove(kind, &name);
                 for digest in &spec.credential_digests {
-                    self.digests.insert(digest.clone(), name.clone());
+                    // Two accounts can get one token by a race; all hosts must choose the same.
+                    let owner = self.digests.entry(digest.clone()).or_insert_with(|| name.clone());
+                    if name < *owner {
+                        *owner = name.clone();
+                    }
                 }
                 self.accounts.insert(name, spec);
             }
@@ -211,10 +215,7 @@
     /// Removes one resource.
     pub fn remove(&mut self, kind: ResourceKind, name: &str) {
         match kind {
-            ResourceKind::ClientAccount => {
-                self.accounts.remove(name);
-                self.digests.retain(|_, account| **account != *name);
-            }
+            ResourceKind::ClientAccount => self.remove_account(name),
             ResourceKind::Rank => drop(self.ranks.remove(name)),
             ResourceKind::Model => drop(self.models.remove(name)),
             ResourceKind::BackendServer => drop(self.servers.remove(name)),
@@ -222,6 +223,22 @@
     }
 }
 
+impl ResourceSet {
+    fn remove_account(&mut self, name: &str) {
+        let Some(removed) = self.accounts.remove(name) else { return };
+        for digest in removed.credential_digests {
+            if self.digests.get(&digest).is_none_or(|owner| **owner != *name) {
+                continue;
+            }
+            self.digests.remove(&digest);
+            let has = |one: &ClientAccount| one.credential_digests.contains(&digest);
+            if let Some((other, _)) = self.accounts.iter().find(|(_, account)| has(account)) {
+                self.digests.insert(digest, other.clone());
+            }
+        }
+    }
+}
+
 fn summary(findings: &[Finding]) -> Arc<str> {
     findings.iter().map(Finding::to_string).collect::<Vec<_>>().join("; ").into()
 }
--- a/crates/core/src/resource/status.rs
+++ b/crates/core/src/resource/status.rs
@@ -30,17 +30,44 @@
     name: &str,
     value: &str,
     set: &ResourceSet,
+) -> Vec<Condition> {
+    let mut conditions = brief_conditions(kind, name, value, set);
+    conditions.push(consistent(kind, name, value, set));
+    conditions
+}
+
+/// The conditions that take a time independent of the number of resources, for lists.
+pub fn brief_conditions(
+    kind: ResourceKind,
+    name: &str,
+    value: &str,
+    set: &ResourceSet,
 ) -> Vec<Condition> {
     vec![in_force(kind, name, value), references(kind, name, set)]
 }
 
+fn check(
+    kind: ResourceKind,
+    name: &str,
+    value: &str,
+    set: Option<&ResourceSet>,
+) -> Result<(), Arc<str>> {
+    let stored = StoredResource::decode(value)?;
+    let read = read_spec(kind, name, &stored.spec.to_string(), set);
+    read.map(drop).map_err(|findings| summary(&findings))
+}
+
+/// Two writes that are each valid can conflict when they race, for example over a token or level.
+fn consistent(kind: ResourceKind, name: &str, value: &str, set: &ResourceSet) -> Condition {
+    match check(kind, name, value, Some(set)) {
+        Ok(()) => condition("Consistent", true, "NoConflict", "no other resource conflicts"),
+        Err(findings) => condition("Consistent", false, "Conflict", &findings),
+    }
+}
+
 fn in_force(kind: ResourceKind, name: &str, value: &str) -> Condition {
-    let checked = StoredResource::decode(value).and_then(|stored| {
-        let read = read_spec(kind, name, &stored.spec.to_string(), None);
-        read.map_err(|findings| summary(&findings))
-    });
-    match checked {
-        Ok(_) => condition("InForce", true, "Valid", "the stored spec is in force"),
+    match check(kind, name, value, None) {
+        Ok(()) => condition("InForce", true, "Valid", "the stored spec is in force"),
         Err(findings) => {
             let message = format!("the last valid spec stays in force: {findings}");
             condition("InForce", false, "Invalid", &message)
--- a/crates/core/src/resource/tests.rs
+++ b/crates/core/src/resource/tests.rs
@@ -92,6 +92,29 @@
     assert!(found[1].message.contains("ranks/urgent"));
 }
 
+/// Guards against a token that two accounts got by a race: hosts that learn of them in another order
+/// must agree on its account, both must be told, and the other keeps it when one is deleted.
+#[test]
+fn shared_token_is_resolved_alike_everywhere() {
+    let spec = account("\"urgent\"");
+    for order in [["a", "b"], ["b", "a"]] {
+        let mut set = set();
+        set.remove(ResourceKind::ClientAccount, "club");
+        for name in order {
+            set.put(ResourceKind::ClientAccount, name, &spec).unwrap();
+        }
+        assert_eq!(&*set.digests[DIGEST], "a");
+        for name in order {
+            let found = conditions(ResourceKind::ClientAccount, name, &spec, &set);
+            assert_eq!((&*found[2].kind, found[2].status), ("Consistent", false), "{found:?}");
+        }
+        set.remove(ResourceKind::ClientAccount, "a");
+        assert_eq!(&*set.digests[DIGEST], "b");
+        let found = conditions(ResourceKind::ClientAccount, "b", &spec, &set);
+        assert!(found[2].status, "{found:?}");
+    }
+}
+
 /// Guards against a panic on any stored value or spec.
 #[test]
 fn no_value_panics() {
--- a/crates/ctl/src/command/get.rs
+++ b/crates/ctl/src/command/get.rs
@@ -4,6 +4,7 @@
 
 use super::{common, resource_path};
 use crate::{
+    client::Client,
     error::CtlError,
     kind::{ResourceKind, cell},
     options::OutputForm,
@@ -33,10 +34,7 @@
     let client = options.client()?;
     let items = match name {
         Some(name) => vec![client.get(&resource_path(kind, name)?)?],
-        None => {
-            let mut list = client.get(&format!("/admin/v1/{}", kind.segment()))?;
-            serde_json::from_value(list["items"].take()).unwrap_or_default()
-        }
+        None => list(&client, kind)?,
     };
     match (options.form, name) {
         (OutputForm::Json, Some(_)) => output::json(&items[0]),
@@ -48,6 +46,21 @@
     }
 }
 
+/// Every resource of a kind, page by page.
+fn list(client: &Client, kind: ResourceKind) -> Result<Vec<Value>, CtlError> {
+    let first = format!("/admin/v1/{}", kind.segment());
+    let mut items = Vec::new();
+    let mut path = first.clone();
+    loop {
+        let mut page = client.get(&path)?;
+        if let Value::Array(page) = page["items"].take() {
+            items.extend(page);
+        }
+        let Some(next) = page["next"].as_str() else { return Ok(items) };
+        path = format!("{first}?from={next}");
+    }
+}
+
 /// Headings of a table of resources.
 pub fn headings(kind: ResourceKind) -> Vec<&'static str> {
     let mut headings = vec!["NAME"];
--- a/crates/ctl/tests/get.rs
+++ b/crates/ctl/tests/get.rs
@@ -56,3 +56,16 @@
     command.env("PARSLEY_TOKEN", OPERATOR_TOKEN);
     assert_eq!(finish(command, "").code, Some(0));
 }
+
+/// Guards against a list that ends with its first page.
+#[test]
+fn every_page_is_listed() {
+    let host = host();
+    let model = |index| {
+        format!(r#"{{"kind": "Model", "name": "m-{index}", "spec": {{"context_tokens": 1000}}}}"#)
+    };
+    let models: Vec<_> = (0..60).map(model).collect();
+    let run = ctl(&host, &["apply", "-f", "-"], &format!("[{}]", models.join(",")));
+    assert_eq!(run.code, Some(0), "{run:?}");
+    assert_eq!(ctl(&host, &["get", "models"], "").stdout.lines().count(), 61);
+}
--- a/crates/node/src/api/admin.rs
+++ b/crates/node/src/api/admin.rs
@@ -7,12 +7,14 @@
 use std::{sync::Arc, time::Duration};
 
 use async_io::Timer;
-use http_types::{Method, Request, Response, StatusCode};
+use http_types::{Method, Request, Response};
 use parsley_core::{
     config::{ConfigItem, Revision, resource_key, split_key},
     document::{Finding, is_name},
     refusal::{Reason, Refusal},
-    resource::{ResourceKind, StoredResource, conditions},
+    resource::{
+        Condition, ResourceKind, ResourceSet, StoredResource, brief_conditions, conditions,
+    },
 };
 use serde_json::{Value, json};
 
@@ -29,6 +31,8 @@
 const WATCH_LIMIT: Duration = Duration::from_secs(30);
 /// Time between two looks of a waiting watch.
 const WATCH_PERIOD: Duration = Duration::from_millis(50);
+/// Resources in one answer; a longer one would hold up the host's other work.
+const PAGE_ITEMS: usize = 50;
 /// Longest id that an operator may give a write.
 const WRITE_ID_BYTES: usize = 64;
 
@@ -163,7 +167,7 @@
     let Some(item) = found.filter(|item| item.value.is_some()) else {
         return Err(Refusal::not_run(Reason::NotFound, "no such resource"));
     };
-    let mut response = json_answer(&document(host, kind, name, &item));
+    let mut response = json_answer(&document(host, kind, name, &item, conditions));
     response.insert_header("etag", format!("\"{}\"", item.revision.0));
     Ok(response)
 }
@@ -173,7 +177,13 @@
 }
 
 /// A resource as operators see it: `spec` is theirs, `status` is the system's.
-pub fn document(host: &HostRef, kind: ResourceKind, name: &str, item: &ConfigItem) -> Value {
+pub fn document(
+    host: &HostRef,
+    kind: ResourceKind,
+    name: &str,
+    item: &ConfigItem,
+    conditions: fn(ResourceKind, &str, &str, &ResourceSet) -> Vec<Condition>,
+) -> Value {
     let Some(value) = &item.value else {
         return json!({
             "kind": kind.name(), "name": name, "revision": item.revision.0, "deleted": true,
@@ -196,56 +206,104 @@
     })
 }
 
-async fn list(host: &HostRef, kind: ResourceKind, request: &Request) -> Result<Response, Refusal> {
-    let mut after = None;
-    let mut wait = Duration::ZERO;
-    for (name, value) in request.url().query_pairs() {
-        let number = value
-            .parse()
-            .map_err(|_| Refusal::not_run(Reason::BadRequest, &format!("{name}: not a number")))?;
-        match &*name {
-            "after" => after = Some(Revision(number)),
-            "wait_ms" => wait = Duration::from_millis(number).min(WATCH_LIMIT),
-            _ => return Err(Refusal::not_run(Reason::BadRequest, "unknown query parameter")),
+/// What a list asks for.
+#[derive(Default)]
+struct ListQuery {
+    /// Name after which a page starts.
+    from: String,
+    /// Revision after which a watch reports changes.
+    after: Option<Revision>,
+    wait: Duration,
+}
+
+impl ListQuery {
+    fn parse(request: &Request) -> Result<ListQuery, Refusal> {
+        let wrong = |detail: String| Refusal::not_run(Reason::BadRequest, &detail);
+        let mut query = ListQuery::default();
+        for (name, value) in request.url().query_pairs() {
+            let number = || value.parse().map_err(|_| wrong(format!("{name}: not a number")));
+            match &*name {
+                "from" => query.from = value.into_owned(),
+                "after" => query.after = Some(Revision(number()?)),
+                "wait_ms" => query.wait = Duration::from_millis(number()?).min(WATCH_LIMIT),
+                _ => return Err(wrong("unknown query parameter".to_owned())),
+            }
         }
+        Ok(query)
     }
-    let Some(after) = after else { return Ok(listing(host, kind, Revision(0), false)) };
-    // A host that is about to stop answers at once, so that the watch moves to another host.
-    let end = host.now() + wait;
-    while !has_changes(host, kind, after) && host.now() < end && !host.is_draining() {
+}
+
+async fn list(host: &HostRef, kind: ResourceKind, request: &Request) -> Result<Response, Refusal> {
+    let query = ListQuery::parse(request)?;
+    let Some(mut after) = query.after else { return Ok(page(host, kind, &query.from)) };
+    let end = host.now() + query.wait;
+    loop {
+        let (items, complete) = changes(host, kind, after);
+        // A host that is about to stop answers at once, so that the watch moves to another host.
+        if !items.is_empty() || host.now() >= end || host.is_draining() {
+            return Ok(answer_changes(host, kind, &items, complete.max(after)));
+        }
+        after = after.max(complete);
         Timer::after(WATCH_PERIOD).await;
     }
-    Ok(listing(host, kind, after, true))
 }
 
-fn has_changes(host: &HostRef, kind: ResourceKind, after: Revision) -> bool {
-    let state = host.state.borrow();
-    state.config.complete() > after && state.config.delta(after).items.iter().any(is_of(kind))
+/// One page of the resources of a kind, in the order of names.
+fn page(host: &HostRef, kind: ResourceKind, from: &str) -> Response {
+    let (complete, mut items): (_, Vec<_>) = {
+        let state = host.state.borrow();
+        let wanted = |item: &&ConfigItem| {
+            item.value.is_some()
+                && split_key(&item.key).is_some_and(|(found, name)| found == kind && name > from)
+        };
+        let items = state.config.items().filter(wanted).take(PAGE_ITEMS + 1).cloned();
+        (state.config.complete(), items.collect())
+    };
+    let is_last = items.len() <= PAGE_ITEMS;
+    items.truncate(PAGE_ITEMS);
+    let last = items.last().and_then(|item| split_key(&item.key));
+    let next = last.map(|(_, name)| name.to_owned()).filter(|_| !is_last);
+    let documents = documents(host, kind, &items);
+    json_answer(&json!({"revision": complete.0, "items": documents, "next": next}))
 }
 
-fn is_of(kind: ResourceKind) -> impl Fn(&ConfigItem) -> bool {
-    move |item| split_key(&item.key).is_some_and(|(found, _)| found == kind)
+/// The first changes of a kind after a revision, deletions included, and the complete revision.
+///
+/// A write accepted by this host is in force before the complete revision reaches it; a watch
+/// reports it then, and only once.
+fn changes(host: &HostRef, kind: ResourceKind, after: Revision) -> (Vec<ConfigItem>, Revision) {
+    let state = host.state.borrow();
+    let complete = state.config.complete();
+    if complete <= after {
+        return (Vec::new(), complete);
+    }
+    let wanted = |item: &&ConfigItem| {
+        let is_of_kind = split_key(&item.key).is_some_and(|(found, _)| found == kind);
+        is_of_kind && item.revision > after && item.revision <= complete
+    };
+    let mut items: Vec<_> = state.config.items().filter(wanted).cloned().collect();
+    items.sort_by_key(|item| item.revision);
+    (items, complete)
 }
 
-/// The resources of a kind that changed after a revision; deletions only for a watch.
-fn listing(host: &HostRef, kind: ResourceKind, after: Revision, deletions: bool) -> Response {
-    let (complete, items) = {
-        let state = host.state.borrow();
-        (state.config.complete(), state.config.delta(after).items)
+fn answer_changes(
+    host: &HostRef,
+    kind: ResourceKind,
+    items: &[ConfigItem],
+    complete: Revision,
+) -> Response {
+    let page = &items[..items.len().min(PAGE_ITEMS)];
+    // The rest of the changes follows with the next request.
+    let revision = match page.last() {
+        Some(last) if page.len() < items.len() => last.revision,
+        _ => complete,
     };
-    // A write accepted by this host is in force before the complete revision reaches it; a watch
-    // reports it then, and only once.
-    let wanted = |item: &&ConfigItem| {
-        let is_due = if deletions { item.revision <= complete } else { item.value.is_some() };
-        is_of(kind)(item) && is_due
+    json_answer(&json!({"revision": revision.0, "items": documents(host, kind, page)}))
+}
+
+fn documents(host: &HostRef, kind: ResourceKind, items: &[ConfigItem]) -> Vec<Value> {
+    let one = |item: &ConfigItem| {
+        Some(document(host, kind, split_key(&item.key)?.1, item, brief_conditions))
     };
-    let documents: Vec<_> = items
-        .iter()
-        .filter(wanted)
-        .filter_map(|item| Some(document(host, kind, split_key(&item.key)?.1, item)))
-        .collect();
-    let mut response = Response::new(StatusCode::Ok);
-    response.set_body(json!({"revision": complete.0, "items": documents}).to_string());
-    response.insert_header("content-type", "application/json");
-    response
+    items.iter().filter_map(one).collect()
 }
--- a/crates/node/src/api/admin_write.rs
+++ b/crates/node/src/api/admin_write.rs
@@ -10,7 +10,7 @@
 use parsley_core::{
     config::{CONFIG_PREFIX, ConfigDelta, ConfigItem, Revision, resource_key},
     refusal::{Outcome, Reason, Refusal},
-    resource::{ResourceKind, StoredResource, read_spec, users},
+    resource::{ResourceKind, StoredResource, conditions, read_spec, users},
 };
 
 use super::{admin, admin::AdminRefusal, json_answer};
@@ -84,7 +84,8 @@
     put_in_force(host, item.clone()).await;
     event!(host.log, RESOURCE_APPLIED, "operator" => &*write.operator, "resource" => write.path(),
         "revision" => revision.0, "write_id" => &*stored.write_id);
-    let mut response = json_answer(&admin::document(host, write.kind, &write.name, &item));
+    let mut response =
+        json_answer(&admin::document(host, write.kind, &write.name, &item, conditions));
     if write.expect == Revision(0) {
         response.set_status(StatusCode::Created);
     }
@@ -105,7 +106,7 @@
     put_in_force(host, item.clone()).await;
     event!(host.log, RESOURCE_DELETED, "operator" => &*write.operator, "resource" => write.path(),
         "revision" => revision.0, "write_id" => &*write.write_id);
-    Ok(json_answer(&admin::document(host, write.kind, &write.name, &item)))
+    Ok(json_answer(&admin::document(host, write.kind, &write.name, &item, conditions)))
 }
 
 /// Puts an accepted write in force here at once, so that the operator's next request sees it.
--- a/crates/node/tests/admin.rs
+++ b/crates/node/tests/admin.rs
@@ -18,17 +18,20 @@
     host.admin(Put, path, &[header], spec).unwrap()
 }
 
-fn events(host: &SoloHost, number: &str) -> Vec<Value> {
-    let is_wanted = |line: &Value| line["event"] == number;
+/// The events of a number, once there are as many as expected or a long time has passed.
+fn events(host: &SoloHost, number: &str, expected: usize) -> Vec<Value> {
+    let read = || {
+        let lines = host.log().unwrap().into_iter();
+        lines.filter(|line| line["event"] == number).collect::<Vec<_>>()
+    };
     // The log is written by another thread of the host.
-    for _ in 0..200 {
-        let found: Vec<_> = host.log().unwrap().into_iter().filter(is_wanted).collect();
-        if !found.is_empty() {
-            return found;
+    for _ in 0..500 {
+        if read().len() >= expected {
+            break;
         }
         std::thread::sleep(std::time::Duration::from_millis(10));
     }
-    Vec::new()
+    read()
 }
 
 /// Guards against a write that is lost, shown with a wrong status, or without an audit event.
@@ -49,11 +52,12 @@
     let tag = format!("\"{revision}\"");
     assert_eq!(host.admin(Delete, "ranks/standard", &[("if-match", &tag)], "").unwrap().0, 200);
     assert_eq!(host.admin(Get, "ranks/standard", &[], "").unwrap().0, 404);
-    let applied = events(&host, "E1401");
+    let applied = events(&host, "E1401", 1);
+    assert_eq!(applied.len(), 1);
     assert_eq!(applied[0]["resource"], "ranks/standard");
     let digest = blake3::hash(OPERATOR_TOKEN.as_bytes()).to_hex();
     assert_eq!(applied[0]["operator"], digest[..12]);
-    assert_eq!(events(&host, "E1402").len(), 1);
+    assert_eq!(events(&host, "E1402", 1).len(), 1);
 }
 
 /// Guards against an operator who overwrites a change that he has not seen.
@@ -194,6 +198,71 @@
     let (status, body) = host.request(Get, "/readyz", None, &[], "").unwrap();
     assert_eq!((status, &body["reason"]), (503, &"draining".into()));
     assert!(host.wait().unwrap());
-    assert_eq!(events(&host, "E1404").len(), 1);
-    assert_eq!(events(&host, "E1002").len(), 1);
+    assert_eq!(events(&host, "E1404", 1).len(), 1);
+    assert_eq!(events(&host, "E1002", 1).len(), 1);
+}
+
+/// Guards against a change that is lost when operators race each other: every accepted increment
+/// must be in the final value.
+#[test]
+fn concurrent_increments_are_all_kept() {
+    const OPERATORS: u64 = 4;
+    const INCREMENTS: u64 = 10;
+    let host = solo().start().unwrap();
+    let spec = |replicas: u64| format!(r#"{{"context_tokens":1000,"replicas":{replicas}}}"#);
+    assert_eq!(put(&host, "models/m", 0, &spec(0)).0, 201);
+    let increment = || loop {
+        let (_, current) = host.admin(Get, "models/m", &[], "").unwrap();
+        let replicas = current["spec"]["replicas"].as_u64().unwrap();
+        let revision = current["revision"].as_u64().unwrap();
+        match put(&host, "models/m", revision, &spec(replicas + 1)) {
+            (200, _) => return,
+            (409, _) => {}
+            other => panic!("{other:?}"),
+        }
+    };
+    std::thread::scope(|scope| {
+        for _ in 0..OPERATORS {
+            scope.spawn(|| (0..INCREMENTS).for_each(|_| increment()));
+        }
+    });
+    let (_, last) = host.admin(Get, "models/m", &[], "").unwrap();
+    assert_eq!(last["spec"]["replicas"], OPERATORS * INCREMENTS);
+    let writes = usize::try_from(OPERATORS * INCREMENTS + 1).unwrap();
+    assert_eq!(events(&host, "E1401", writes).len(), writes);
+}
+
+/// Guards against one answer with every resource, which would hold up the host's other work, and
+/// against a page or a watch that leaves a resource out.
+#[test]
+fn lists_and_watches_come_in_pages() {
+    let host = solo().start().unwrap();
+    for index in 0..120 {
+        let path = format!("models/m-{index}");
+        assert_eq!(put(&host, &path, 0, r#"{"context_tokens":1000}"#).0, 201);
+    }
+    let ask = |query: &str| host.admin(Get, &format!("models{query}"), &[], "").unwrap().1;
+    let names = |body: &Value| {
+        let items = body["items"].as_array().unwrap();
+        assert!(items.len() <= 50);
+        items.iter().map(|item| item["name"].as_str().unwrap().to_owned()).collect::<Vec<_>>()
+    };
+    let mut body = ask("");
+    let mut listed = names(&body);
+    while let Some(next) = body["next"].as_str().map(str::to_owned) {
+        body = ask(&format!("?from={next}"));
+        listed.extend(names(&body));
+    }
+    let mut watched = Vec::new();
+    let mut after = 0;
+    while watched.len() < 120 {
+        let body = ask(&format!("?after={after}&wait_ms=5000"));
+        after = body["revision"].as_u64().unwrap();
+        watched.extend(names(&body));
+    }
+    for found in [&mut listed, &mut watched] {
+        found.sort();
+        found.dedup();
+        assert_eq!(found.len(), 120);
+    }
 }
