Keep the peer key out of debug forms

Cause: the debug form of the settings showed the peer key; the nesting scan of a 4 MB prompt held up the host's thread. Ruled out: a secret type, since others read the key as text; memchr, which is not among the project's libraries. Change: a debug form without the key; the scan skips strings in one go.

--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -3,9 +3,10 @@
 //! Settings name the host and its surroundings. Behaviour is changed through resources, so there
 //! are no tuning parameters here beyond the sizes and times that protect the host itself.
 
-use std::sync::Arc;
+use std::{fmt, sync::Arc};
 
 use parsley_macros::message;
+use serde::{Deserialize, Serialize};
 
 use crate::document::{self, Field, Finding, ObjectReader};
 
@@ -22,8 +23,8 @@
 /// Most addresses or digests in one list.
 const LIST_LIMIT: usize = 64;
 
-/// Settings of one host.
-#[message]
+/// Settings of one host. The debug form leaves out the peer key.
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct HostSettings {
     /// Name of the host, unique among live hosts.
@@ -94,6 +95,24 @@
     }
 }
 
+impl fmt::Debug for HostSettings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("HostSettings")
+            .field("name", &self.name)
+            .field("region", &self.region)
+            .field("failure_domain", &self.failure_domain)
+            .field("listen", &self.listen)
+            .field("peer_listen", &self.peer_listen)
+            .field("store", &self.store)
+            .field("host_list", &self.host_list)
+            .field("seeds", &self.seeds)
+            .field("capacity", &self.capacity)
+            .field("tls", &self.tls)
+            .field("limits", &self.limits)
+            .finish_non_exhaustive()
+    }
+}
+
 impl HostSettings {
     /// Starts to build settings in code; [`SettingsBuilder::build`] checks them like a file.
     pub fn builder(name: &str) -> SettingsBuilder {
--- a/crates/core/src/settings/tests.rs
+++ b/crates/core/src/settings/tests.rs
@@ -78,3 +78,10 @@
         Ok(())
     });
 }
+
+/// Guards against the peer key in a log or panic message that shows the settings.
+#[test]
+fn debug_form_has_no_secret() {
+    let text = format!("{:?}", parse(VALID).unwrap());
+    assert!(text.contains("host-0") && !text.contains("a long shared secret"), "{text}");
+}
--- a/crates/node/src/api/gate.rs
+++ b/crates/node/src/api/gate.rs
@@ -132,24 +132,40 @@
 }
 
 /// Nesting of a JSON text. Brackets in strings do not count.
-fn depth(bytes: &[u8]) -> u64 {
-    let (mut depth, mut deepest, mut in_string, mut escaped) = (0_u64, 0, false, false);
-    for byte in bytes {
+///
+/// Strings are skipped in one go, since a long prompt is one string and the host's only thread
+/// scans it.
+fn depth(mut bytes: &[u8]) -> u64 {
+    let (mut depth, mut deepest) = (0_u64, 0);
+    while let Some((byte, rest)) = bytes.split_first() {
+        bytes = rest;
         match byte {
-            _ if escaped => escaped = false,
-            b'\\' if in_string => escaped = true,
-            b'"' => in_string = !in_string,
-            b'{' | b'[' if !in_string => {
+            b'{' | b'[' => {
                 depth += 1;
                 deepest = deepest.max(depth);
             }
-            b'}' | b']' if !in_string => depth = depth.saturating_sub(1),
+            b'}' | b']' => depth = depth.saturating_sub(1),
+            b'"' => bytes = after_string(bytes),
             _ => {}
         }
     }
     deepest
 }
 
+/// What follows a string whose opening quote was read.
+fn after_string(mut bytes: &[u8]) -> &[u8] {
+    loop {
+        let end = bytes.iter().position(|byte| matches!(byte, b'"' | b'\\'));
+        let Some(end) = end else { return &[] };
+        let is_quote = bytes[end] == b'"';
+        let skipped = if is_quote { end + 1 } else { end + 2 };
+        bytes = bytes.get(skipped..).unwrap_or_default();
+        if is_quote {
+            return bytes;
+        }
+    }
+}
+
 thread_local! {
     // One host runs on a thread.
     static LOGGED: Cell<(Option<Instant>, u32)> = const { Cell::new((None, 0)) };
--- a/crates/node/src/api/gate/tests.rs
+++ b/crates/node/src/api/gate/tests.rs
@@ -9,6 +9,7 @@
     assert_eq!(depth(br#"["\\",[[]]]"#), 3);
     assert_eq!(depth(&[b'['; 1000]), 1000);
     assert_eq!(depth(b"]]][["), 2);
+    assert_eq!(depth(br#"[["open \"#), 2);
 }
 
 /// Guards against a route that is reachable without the role it needs.
