--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -30,10 +30,11 @@
 
 /// Starts to listen for other hosts.
 pub fn start(host: &HostRef) -> Result<(), NodeError> {
-    let address = &*host.settings.peer_listen;
+    let address = &host.settings.peer_listen;
     let me: SocketAddr =
         address.parse().map_err(|_| NodeError::Protocol("peer_listen is not an IP address"))?;
-    let socket = Rc::new(Async::<UdpSocket>::try_from(UdpSocket::bind(me)?)?);
+    let socket = UdpSocket::bind(me).and_then(Async::<UdpSocket>::try_from);
+    let socket = Rc::new(socket.map_err(|err| NodeError::Listen(address.clone(), err))?);
     SOCKET.with_borrow_mut(|slot| *slot = Some(socket.clone()));
     host.spawn(receive_loop(host.clone(), socket, me));
     host.spawn(tick_loop(host.clone()));
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -13,11 +13,12 @@
 
 /// Time after which a test is given up. It is far above what is expected, so that a busy machine
 /// changes no verdict; `docs/measurements/scale.md` measures the bounds in virtual time.
-const PATIENCE: Duration = Duration::from_secs(60);
+const WAIT_LIMIT: Duration = Duration::from_secs(60);
 
 fn call(address: &str, method: Method, path: &str, body: Option<Value>) -> Option<Value> {
     async_io::block_on(async {
         let mut request = caller::request(method, address, path);
+        request.insert_header("authorization", "Bearer token-inspection");
         if let Some(body) = body {
             request.set_body(body.to_string());
         }
@@ -27,9 +28,9 @@
 }
 
 fn wait_for(what: &str, mut is_done: impl FnMut() -> bool) {
-    let end = Instant::now() + PATIENCE;
+    let end = Instant::now() + WAIT_LIMIT;
     while !is_done() {
-        assert!(Instant::now() < end, "{what}: not within {PATIENCE:?}");
+        assert!(Instant::now() < end, "{what}: not within {WAIT_LIMIT:?}");
         thread::sleep(Duration::from_millis(50));
     }
 }
