--- a/crates/core/src/config/tests.rs
+++ b/crates/core/src/config/tests.rs
@@ -138,7 +138,7 @@
                     revision += u.int_in_range(1..=3)?;
                     let name = ["a", "b", "c"][u.choose_index(3)?];
                     let spec =
-                        format!(r#"{{"level":0,"first_token_ms":{revision},"finish_ms":1}}"#);
+                        format!(r#"{{"level":0,"first_token_ms":{revision},"finish_ms":1000}}"#);
                     let value = u.arbitrary::<bool>()?.then_some(spec.as_str());
                     let after = truth.complete().0;
                     truth.step(now, delta(after, revision, vec![item(name, revision, value)]));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,9 +4,12 @@
 //! and randomness are parameters and I/O is returned as typed outputs, so a test, a measurement and
 //! the node drive the same code.
 
+pub mod admission;
 pub mod arena;
 pub mod config;
+pub mod document;
 pub mod entry;
+pub mod group;
 pub mod health;
 pub mod key;
 pub mod member;
@@ -18,6 +21,7 @@
 pub mod settings;
 pub mod time;
 pub mod token;
+pub mod usage;
 
 /// Runs a property on a fixed number of fixed seeds, so that the verdict does not depend on how
 /// many cases fit into a time budget. The low half of a seed is the size of the input in bytes.
--- a/crates/core/src/order/tests.rs
+++ b/crates/core/src/order/tests.rs
@@ -172,7 +172,7 @@
     let model = r#"{"context_tokens":1,"replicas":3}"#;
     set.put(ResourceKind::Model, "m", model).unwrap();
     for index in 0..6 {
-        let spec = r#"{"address":"","region":"r","failure_domain":"d",
+        let spec = r#"{"address":"127.0.0.1:1","region":"r","failure_domain":"d",
             "role":{"type":"engine","models":["m"],"memory_tokens":1,"batch":1}}"#;
         set.put(ResourceKind::BackendServer, &format!("e{index}"), spec).unwrap();
     }
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -2,6 +2,14 @@
 
 use std::{sync::Arc, time::Duration};
 
+use crate::{
+    adapter::store,
+    event,
+    host::HostRef,
+    order_sync,
+    peer::{self, datagram::PeerDatagram, frame::PeerFrame, link},
+    pool,
+};
 use async_io::Timer;
 use parsley_core::{
     config::{
@@ -10,15 +18,6 @@
     },
     member::MemberInput,
 };
-use slog::info;
-
-use crate::{
-    adapter::store,
-    host::HostRef,
-    order_sync,
-    peer::{self, datagram::PeerDatagram, frame::PeerFrame, link},
-    pool,
-};
 
 const WATCH_WAIT: Duration = Duration::from_secs(5);
 const RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -40,8 +39,7 @@
             match store::changes(address, CONFIG_PREFIX, after, Some(WATCH_WAIT)).await {
                 Ok(delta) => apply(&host, delta),
                 Err(err) => {
-                    info!(host.log, "key-value service does not answer"; "event" => "E1201",
-                        "error" => %err);
+                    event!(host.log, STORE_SILENT, "error" => %err);
                     Timer::after(RETRY_DELAY).await;
                 }
             }
@@ -74,8 +72,7 @@
             ConfigOutput::Read { after } => host.spawn(read(host.clone(), after)),
             ConfigOutput::Complete(revision) => {
                 peer::member_step(host, MemberInput::Revision(revision));
-                info!(host.log, "configuration complete"; "event" => "E1202",
-                    "revision" => revision.0);
+                event!(host.log, CONFIG_IN_FORCE, "revision" => revision.0);
             }
             ConfigOutput::Changed => {
                 pool::assign::assign(host);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod host_watch;
 pub mod http;
 pub mod log;
+pub mod metrics;
 pub mod order_sync;
 pub mod peer;
 pub mod pool;
--- a/crates/node/src/order_sync.rs
+++ b/crates/node/src/order_sync.rs
@@ -10,7 +10,6 @@
     },
     time::Time,
 };
-use slog::info;
 
 use crate::{
     adapter::{
@@ -19,6 +18,7 @@
         weights,
     },
     error::NodeError,
+    event,
     host::HostRef,
     http::within,
 };
@@ -138,8 +138,7 @@
             }
             // No answer: the lease runs out by this host's own clock.
             Err(err) => {
-                info!(host.log, "lease call failed"; "event" => "E1401", "shard" => shard.0,
-                    "error" => %err);
+                event!(host.log, LEASE_CALL_FAILED, "shard" => shard.0, "error" => %err);
             }
         }
     }
@@ -171,7 +170,7 @@
         OrderAction::Load(model) => ("load", model),
         OrderAction::Unload(model) => ("unload", model),
     };
-    info!(host.log, "order sent"; "event" => "E1402", "engine" => &*order.engine, "action" => verb,
+    event!(host.log, ORDER_SENT, "engine" => &*order.engine, "action" => verb,
         "model" => &**model, "fencing" => order.fencing, "result" => ?result);
     let RoleOrder { engine, fencing, .. } = order;
     step(&host, OrderInput::Answered { engine, fencing, result });
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -13,9 +13,8 @@
     member::{MEMBER_TICK, MemberInput, MemberOutput},
     placement::PlacementInput,
 };
-use slog::{info, warn};
 
-use crate::{config_sync, error::NodeError, host::HostRef, pool};
+use crate::{config_sync, error::NodeError, event, host::HostRef, pool};
 
 pub mod datagram;
 pub mod frame;
@@ -31,10 +30,11 @@
 
 /// Starts to listen for other hosts.
 pub fn start(host: &HostRef) -> Result<(), NodeError> {
-    let address = &*host.settings.peer_listen;
+    let address = &host.settings.peer_listen;
     let me: SocketAddr =
         address.parse().map_err(|_| NodeError::Protocol("peer_listen is not an IP address"))?;
-    let socket = Rc::new(Async::<UdpSocket>::try_from(UdpSocket::bind(me)?)?);
+    let socket = UdpSocket::bind(me).and_then(Async::<UdpSocket>::try_from);
+    let socket = Rc::new(socket.map_err(|err| NodeError::Listen(address.clone(), err))?);
     SOCKET.with_borrow_mut(|slot| *slot = Some(socket.clone()));
     host.spawn(receive_loop(host.clone(), socket, me));
     host.spawn(tick_loop(host.clone()));
@@ -55,6 +55,7 @@
         // Dropped datagrams are counted by reason.
         let opened = host.state.borrow_mut().datagrams.open(me, &buffer[..size]);
         let Ok(envelope) = opened else { continue };
+        count_bytes(&host, "received", content_name(&envelope.datagram), size);
         receive(&host, &envelope.from, envelope.datagram);
     }
 }
@@ -88,7 +89,7 @@
             }
             MemberOutput::Changed => changed(host),
             MemberOutput::DeclaredDead => {
-                warn!(host.log, "other hosts took this host for dead"; "event" => "E1103");
+                event!(host.log, DECLARED_DEAD);
                 // Others may have taken the engines over; queued work goes back to its callers.
                 pool::assign::hand_back(host);
             }
@@ -120,6 +121,7 @@
 /// Sends a datagram; a lost one is not noticed.
 pub fn send(host: &HostRef, to: &Arc<str>, datagram: PeerDatagram) {
     let Ok(address) = to.parse::<SocketAddr>() else { return };
+    let content = content_name(&datagram);
     let bytes = {
         let mut state = host.state.borrow_mut();
         let state = &mut *state;
@@ -127,12 +129,26 @@
         state.datagrams.seal(address, &me.name, me.incarnation, datagram)
     };
     if bytes.len() > DATAGRAM_BYTES {
-        info!(host.log, "datagram larger than networks carry"; "event" => "E1104",
-            "bytes" => bytes.len());
+        event!(host.log, DATAGRAM_TOO_LARGE, "bytes" => bytes.len());
     }
+    count_bytes(host, "sent", content, bytes.len());
     SOCKET.with_borrow(|socket| {
         let Some(socket) = socket else { return };
         // A full socket buffer drops the datagram, as the network may.
         let _ = socket.get_ref().send_to(&bytes, address);
     });
 }
+
+fn content_name(datagram: &PeerDatagram) -> &'static str {
+    match datagram {
+        PeerDatagram::Member(_) => "member",
+        PeerDatagram::Load(_) | PeerDatagram::LoadSubscribe => "load",
+        PeerDatagram::ConfigPush(_) => "config",
+        PeerDatagram::Leaving(_) => "leaving",
+    }
+}
+
+fn count_bytes(host: &HostRef, direction: &str, content: &str, bytes: usize) {
+    let counter = host.metrics.control_bytes.with_label_values(&[direction, content]);
+    counter.inc_by(u64::try_from(bytes).unwrap_or(0));
+}
--- a/crates/node/src/pool/assign.rs
+++ b/crates/node/src/pool/assign.rs
@@ -5,20 +5,20 @@
 use async_io::Timer;
 use parsley_core::{
     health::{HealthInput, HealthOutput, LeavingSource},
-    key::{EngineKey, ModelKey, WorkKey},
+    key::{AccountKey, EngineKey, ModelKey, RankKey, WorkKey},
     placement::{
         EngineLoad, LoadPush, PlacementInput, PlacementOutput, SAMPLE_TICK, SUBSCRIPTION,
         engine_id, prefix_hashes, serves,
     },
-    resource::BackendRole,
-    scheduler::{EngineReport, EngineSpec, SchedulerInput},
+    resource::{BackendRole, ClientAccount, Rank},
+    scheduler::{AccountSpec, EngineReport, EngineSpec, RankSpec, SchedulerInput},
     time::Time,
 };
-use slog::info;
 
 use super::{PoolWork, finish, step};
 use crate::{
     adapter::engine::{self, EngineAnswer, EngineEvent, EngineOrder},
+    event,
     host::{HostRef, HostState},
     peer::{self, datagram::PeerDatagram, frame::StreamEvent},
 };
@@ -166,7 +166,10 @@
             state.picker.update_servers(state.config.resources());
         }
         state.picker.update_hosts(&state.members);
-        owned_engines(now, state)
+        let mut inputs = vec![ranks(state), accounts(state)];
+        let (engines, health) = owned_engines(now, state);
+        inputs.extend(engines);
+        (inputs, health)
     };
     for input in inputs {
         step(host, input);
@@ -174,6 +177,31 @@
     carry_out(host, health);
 }
 
+fn ranks(state: &HostState) -> SchedulerInput {
+    let ranks = state.config.resources().ranks.values();
+    let spec = |rank: &Rank| RankSpec {
+        rank: RankKey(rank.level),
+        first_token: Duration::from_millis(rank.first_token_ms),
+        finish: Duration::from_millis(rank.finish_ms),
+        guaranteed: f64::from(rank.guaranteed_percent) / 100.0,
+        tokens_per_second: None,
+        memory_tokens: None,
+    };
+    SchedulerInput::Ranks(ranks.map(spec).collect())
+}
+
+fn accounts(state: &mut HostState) -> SchedulerInput {
+    let accounts = state.config.resources().accounts.iter();
+    let names = &mut state.accounts;
+    let spec = |(name, account): (&Arc<str>, &ClientAccount)| AccountSpec {
+        account: AccountKey(names.intern(name)),
+        weight: account.weight,
+        tokens_per_second: account.tokens_per_second,
+        memory_tokens: account.memory_tokens,
+    };
+    SchedulerInput::Accounts(accounts.map(spec).collect())
+}
+
 fn owned_engines(now: Time, state: &mut HostState) -> (Vec<SchedulerInput>, Vec<HealthOutput>) {
     let (mut inputs, mut health) = (Vec::new(), Vec::new());
     let mut owned = BTreeMap::new();
@@ -233,8 +261,7 @@
     for output in outputs {
         match output {
             HealthOutput::Usable { engine, is_usable: usable } => {
-                info!(host.log, "engine usable or not"; "event" => "E1301", "engine" => engine.0,
-                    "usable" => usable);
+                event!(host.log, ENGINE_USABLE, "engine" => engine.0, "usable" => usable);
                 step(host, SchedulerInput::EngineUsable { engine, usable });
             }
             HealthOutput::Probe(engine) => host.spawn(probe(host.clone(), engine)),
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -1,6 +1,7 @@
 //! Several host processes that behave as one.
 
 use std::{
+    net::SocketAddr,
     thread,
     time::{Duration, Instant},
 };
@@ -13,11 +14,12 @@
 
 /// Time after which a test is given up. It is far above what is expected, so that a busy machine
 /// changes no verdict; `docs/measurements/scale.md` measures the bounds in virtual time.
-const PATIENCE: Duration = Duration::from_secs(60);
+const WAIT_LIMIT: Duration = Duration::from_secs(60);
 
 fn call(address: &str, method: Method, path: &str, body: Option<Value>) -> Option<Value> {
     async_io::block_on(async {
         let mut request = caller::request(method, address, path);
+        request.insert_header("authorization", "Bearer token-inspection");
         if let Some(body) = body {
             request.set_body(body.to_string());
         }
@@ -27,9 +29,9 @@
 }
 
 fn wait_for(what: &str, mut is_done: impl FnMut() -> bool) {
-    let end = Instant::now() + PATIENCE;
+    let end = Instant::now() + WAIT_LIMIT;
     while !is_done() {
-        assert!(Instant::now() < end, "{what}: not within {PATIENCE:?}");
+        assert!(Instant::now() < end, "{what}: not within {WAIT_LIMIT:?}");
         thread::sleep(Duration::from_millis(50));
     }
 }
@@ -63,11 +65,14 @@
 /// Connections that are open at the hosts' peer ports.
 fn peer_connections(fleet: &Fleet) -> usize {
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-    let ports: Vec<_> =
-        fleet.hosts().iter().map(|host| format!(":{:04X}", host.peer_address.port())).collect();
+    let hex = |address: SocketAddr| {
+        let SocketAddr::V4(address) = address else { unreachable!("hosts listen on IPv4") };
+        format!("{:08X}:{:04X}", u32::from_le_bytes(address.ip().octets()), address.port())
+    };
+    let addresses: Vec<_> = fleet.hosts().iter().map(|host| hex(host.peer_address)).collect();
     let is_open = |line: &&str| {
         let fields: Vec<_> = line.split_whitespace().collect();
-        fields[3] == "01" && ports.iter().any(|port| fields[1].ends_with(port))
+        fields[3] == "01" && addresses.iter().any(|address| fields[1] == address)
     };
     table.lines().skip(1).filter(is_open).count()
 }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::Arc,
@@ -23,6 +23,8 @@
 
 /// Secret that the hosts of a stand-in fleet share.
 const PEER_KEY: &str = "stand-in fleet";
+/// Unit of processor time in `/proc`, in milliseconds.
+const TICK_MS: u64 = 10;
 /// Rate of the weight store.
 const LOADS_PER_SECOND: f64 = 40.0;
 /// Time within which a started fleet answers.
@@ -211,6 +213,19 @@
         Command::new("kill").args([&format!("-{signal}"), &pid]).status().map(drop)
     }
 
+    /// Processor time that a host's process has used.
+    pub fn host_cpu(&self, index: usize) -> io::Result<Duration> {
+        let Some(child) = &self.hosts[index].child else { return Ok(Duration::ZERO) };
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", child.id()))?;
+        // The command's name may contain spaces; the fields after its closing bracket do not.
+        let fields = stat.rsplit(')').next().unwrap_or_default();
+        let ticks = |index: usize| {
+            fields.split_whitespace().nth(index).and_then(|text| text.parse().ok()).unwrap_or(0)
+        };
+        let ticks: u64 = ticks(11) + ticks(12);
+        Ok(Duration::from_millis(ticks * TICK_MS))
+    }
+
     /// Waits until a host's process ended by itself. Returns whether it ended with success.
     pub fn wait_host(&mut self, index: usize) -> io::Result<bool> {
         let Some(mut child) = self.hosts[index].child.take() else { return Ok(false) };
@@ -394,7 +409,10 @@
         let Ok(entries) = async_io::block_on(caller::entries(host.address)) else { return false };
         let address = host.address.to_string();
         let models = async_io::block_on(async {
-            let request = caller::request(Method::Get, &address, "/v1/models");
+            let mut request = caller::request(Method::Get, &address, "/v1/models");
+            if let Some(account) = self.builder.accounts.first() {
+                request.insert_header("authorization", format!("Bearer token-{account}"));
+            }
             let mut response = caller::send(&address, request).await?;
             response.body_json::<Value>().await.map_err(|err| err.to_string())
         });
@@ -417,15 +435,12 @@
     })
 }
 
-/// A loopback address on which nothing listens over TCP or UDP, with the listener that reserved it.
-/// It lies below the ports that systems give to outgoing connections, one of which could take it
-/// before the host does.
-fn free_address() -> io::Result<(SocketAddr, Arc<TcpListener>)> {
-    for _ in 0..100 {
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, fastrand::u16(12_000..32_000)));
-        if let (Ok(listener), Ok(_)) = (TcpListener::bind(address), UdpSocket::bind(address)) {
-            return Ok((address, Arc::new(listener)));
-        }
-    }
-    Err(io::Error::other("no free port"))
+/// A loopback address that nothing listens on, with the listener that reserved it.
+///
+/// The IP address is random within 127.0.0.0/8: on 127.0.0.1 a port that was just released is often
+/// given to a stand-in of another test before the host binds it.
+pub fn free_address() -> io::Result<(SocketAddr, Arc<TcpListener>)> {
+    let [a, b, c] = std::array::from_fn(|_| fastrand::u8(1..255));
+    let listener = TcpListener::bind((Ipv4Addr::new(127, a, b, c), 0))?;
+    Ok((listener.local_addr()?, Arc::new(listener)))
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,14 +4,17 @@
 //! can embed a whole platform.
 
 pub mod caller;
+pub mod decision;
 pub mod engine;
 pub mod engine_model;
 pub mod engine_roles;
 pub mod fleet;
 pub mod hostlist;
+pub mod load;
 pub mod sampling;
 pub mod scale_world;
 pub mod server;
 pub mod service;
+pub mod solo;
 pub mod store;
 pub mod weights;
