Let the long subset grow, preempt only with effect

Cause: long prompts kept to the subset of engines that their past service justified never got more, so prefill idled; an urgent prompt of the longest class was preempted for although another one held the engine's only long prefill, and the preempted work was sent, preempted and sent again without end. Ruled out: a fixed subset. Change: the subset counts queued long work; work is preempted only where the urgent prompt may start, and at most once a second for one request; the driver stops when decisions repeat without end. Test nothing_is_preempted_in_vain failed before the change.

--- a/crates/core/src/scheduler/dispatch.rs
+++ b/crates/core/src/scheduler/dispatch.rs
@@ -6,7 +6,7 @@
 
 use super::{
     PoolScheduler, SchedulerOutput, Site, WorkItem,
-    cost::{CLASSES, FadingSum, memory_tokens, size_class},
+    cost::{CLASSES, memory_tokens, size_class},
     engine::{EngineBook, Headroom, Placement},
     forecast::RECENT_SPAN,
     queue::{Head, LaneKey},
@@ -20,6 +20,8 @@
 const HEADROOM_BATCH: u32 = 32;
 /// Most of an engine's memory that is kept free for urgent work.
 const HEADROOM_MEMORY: f64 = 0.2;
+/// Time after which more work is preempted for a request that still waits.
+const PREEMPT_REPEAT: Duration = Duration::from_secs(1);
 /// Wait after which an engine is drained for a long prompt that finds no memory.
 const DRAIN_AFTER: Duration = Duration::from_secs(1);
 /// First size class that engines are drained for; shorter prompts find memory soon.
@@ -188,9 +190,13 @@
         if serving.len() < SUBSET_ENGINES {
             return None;
         }
-        let recent = |sum: &FadingSum| sum.get(now, RECENT_SPAN);
-        let total: f64 = self.class_recent.iter().map(recent).sum();
-        let share = recent(&self.class_recent[last]) / total.max(1.0);
+        // What waits counts too: a class that is held back must be able to grow its subset.
+        let demand = |class: usize| {
+            let queued: u64 = self.ranks.values().map(|state| state.queue.class_cost(class)).sum();
+            self.class_recent[class].get(now, RECENT_SPAN) + queued as f64
+        };
+        let total: f64 = (0..CLASSES).map(demand).sum();
+        let share = demand(last) / total.max(1.0);
         let count = (serving.len() as f64 * share).ceil().max(1.0) as usize;
         serving.get(count.min(serving.len()) - 1).copied()
     }
@@ -237,14 +243,15 @@
             if !self.is_entitled(now, top, head.account) {
                 continue;
             }
-            let waits = self.preempting.get(&head.work).and_then(|key| self.engines.get(key));
-            if waits.is_some_and(|book| book.leaving.1 > 0) {
+            // Room made in vain for a reason not foreseen must not be made again at once.
+            let last = self.preempting.get(&head.work);
+            if last.is_some_and(|last| now.since(*last) < PREEMPT_REPEAT) {
                 continue;
             }
             let Some(waiting) = self.ranks[&top].queue.get(head.work) else { continue };
             let item = waiting.item.clone();
             let Some((engine, victims)) = self.victims(now, &item) else { continue };
-            self.preempting.insert(head.work, engine);
+            self.preempting.insert(head.work, now);
             for work in victims {
                 let running = self.running.get_mut(&work).expect("was just chosen");
                 running.stopping = Some(now);
@@ -266,7 +273,8 @@
         let place = Placement::new(item, 0, true);
         let mut best: Option<(usize, EngineKey, Vec<WorkKey>)> = None;
         for (engine, book) in &self.engines {
-            if !book.takes_work() || !book.spec.models.contains(&item.model) {
+            let may_start = book.takes_work() && book.may_start(place.class);
+            if !may_start || !book.spec.models.contains(&item.model) {
                 continue;
             }
             let (mut tokens, mut slots) = book.shortage(now, &place);
--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -212,19 +212,24 @@
         held + place.need + kept + drained <= self.spec.memory_tokens
     }
 
+    /// Whether a prompt of this class may start: at most one of the longest class is processed at
+    /// a time.
+    pub fn may_start(&self, class: usize) -> bool {
+        class < CLASSES - 1 || !self.processes_class(class)
+    }
+
+    fn processes_class(&self, from: usize) -> bool {
+        self.prefills.values().any(|prefill| prefill.class >= from)
+    }
+
     /// Whether the request would reach the prefill soon and leaves long prompts their share.
     fn has_pace(&self, place: &Placement, pool_rate: f64) -> bool {
-        let last = CLASSES - 1;
-        let has_class = |from: usize| self.prefills.values().any(|prefill| prefill.class >= from);
-        if place.class == last && has_class(last) {
-            return false;
-        }
-        if place.entitled {
-            return true;
+        if place.entitled || !self.may_start(place.class) {
+            return self.may_start(place.class);
         }
         let rate = self.rate(pool_rate);
         let is_over = rate > 0.0 && self.short_credit <= 0.0;
-        if place.class < LONG_CLASS && is_over && has_class(LONG_CLASS) {
+        if place.class < LONG_CLASS && is_over && self.processes_class(LONG_CLASS) {
             return false;
         }
         let window = rate * PREFILL_WINDOW.as_secs_f64();
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -106,8 +106,8 @@
     token_seconds: f64,
     /// Recent cost of each size class.
     class_recent: [FadingSum; CLASSES],
-    /// Urgent requests that wait for preempted work to leave an engine.
-    preempting: BTreeMap<WorkKey, EngineKey>,
+    /// Urgent requests that wait for preempted work to leave an engine, and since when.
+    preempting: BTreeMap<WorkKey, Time>,
     usage: BTreeMap<(AccountKey, RankKey), (u64, u64)>,
     held: BTreeMap<(AccountKey, RankKey), u64>,
     forgotten: Time,
--- a/crates/core/src/scheduler/tests.rs
+++ b/crates/core/src/scheduler/tests.rs
@@ -117,6 +117,24 @@
     assert_eq!((pool.held(engine), pool.running(), pool.queued()), (0, 0, 0));
 }
 
+/// Guards against preemption, again and again, for an urgent prompt that cannot start anyway
+/// because another prompt of the longest class is being processed.
+#[test]
+fn nothing_is_preempted_in_vain() {
+    let mut pool = pool(1, 32);
+    let memory_tokens = 600_000;
+    let spec = EngineSpec { memory_tokens, ..spec(0, 32) };
+    pool.step(Time(1), SchedulerInput::EngineAdded(spec));
+    for work in 2..=4 {
+        submit(&mut pool, Time(1), item(work, 2, LOW, 90_000));
+        pool.step(Time(1), SchedulerInput::Progress { work: WorkKey(work), tokens: 1 });
+    }
+    submit(&mut pool, Time(1), item(1, 1, TOP, 200_000));
+    let running = pool.running();
+    let outputs = submit(&mut pool, Time(2), item(5, 3, TOP, 200_000));
+    assert_eq!((outputs, running), (Vec::new(), 4));
+}
+
 /// Guards against a short prompt that waits behind a long one without room.
 #[test]
 fn long_prompt_without_room_blocks_no_short_one() {
--- a/crates/standins/src/decision/run.rs
+++ b/crates/standins/src/decision/run.rs
@@ -32,6 +32,9 @@
     (Duration::from_secs(30), Duration::from_secs(300), 0.1),
 ];
 
+/// Inputs that one event may lead to; more means that decisions go round in circles.
+const MAX_ROUNDS: u32 = 10_000;
+
 /// Size and pace of each engine.
 pub fn shape() -> EngineShape {
     EngineShape { memory_tokens: 1_200_000, batch: 48, prefill_tokens: 2_000, cached_prefixes: 64 }
@@ -203,7 +206,10 @@
 
     fn feed(&mut self, input: SchedulerInput) {
         let mut inputs = vec![input];
+        let mut rounds = 0;
         while let Some(input) = inputs.pop() {
+            rounds += 1;
+            assert!(rounds < MAX_ROUNDS, "decisions repeat without end at {:?}", self.now);
             let outputs = match &mut self.decider {
                 Decider::Core(pool) => pool.step(self.now, input),
                 Decider::Fifo(fleet) => fleet.step(self.now, input),
