Measure prefill pace without long-prompt bias

Cause: a sample closed after 2 s while a long prompt was processed counted only the short prompts' tokens; the pace came out 30 times too low and short prompts were held back for the long one. Ruled out: a longer sample: the bias stays, as a long prompt is confirmed only at its end. Change: stretches are sampled from idle to idle, long prompts give samples by themselves; long classes leave part of the memory to shorter ones, and the fill of an engine weighs less.

--- a/crates/core/src/scheduler/dispatch.rs
+++ b/crates/core/src/scheduler/dispatch.rs
@@ -35,7 +35,7 @@
 /// Advantage of the engine that the entry host chose, in seconds.
 const PREFERRED_SECONDS: f64 = 0.005;
 /// Weight of an engine's fill against its predicted wait, in seconds.
-const FILL_SECONDS: f64 = 0.05;
+const FILL_SECONDS: f64 = 0.01;
 /// Engine priorities for each rank: four size classes of accounts within their share, and four of
 /// the others.
 const PRIORITIES_PER_RANK: u8 = 2 * CLASSES as u8;
--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -20,6 +20,9 @@
 const FIRST_WINDOW_TOKENS: f64 = 16_000.0;
 /// Share of an engine's batch that each size class may fill.
 const CLASS_ROOM: [f64; CLASSES] = [1.0, 0.9, 0.5, 0.25];
+/// Part of an engine's memory up to which each size class may fill it, so that a short prompt finds
+/// room beside long ones.
+const CLASS_MEMORY: [f64; CLASSES] = [1.0, 0.97, 0.92, 0.87];
 /// First size class whose prefill must be protected from shorter prompts that keep coming.
 const LONG_CLASS: usize = 2;
 /// Share of prefill that a long prompt keeps while shorter prompts keep coming.
@@ -208,7 +211,8 @@
         let held = self.held + self.reserved + foreign_held;
         // A prompt that only fits without headroom may use an engine that holds nothing.
         let alone = held == 0 && drained == 0;
-        let kept = if alone { 0 } else { kept.tokens };
+        let shorter = (1.0 - CLASS_MEMORY[place.class]) * self.spec.memory_tokens as f64;
+        let kept = if alone || place.entitled { 0 } else { kept.tokens.max(shorter as u64) };
         held + place.need + kept + drained <= self.spec.memory_tokens
     }
 
@@ -293,9 +297,9 @@
     }
 
     /// Notes the first token of a request whose prompt took this prefill.
-    pub fn first_token(&mut self, now: Time, item: &WorkItem, prefill: u64) {
-        self.forget_prefill(item.work);
-        self.pace.confirm(now, prefill, self.prefills.is_empty());
+    pub fn first_token(&mut self, now: Time, sent: Time, item: &WorkItem, prefill: u64) {
+        self.pace.confirm(now, sent, prefill);
+        self.end_prefill(now, item.work);
         for hash in &item.prefixes {
             self.prefixes.retain(|known| known != hash);
             self.prefixes.push_back(*hash);
@@ -319,14 +323,13 @@
         if was_leaving {
             self.leaving = (self.leaving.0 - need, self.leaving.1 - 1);
         }
-        if self.forget_prefill(item.work) && self.prefills.is_empty() {
-            self.pace.confirm(now, 0, true);
-        }
+        self.end_prefill(now, item.work);
     }
 
-    fn forget_prefill(&mut self, work: WorkKey) -> bool {
-        let before = self.prefills.len();
+    fn end_prefill(&mut self, now: Time, work: WorkKey) {
         self.prefills.retain(|_, prefill| prefill.work != work);
-        self.prefills.len() < before
+        if self.prefills.is_empty() {
+            self.pace.end(now);
+        }
     }
 }
--- a/crates/core/src/scheduler/pace.rs
+++ b/crates/core/src/scheduler/pace.rs
@@ -5,23 +5,27 @@
 use super::cost::blend;
 use crate::time::Time;
 
-/// Longest stretch of prefill that forms one sample.
-const SAMPLE_LIMIT: Duration = Duration::from_secs(2);
 /// Stretches with fewer tokens tell the latency of a step, not the rate.
 const MIN_RATE_TOKENS: f64 = 4_000.0;
-/// Weight that earlier samples keep when a new one arrives.
-const KEEP: f64 = 0.9;
+/// Tokens of a stretch that weigh as much as the average of all earlier ones.
+const HALF_WEIGHT_TOKENS: f64 = 40_000.0;
+/// Prompts from this length on tell a rate by themselves: several steps long at usual step sizes.
+const MIN_PROMPT_TOKENS: f64 = 16_000.0;
+/// Weights of a prompt's own rate above and below the average. A prompt that shares its engine with
+/// others shows less than the engine's rate.
+const FASTER_WEIGHT: f64 = 0.3;
+const SLOWER_WEIGHT: f64 = 0.01;
 /// Interval over which the pool's throughput is sampled.
 const POOL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Prefill throughput of one engine, from the time between dispatch and first token.
+/// Prefill throughput of one engine, from the time between dispatch and first token. Stretches from
+/// idle to idle are exact; while an engine is never idle, long prompts are used.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PrefillPace {
     busy_from: Option<Time>,
     confirmed: f64,
     step_seconds: f64,
-    tokens: f64,
-    seconds: f64,
+    rate: f64,
 }
 
 impl PrefillPace {
@@ -30,32 +34,36 @@
         self.busy_from.get_or_insert(now);
     }
 
-    /// Notes that a prompt was processed, and whether none is left.
-    pub fn confirm(&mut self, now: Time, tokens: u64, idle: bool) {
-        let Some(from) = self.busy_from else { return };
-        self.confirmed += tokens as f64;
-        let span = now.since(from);
-        if idle || span >= SAMPLE_LIMIT {
-            self.sample(self.confirmed, span.as_secs_f64());
-            self.confirmed = 0.0;
-            self.busy_from = if idle { None } else { Some(now) };
+    /// Notes that a prompt that was sent at a time was processed.
+    pub fn confirm(&mut self, now: Time, sent: Time, tokens: u64) {
+        let tokens = tokens as f64;
+        self.confirmed += tokens;
+        let span = now.since(sent).as_secs_f64();
+        if tokens >= MIN_PROMPT_TOKENS && span > 0.0 {
+            let sample = tokens / span;
+            let weight = if sample > self.rate { FASTER_WEIGHT } else { SLOWER_WEIGHT };
+            blend(&mut self.rate, sample, weight);
         }
     }
 
-    fn sample(&mut self, tokens: f64, seconds: f64) {
-        if tokens == 0.0 {
+    /// Notes that no prompt is left.
+    pub fn end(&mut self, now: Time) {
+        let Some(from) = self.busy_from.take() else { return };
+        let seconds = now.since(from).as_secs_f64();
+        let tokens = std::mem::take(&mut self.confirmed);
+        if tokens == 0.0 || seconds == 0.0 {
             return;
         }
         if tokens < MIN_RATE_TOKENS {
             return blend(&mut self.step_seconds, seconds, 0.1);
         }
-        self.tokens = self.tokens * KEEP + tokens;
-        self.seconds = self.seconds * KEEP + (seconds - self.step_seconds).max(seconds * 0.2);
+        let seconds = (seconds - self.step_seconds).max(seconds * 0.5);
+        blend(&mut self.rate, tokens / seconds, tokens / (tokens + HALF_WEIGHT_TOKENS));
     }
 
     /// Tokens a second, once known.
     pub fn rate(&self) -> Option<f64> {
-        (self.seconds > 0.0).then(|| self.tokens / self.seconds)
+        (self.rate > 0.0).then_some(self.rate)
     }
 
     /// Latency of a prompt of few tokens, in seconds; 0 until known.
--- a/crates/core/src/scheduler/running.rs
+++ b/crates/core/src/scheduler/running.rs
@@ -74,6 +74,7 @@
         running.produced += tokens;
         let is_first = running.first_token.is_none();
         let (item, site, prefill) = (&running.item, running.site, running.prefill);
+        let since = running.since;
         let (account, rank) = (item.account, item.rank);
         let mut cost = tokens * DECODE_COST;
         if is_first {
@@ -82,7 +83,7 @@
             if let Site::Engine(engine) = site
                 && let Some(book) = self.engines.get_mut(&engine)
             {
-                book.first_token(now, item, prefill);
+                book.first_token(now, since, item, prefill);
             }
         }
         *self.produced.entry(work).or_default() += tokens;
