Leave a place for accounts within their share

Cause: small callers waited for a place in a full batch. Change: work of accounts over their share leaves one more place of a batch of 16 or more free.

--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -20,6 +20,8 @@
 const FIRST_WINDOW_TOKENS: f64 = 16_000.0;
 /// Share of an engine's batch that each size class may fill.
 const CLASS_ROOM: [f64; CLASSES] = [1.0, 0.9, 0.5, 0.25];
+/// Smallest batch of which accounts over their share leave a place free.
+const SHARED_BATCH: u32 = 16;
 /// Part of an engine's memory up to which each size class may fill it, so that a short prompt finds
 /// room beside long ones.
 const CLASS_MEMORY: [f64; CLASSES] = [1.0, 0.97, 0.92, 0.87];
@@ -50,6 +52,8 @@
     pub priority: u8,
     /// Whether the request may use the headroom.
     pub entitled: bool,
+    /// Whether its account received less than its share lately.
+    pub within_share: bool,
 }
 
 impl Placement {
@@ -60,10 +64,16 @@
             need: memory_tokens(item),
             priority,
             entitled,
+            within_share: is_within_share(priority),
         }
     }
 }
 
+/// Whether an engine priority belongs to an account within its share.
+fn is_within_share(priority: u8) -> bool {
+    usize::from(priority) % (2 * CLASSES) < CLASSES
+}
+
 struct Prefill {
     work: WorkKey,
     class: usize,
@@ -199,7 +209,9 @@
     fn has_space(&self, now: Time, place: &Placement, room: Headroom) -> bool {
         let (foreign_held, foreign_running) = self.foreign(now);
         let kept = if place.entitled { Headroom::default() } else { room };
-        if self.running + foreign_running + kept.slots >= self.spec.batch {
+        // Accounts over their share leave one more place, so that the others need not wait for one.
+        let more = u32::from(!place.within_share && self.spec.batch >= SHARED_BATCH);
+        if self.running + foreign_running + kept.slots + more >= self.spec.batch {
             return false;
         }
         let ceiling = (f64::from(self.spec.batch) * CLASS_ROOM[place.class]).ceil() as u32;
@@ -233,7 +245,11 @@
         }
         let rate = self.rate(pool_rate);
         let is_over = rate > 0.0 && self.short_credit <= 0.0;
-        if place.class < LONG_CLASS && is_over && self.processes_class(LONG_CLASS) {
+        if place.class < LONG_CLASS
+            && !place.within_share
+            && is_over
+            && self.processes_class(LONG_CLASS)
+        {
             return false;
         }
         let window = rate * PREFILL_WINDOW.as_secs_f64();
