Average an account's recent use over 15 s

Cause: one long prompt put an account with little use over its share for seconds. Change: the span is 15 s.

--- a/crates/core/src/scheduler/queue.rs
+++ b/crates/core/src/scheduler/queue.rs
@@ -16,7 +16,7 @@
 };
 
 /// Span over which an account's recent service is compared with its share.
-const RECENT_SPAN: Duration = Duration::from_secs(5);
+const RECENT_SPAN: Duration = Duration::from_secs(15);
 /// Resolution of tags: tag units for one unit of cost at weight 1.
 const TAG_UNITS: f64 = 1_000.0;
 
