Put the longest prompts last within their rank

Cause: a long prompt of an account within its share went before short prompts of accounts over their share, which then waited for its whole prefill. Ruled out: size class before share for all classes: small callers' 16k prompts would wait behind large callers' short ones. Change: engine priorities within a rank: shorter classes within share, shorter classes over share, longest class.

--- a/crates/core/src/scheduler/dispatch.rs
+++ b/crates/core/src/scheduler/dispatch.rs
@@ -36,8 +36,7 @@
 const PREFERRED_SECONDS: f64 = 0.005;
 /// Weight of an engine's fill against its predicted wait, in seconds.
 const FILL_SECONDS: f64 = 0.01;
-/// Engine priorities for each rank: four size classes of accounts within their share, and four of
-/// the others.
+/// Engine priorities for each rank: size classes of accounts within their share, and of the others.
 const PRIORITIES_PER_RANK: u8 = 2 * CLASSES as u8;
 
 /// Which requests of a rank are looked at.
@@ -112,7 +111,8 @@
         }
         let item = &self.ranks[&rank].queue.get(head.work)?.item;
         let priority = self.priority(now, item, pick == Pick::Owed);
-        let place = Placement::new(item, priority, entitled);
+        let within_share = self.is_within_share(now, rank, head.account);
+        let place = Placement::new(item, priority, entitled, within_share);
         let engine = self.find_engine(now, item, &place)?;
         Some(Choice { work: head.work, engine, place })
     }
@@ -133,7 +133,14 @@
         let within = self.is_within_share(now, item.rank, item.account);
         let own = within && (!owed || self.is_top(item.rank));
         let base = level.min(30) * PRIORITIES_PER_RANK;
-        base + if own { 0 } else { CLASSES as u8 } + size_class(item.prompt_tokens) as u8
+        let (class, last) = (size_class(item.prompt_tokens), CLASSES - 1);
+        // A prompt of the longest class would hold up every other for seconds, so it goes after all
+        // others of its rank, whoever sends them.
+        base + match (class == last, own) {
+            (false, true) => class as u8,
+            (false, false) => (last + class) as u8,
+            (true, own) => 2 * last as u8 + u8::from(!own),
+        }
     }
 
     /// The engine with room where the request gets its first token first.
@@ -270,7 +277,7 @@
     /// The engine on which the least has to be cancelled for the request, and what to cancel:
     /// least urgent first, and what started last, as it loses least.
     fn victims(&self, now: Time, item: &WorkItem) -> Option<(EngineKey, Vec<WorkKey>)> {
-        let place = Placement::new(item, 0, true);
+        let place = Placement::new(item, 0, true, true);
         let mut best: Option<(usize, EngineKey, Vec<WorkKey>)> = None;
         for (engine, book) in &self.engines {
             let may_start = book.takes_work() && book.may_start(place.class);
--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -57,23 +57,18 @@
 }
 
 impl Placement {
-    pub fn new(item: &WorkItem, priority: u8, entitled: bool) -> Placement {
+    pub fn new(item: &WorkItem, priority: u8, entitled: bool, within_share: bool) -> Placement {
         Placement {
             work: item.work,
             class: size_class(item.prompt_tokens),
             need: memory_tokens(item),
             priority,
             entitled,
-            within_share: is_within_share(priority),
+            within_share,
         }
     }
 }
 
-/// Whether an engine priority belongs to an account within its share.
-fn is_within_share(priority: u8) -> bool {
-    usize::from(priority) % (2 * CLASSES) < CLASSES
-}
-
 struct Prefill {
     work: WorkKey,
     class: usize,
--- a/crates/core/src/scheduler/forecast.rs
+++ b/crates/core/src/scheduler/forecast.rs
@@ -55,7 +55,8 @@
         let pool_rate = self.prefill_rate();
         let priority = self.priority(now, item, false);
         let entitled = self.is_entitled(now, item.rank, item.account);
-        let place = Placement::new(item, priority, entitled);
+        let within_share = self.is_within_share(now, item.rank, item.account);
+        let place = Placement::new(item, priority, entitled, within_share);
         let mut prefill = f64::INFINITY;
         let mut idle_prefill = f64::INFINITY;
         let engines = self.engines.values();
