Serve accounts within their share first

Cause: an account within its share that had just been served waited until the virtual time reached its tag, up to 500 ms, behind the accounts that flood. Ruled out: more headroom: the requests had room and were not at the head of their lane. Change: in a rank, accounts that received less than their share in the last 15 s come first, then the order is by tag.

--- a/crates/core/src/scheduler/forecast.rs
+++ b/crates/core/src/scheduler/forecast.rs
@@ -136,6 +136,14 @@
         state.queue.recent_rate(now, account) < share
     }
 
+    /// Keeps the order of an account up to date with its share.
+    pub(super) fn note_share(&mut self, now: Time, rank: RankKey, account: AccountKey) {
+        let is_over = !self.is_within_share(now, rank, account);
+        if let Some(state) = self.ranks.get_mut(&rank) {
+            state.queue.set_over(account, is_over);
+        }
+    }
+
     /// Whether the request may use the headroom and preempt: it is of the most urgent rank, and
     /// its account is within its share.
     pub(super) fn is_entitled(&self, now: Time, rank: RankKey, account: AccountKey) -> bool {
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -299,6 +299,7 @@
         let need = memory_tokens(&item);
         let weight = self.weight(item.account);
         let cost = self.estimate(&item, item.prompt_tokens);
+        self.note_share(now, rank, item.account);
         self.rank(rank).queue.push(now, item, weight, cost, ahead);
         self.queued.insert(work, rank);
         self.queued_tokens += need;
--- a/crates/core/src/scheduler/queue.rs
+++ b/crates/core/src/scheduler/queue.rs
@@ -35,21 +35,26 @@
 /// The request that a lane would serve next.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Head {
-    pub tag: u64,
+    pub place: Place,
     pub class: usize,
     pub account: AccountKey,
     pub work: WorkKey,
 }
 
+/// Place of an account in the order of service: accounts within their share first, then by tag.
+type Place = (bool, u64);
+
 #[derive(Default)]
 struct Lane {
-    heads: BTreeSet<(u64, AccountKey)>,
+    heads: BTreeSet<(Place, AccountKey)>,
     works: BTreeMap<AccountKey, BTreeMap<i64, WorkKey>>,
 }
 
 #[derive(Default)]
 struct Client {
     tag: u64,
+    /// Whether the account got more than its share lately.
+    is_over: bool,
     weight: u32,
     /// Requests queued and running.
     open: u32,
@@ -60,6 +65,12 @@
     lanes: BTreeSet<LaneKey>,
 }
 
+impl Client {
+    fn place(&self) -> Place {
+        (self.is_over, self.tag)
+    }
+}
+
 /// The queue of one rank.
 #[derive(Default)]
 pub(super) struct RankQueue {
@@ -121,9 +132,9 @@
         client.queued_cost[lane.1] += cost;
         client.lanes.insert(lane);
         self.cost[lane.1] += cost;
-        let tag = client.tag;
+        let place = client.place();
         let lane = self.lanes.entry(lane).or_default();
-        lane.heads.insert((tag, account));
+        lane.heads.insert((place, account));
         lane.works.entry(account).or_default().insert(order, work);
         self.waiting.insert(work, Waiting { item, cost, since: now, order });
     }
@@ -142,7 +153,7 @@
         works.remove(&waiting.order);
         if works.is_empty() {
             lane.works.remove(&account);
-            lane.heads.remove(&(client.tag, account));
+            lane.heads.remove(&(client.place(), account));
             client.lanes.remove(&key);
         }
         if lane.works.is_empty() {
@@ -162,9 +173,9 @@
     /// The head of a lane.
     pub fn head(&self, key: LaneKey) -> Option<Head> {
         let lane = self.lanes.get(&key)?;
-        let (tag, account) = *lane.heads.first()?;
+        let (place, account) = *lane.heads.first()?;
         let (_, work) = lane.works[&account].first_key_value()?;
-        Some(Head { tag, class: key.1, account, work: *work })
+        Some(Head { place, class: key.1, account, work: *work })
     }
 
     /// Counts a request of the account that was not queued as open.
@@ -197,12 +208,26 @@
         let Some(client) = self.clients.get_mut(&account) else { return };
         let units = (cost as f64 * TAG_UNITS / f64::from(client.weight.max(1))) as i64;
         let tag = client.tag.saturating_add_signed(units);
+        self.move_to(account, |client| client.tag = tag);
+    }
+
+    /// Notes whether an account got more than its share lately.
+    pub fn set_over(&mut self, account: AccountKey, is_over: bool) {
+        if self.clients.get(&account).is_some_and(|client| client.is_over != is_over) {
+            self.move_to(account, |client| client.is_over = is_over);
+        }
+    }
+
+    fn move_to(&mut self, account: AccountKey, change: impl FnOnce(&mut Client)) {
+        let Some(client) = self.clients.get_mut(&account) else { return };
+        let before = client.place();
+        change(client);
+        let after = client.place();
         for key in &client.lanes {
             let heads = &mut self.lanes.get_mut(key).expect("client is queued there").heads;
-            heads.remove(&(client.tag, account));
-            heads.insert((tag, account));
+            heads.remove(&(before, account));
+            heads.insert((after, account));
         }
-        client.tag = tag;
     }
 
     /// Adds actual service to the account's recent use.
--- a/crates/core/src/scheduler/running.rs
+++ b/crates/core/src/scheduler/running.rs
@@ -37,6 +37,7 @@
         let state = self.rank(rank);
         state.queue.open(account, weight);
         self.charge(rank, account, charged as i64);
+        self.note_share(now, rank, account);
         self.deadlines.insert((item.deadline, work));
         *self.held.entry((account, rank)).or_default() += memory_tokens(&item);
         let first_token = if prefill == 0 { Some(now) } else { None };
