Bound the burst of an account that was idle

Ruled out: a span of 2 s: 96 of 300, below the floor. Change: an account may receive twice its share over 1 s.

--- a/crates/core/src/scheduler/forecast.rs
+++ b/crates/core/src/scheduler/forecast.rs
@@ -133,7 +133,7 @@
         let rate =
             if is_top { pool * state.spec.guaranteed } else { self.available_rate(now, rank) };
         let share = rate * state.queue.share(account, self.weight(account));
-        state.queue.recent_rate(now, account) < share
+        state.queue.is_below(now, account, share)
     }
 
     /// Keeps the order of an account up to date with its share.
--- a/crates/core/src/scheduler/queue.rs
+++ b/crates/core/src/scheduler/queue.rs
@@ -17,6 +17,10 @@
 
 /// Span over which an account's recent service is compared with its share.
 const RECENT_SPAN: Duration = Duration::from_secs(15);
+/// A shorter span, in which an account may receive [`BURST_FACTOR`] times its share. It bounds what
+/// an account that was idle gets before the longer span shows that it floods.
+const BURST_SPAN: Duration = Duration::from_secs(1);
+const BURST_FACTOR: f64 = 2.0;
 /// Resolution of tags: tag units for one unit of cost at weight 1.
 const TAG_UNITS: f64 = 1_000.0;
 
@@ -62,6 +66,7 @@
     /// Estimated cost queued, by size class.
     queued_cost: [u64; CLASSES],
     recent: FadingSum,
+    burst: FadingSum,
     lanes: BTreeSet<LaneKey>,
 }
 
@@ -234,6 +239,7 @@
     pub fn note_use(&mut self, now: Time, account: AccountKey, cost: u64) {
         let client = self.clients.entry(account).or_default();
         client.recent.add(now, RECENT_SPAN, cost as f64);
+        client.burst.add(now, BURST_SPAN, cost as f64);
     }
 
     /// The account's share among the accounts with open requests, 0 to 1.
@@ -244,10 +250,12 @@
         own / (own + others.max(0.0))
     }
 
-    /// Service that the account received lately, in cost a second.
-    pub fn recent_rate(&self, now: Time, account: AccountKey) -> f64 {
-        let recent = self.clients.get(&account).map_or(0.0, |c| c.recent.get(now, RECENT_SPAN));
-        recent / RECENT_SPAN.as_secs_f64()
+    /// Whether the account received less than a rate lately, in cost a second.
+    pub fn is_below(&self, now: Time, account: AccountKey, rate: f64) -> bool {
+        let Some(client) = self.clients.get(&account) else { return true };
+        let recent = client.recent.get(now, RECENT_SPAN) / RECENT_SPAN.as_secs_f64();
+        let burst = client.burst.get(now, BURST_SPAN) / BURST_SPAN.as_secs_f64();
+        recent < rate && burst < rate * BURST_FACTOR
     }
 
     /// Forgets accounts that have nothing open and are not ahead of the virtual time.
