Serve prompts beyond one engine by a group

Cause: a prompt whose KV cache exceeds one engine's memory was refused. Ruled out: reserving through the engines' owners, which would hold some members while waiting for others' queues. Change: the owner that gets the request reserves all members in ascending order or none, runs the prompt in segments with KV export and import, decodes on the last member and releases on every exit; a reservation ends with its term. Owners learn by datagram to keep an engine free for a waiting group.

--- a/crates/core/src/group/mod.rs
+++ b/crates/core/src/group/mod.rs
@@ -204,6 +204,11 @@
         outputs
     }
 
+    /// The requests that have a group.
+    pub fn works(&self) -> impl Iterator<Item = WorkKey> {
+        self.groups.keys().copied()
+    }
+
     /// Number of groups.
     pub fn len(&self) -> usize {
         self.groups.len()
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -263,12 +263,11 @@
             return outputs.push(SchedulerOutput::Refuse { work, refusal });
         }
         let serving = self.engines.values().filter(|book| book.spec.models.contains(&model));
-        let open = serving.filter(|book| book.takes_work());
-        let Some(largest) = open.map(|book| book.spec.memory_tokens).max() else {
+        if !serving.into_iter().any(EngineBook::takes_work) {
             return outputs.push(SchedulerOutput::Move(work));
-        };
+        }
         let need = memory_tokens(&item);
-        let is_group = need > largest;
+        let is_group = self.is_group(&item);
         if is_group && self.groups.get(&model).is_none_or(|tokens| need > *tokens) {
             let text = "the prompt needs more memory than the fleet can give it";
             let refusal = Refusal::not_run(Reason::PromptExceedsFleet, text);
@@ -329,9 +328,21 @@
         if !self.produced.contains_key(&item.work) {
             self.adopt_limits(now, &item);
         }
+        if self.is_group(&item) {
+            let work = item.work;
+            self.start_group(now, item);
+            return outputs.push(SchedulerOutput::Group(work));
+        }
         self.enqueue(now, item, true);
     }
 
+    /// Whether no engine of this host can hold the request.
+    fn is_group(&self, item: &WorkItem) -> bool {
+        let serving = self.engines.values().filter(|book| book.spec.models.contains(&item.model));
+        let largest = serving.map(|book| book.spec.memory_tokens).max();
+        largest.is_some_and(|largest| memory_tokens(item) > largest)
+    }
+
     fn retry(&mut self, now: Time, item: WorkItem, outputs: &mut Vec<SchedulerOutput>) {
         let work = item.work;
         self.release(now, work);
--- a/crates/node/src/adapter/engine.rs
+++ b/crates/node/src/adapter/engine.rs
@@ -93,6 +93,61 @@
     Ok(answer(response))
 }
 
+/// A part of a prompt that a member of a group processes.
+pub struct GroupPart<'a> {
+    /// Group, whose reservation holds the memory.
+    pub group: &'a str,
+    /// State exported by the member before.
+    pub import: Option<&'a str>,
+}
+
+/// Submits a part of a prompt to a member of a group.
+pub async fn submit_part(
+    address: &str,
+    order: &EngineOrder,
+    part: &GroupPart<'_>,
+) -> Result<EngineAnswer, NodeError> {
+    let body = json!({
+        "stream": order.stream, "model": order.model, "prompt": order.prompt,
+        "offset": order.offset, "max_tokens": order.max_tokens, "priority": order.priority,
+        "group": part.group, "import": part.import,
+    });
+    let body = Some(body.to_string());
+    let response = http::send(address, Method::Post, "/streams", body, HEAD_LIMIT).await?;
+    Ok(answer(response))
+}
+
+/// Exports the KV state of a stream that processed its prompt.
+pub async fn export(address: &str, stream: &str) -> Result<String, NodeError> {
+    let path = format!("/streams/{stream}/state");
+    let mut response = http::send(address, Method::Get, &path, None, HEAD_LIMIT).await?;
+    if response.status() != StatusCode::Ok {
+        return Err(NodeError::Protocol("engine does not know the stream"));
+    }
+    let state = async { response.body_json().await.map_err(|_| NodeError::Protocol("bad state")) };
+    within(HEAD_LIMIT, state).await
+}
+
+/// Reserves memory for a group, or renews the reservation. Returns whether it was granted.
+pub async fn reserve(
+    address: &str,
+    group: &str,
+    tokens: u64,
+    term: Duration,
+) -> Result<bool, NodeError> {
+    let body = json!({"group": group, "tokens": tokens, "term_ms": term.as_millis() as u64});
+    let body = Some(body.to_string());
+    let response = http::send(address, Method::Post, "/reservations", body, HEAD_LIMIT).await?;
+    Ok(response.status() == StatusCode::Ok)
+}
+
+/// Gives a reservation back. An unknown one counts as given back.
+pub async fn release(address: &str, group: &str) -> Result<(), NodeError> {
+    let path = format!("/reservations/{group}");
+    http::send(address, Method::Delete, &path, None, HEAD_LIMIT).await?;
+    Ok(())
+}
+
 /// Attaches to a stream at a position.
 pub async fn attach(address: &str, stream: &str, offset: u64) -> Result<EngineAnswer, NodeError> {
     let path = format!("/streams/{stream}?offset={offset}");
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -26,6 +26,8 @@
     Member(MemberMessage),
     /// Loads of the engines that the sender owns.
     Load(Vec<EngineLoad>),
+    /// Keep new work off an engine that the receiver owns, as a group waits for it.
+    Drain(Arc<str>),
 }
 
 thread_local! {
@@ -57,6 +59,7 @@
         let Some(datagram) = open(&host, &buffer[..size]) else { continue };
         match datagram {
             PeerDatagram::Member(message) => member_step(&host, MemberInput::Received(message)),
+            PeerDatagram::Drain(engine) => pool::group::drain_owned(&host, &engine),
             PeerDatagram::Load(loads) => {
                 let mut state = host.state.borrow_mut();
                 loads.into_iter().for_each(|load| state.picker.report(load));
--- a/crates/node/src/pool/assign.rs
+++ b/crates/node/src/pool/assign.rs
@@ -4,6 +4,7 @@
 
 use async_io::Timer;
 use parsley_core::{
+    group::MAX_MEMBERS,
     key::{AccountKey, EngineKey, ModelKey, RankKey},
     placement::{EngineLoad, engine_owner},
     resource::{BackendRole, ClientAccount, Rank},
@@ -54,6 +55,7 @@
         let draining = host.is_draining_in(&state);
         let mut inputs = vec![ranks(&state), accounts(&mut state)];
         inputs.extend(owned_engines(&mut state, draining));
+        inputs.extend(largest_groups(&mut state));
         inputs
     };
     for input in inputs {
@@ -86,6 +88,32 @@
     SchedulerInput::Accounts(accounts.map(spec).collect())
 }
 
+/// The memory of the largest group that each model's engines can form in one region.
+fn largest_groups(state: &mut HostState) -> Vec<SchedulerInput> {
+    let set = state.config.resources();
+    let mut regions: BTreeMap<(Arc<str>, Arc<str>), Vec<u64>> = BTreeMap::new();
+    for server in set.servers.values().filter(|server| !server.leaving) {
+        let BackendRole::Engine { models, memory_tokens, .. } = &server.role else { continue };
+        for model in models {
+            let pool = regions.entry((model.clone(), server.region.clone())).or_default();
+            pool.push(*memory_tokens);
+        }
+    }
+    let mut largest: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+    for ((model, _), mut pool) in regions {
+        pool.sort_unstable_by_key(|tokens| std::cmp::Reverse(*tokens));
+        let tokens: u64 = pool.iter().take(MAX_MEMBERS).sum();
+        let most = largest.entry(model).or_default();
+        *most = tokens.max(*most);
+    }
+    let models = &mut state.models;
+    let input = |(model, tokens): (Arc<str>, u64)| SchedulerInput::Groups {
+        model: ModelKey(models.intern(&model) as u16),
+        tokens,
+    };
+    largest.into_iter().map(input).collect()
+}
+
 fn owned_engines(state: &mut HostState, draining: bool) -> Vec<SchedulerInput> {
     let mut inputs = Vec::new();
     let mut owned = BTreeMap::new();
--- /dev/null
+++ b/crates/node/src/pool/group.rs
@@ -0,0 +1,297 @@
+//! Prompts beyond one engine: reserves a group of engines, runs the prompt in segments and decodes
+//! on the last member.
+
+use std::{sync::Arc, time::Duration};
+
+use async_io::Timer;
+use parsley_core::{
+    group::{GroupEngine, GroupInput, GroupMember, GroupOutput, RESERVATION_TERM},
+    key::{EngineKey, WorkKey},
+    placement::{engine_owner, serves},
+    refusal::{Reason, Refusal},
+    resource::{BackendRole, BackendServer},
+    scheduler::SchedulerInput,
+};
+use slog::info;
+
+use super::{finish, step, stream};
+use crate::{
+    adapter::engine::{self, EngineAnswer, EngineEvent, EngineOrder, EngineStream, GroupPart},
+    error::NodeError,
+    host::{HostRef, HostState},
+    peer::{self, PeerDatagram, frame::StreamEvent},
+};
+
+/// Attempts to give a reservation back; its term ends it otherwise.
+const RELEASE_ATTEMPTS: u32 = 3;
+const RELEASE_DELAY: Duration = Duration::from_millis(200);
+/// Engine priority of a group's parts: their memory is reserved on several engines meanwhile.
+const PRIORITY: u8 = 0;
+/// Bytes of a prompt counted as one token.
+const BYTES_PER_TOKEN: usize = super::BYTES_PER_TOKEN;
+
+/// Starts to reserve a group for a request.
+pub(super) fn start(host: &HostRef, work: WorkKey) {
+    let input = {
+        let state = host.state.borrow();
+        let Some(entry) = state.pool.works.get(&work) else { return };
+        let tokens = super::prompt_tokens(&entry.order.prompt) + entry.order.max_tokens;
+        GroupInput::Submit {
+            group: work,
+            need: tokens,
+            model: entry.order.model.clone(),
+            engines: engines(&state, &entry.order.model),
+            deadline: entry.deadline,
+        }
+    };
+    host.spawn(submit(host.clone(), work, input));
+}
+
+async fn submit(host: HostRef, work: WorkKey, input: GroupInput) {
+    // The members of an earlier attempt know the group by the same id, so they must have released
+    // it before they are asked again.
+    let earlier = host.state.borrow_mut().pool.groups.step(host.now(), GroupInput::Ended(work));
+    for output in earlier {
+        if let GroupOutput::Release { group, engine } = output {
+            note_reserved(&host, group, &engine, 0);
+            release(host.clone(), group, engine).await;
+        }
+    }
+    if host.state.borrow().pool.works.contains_key(&work) {
+        group_step(&host, input);
+    }
+}
+
+/// Advances the planner with time and ends the groups of requests that have ended.
+pub(super) fn tick(host: &HostRef) {
+    let ended: Vec<_> = {
+        let pool = &host.state.borrow().pool;
+        pool.groups.works().filter(|work| !pool.works.contains_key(work)).collect()
+    };
+    ended.into_iter().for_each(|work| group_step(host, GroupInput::Ended(work)));
+    group_step(host, GroupInput::Tick);
+}
+
+/// Gives a request's group up and answers the request.
+pub(super) fn abort(host: &HostRef, work: WorkKey) {
+    let refusal = Refusal::ran(Reason::DeadlineExceeded, "not finished within the rank's time");
+    end(host, work, StreamEvent::Refused(refusal));
+}
+
+fn end(host: &HostRef, work: WorkKey, event: StreamEvent) {
+    group_step(host, GroupInput::Ended(work));
+    finish(host, work, event);
+    step(host, SchedulerInput::Finished(work));
+}
+
+fn engines(state: &HostState, model: &str) -> Vec<GroupEngine> {
+    let servers = state.config.resources().servers.iter();
+    let usable = servers.filter(|(_, server)| !server.leaving && serves(server, model));
+    let engine = |(name, server): (&Arc<str>, &BackendServer)| {
+        let BackendRole::Engine { memory_tokens, .. } = &server.role else { return None };
+        Some(GroupEngine {
+            engine: name.clone(),
+            region: server.region.clone(),
+            failure_domain: server.failure_domain.clone(),
+            memory_tokens: *memory_tokens,
+        })
+    };
+    usable.filter_map(engine).collect()
+}
+
+/// Advances the planner and carries out what it asks for.
+pub(super) fn group_step(host: &HostRef, input: GroupInput) {
+    let outputs = host.state.borrow_mut().pool.groups.step(host.now(), input);
+    for output in outputs {
+        match output {
+            GroupOutput::Reserve { group, member } => {
+                host.spawn(reserve(host.clone(), group, member));
+            }
+            GroupOutput::Release { group, engine } => {
+                note_reserved(host, group, &engine, 0);
+                host.spawn(release(host.clone(), group, engine));
+            }
+            GroupOutput::Ready { group, members } => {
+                host.spawn(run(host.clone(), group, members));
+            }
+            GroupOutput::Drain { engine, .. } => drain(host, &engine),
+            GroupOutput::Refuse { group, refusal } => {
+                end(host, group, StreamEvent::Refused(refusal));
+            }
+        }
+    }
+}
+
+/// Id of a group on the engines, unique over hosts.
+fn group_id(host: &HostRef, group: WorkKey) -> String {
+    let incarnation = host.state.borrow().members.me().incarnation;
+    format!("{}-{incarnation}-{}", host.settings.name, group.0)
+}
+
+fn address(host: &HostRef, engine: &str) -> Option<Arc<str>> {
+    let state = host.state.borrow();
+    state.config.resources().servers.get(engine).map(|server| server.address.clone())
+}
+
+async fn reserve(host: HostRef, group: WorkKey, member: GroupMember) {
+    let GroupMember { engine, tokens } = member;
+    let id = group_id(&host, group);
+    let granted = match address(&host, &engine) {
+        Some(address) => engine::reserve(&address, &id, tokens, RESERVATION_TERM).await,
+        None => Ok(false),
+    };
+    if matches!(granted, Ok(true)) {
+        note_reserved(&host, group, &engine, tokens);
+        return group_step(&host, GroupInput::Reserved { group, engine });
+    }
+    group_step(&host, GroupInput::Refused { group, engine });
+}
+
+async fn release(host: HostRef, group: WorkKey, engine: Arc<str>) {
+    let id = group_id(&host, group);
+    for _ in 0..RELEASE_ATTEMPTS {
+        let Some(address) = address(&host, &engine) else { return };
+        match engine::release(&address, &id).await {
+            Ok(()) => return,
+            Err(err) => {
+                info!(host.log, "release failed"; "event" => "E1303", "group" => &id, "error" => %err);
+            }
+        }
+        Timer::after(RELEASE_DELAY).await;
+    }
+}
+
+/// Tells the scheduler what groups hold on an engine of this host.
+fn note_reserved(host: &HostRef, group: WorkKey, engine: &Arc<str>, tokens: u64) {
+    let input = {
+        let mut state = host.state.borrow_mut();
+        let key = EngineKey(state.engines.intern(engine));
+        let reserved = &mut state.pool.reserved;
+        if tokens == 0 {
+            reserved.remove(&(key, group));
+        } else {
+            reserved.insert((key, group), tokens);
+        }
+        let of_engine = reserved.iter().filter(|((of, _), _)| *of == key);
+        let tokens = of_engine.map(|(_, tokens)| tokens).sum();
+        SchedulerInput::Reserved { engine: key, tokens }
+    };
+    step(host, input);
+}
+
+/// Keeps new work off an engine, whoever owns it.
+fn drain(host: &HostRef, engine: &Arc<str>) {
+    let owner = {
+        let state = host.state.borrow();
+        let server = state.config.resources().servers.get(engine);
+        server.and_then(|server| engine_owner(&state.members, engine, server)).cloned()
+    };
+    match owner {
+        Some(owner) if owner.name == host.settings.name => drain_owned(host, engine),
+        Some(owner) => peer::send(host, &owner.peer_address, &PeerDatagram::Drain(engine.clone())),
+        None => {}
+    }
+}
+
+/// Keeps new work off an engine of this host for one reservation term.
+pub fn drain_owned(host: &HostRef, engine: &str) {
+    let until = host.now() + RESERVATION_TERM;
+    let engine = EngineKey(host.state.borrow_mut().engines.intern(engine));
+    step(host, SchedulerInput::Drain { engine, until });
+}
+
+/// Runs a prompt on reserved members and relays the answer.
+async fn run(host: HostRef, work: WorkKey, members: Vec<GroupMember>) {
+    match run_segments(&host, work, &members).await {
+        Ok(Some((address, stream, reader))) => {
+            stream::relay(&host, work, reader, &address, stream).await;
+        }
+        Ok(None) => {}
+        Err(err) => {
+            info!(host.log, "group failed"; "event" => "E1304", "work" => work.0, "error" => %err);
+            let reader = host.state.borrow().pool.works.get(&work).map(|entry| entry.reader);
+            if let Some(reader) = reader {
+                stream::next_attempt(&host, work, reader);
+            }
+        }
+    }
+    // The next tick ends the group if the request has ended.
+}
+
+type LastStream = (Arc<str>, Box<EngineStream>, u64);
+
+/// Processes all segments; `None` if the request ended meanwhile.
+async fn run_segments(
+    host: &HostRef,
+    work: WorkKey,
+    members: &[GroupMember],
+) -> Result<Option<LastStream>, NodeError> {
+    let group = group_id(host, work);
+    let mut import: Option<String> = None;
+    let mut start = 0;
+    for (index, member) in members.iter().enumerate() {
+        let is_last = index + 1 == members.len();
+        let address = address(host, &member.engine).ok_or(NodeError::Protocol("engine is gone"))?;
+        let Some((order, end)) = part_order(host, work, member, index, start, is_last) else {
+            return Ok(None);
+        };
+        start = end;
+        let reader = if is_last { place(host, work, member, &order) } else { 0 };
+        let part = GroupPart { group: &group, import: import.as_deref() };
+        let answer = engine::submit_part(&address, &order, &part).await?;
+        let EngineAnswer::Stream(mut stream) = answer else {
+            return Err(NodeError::Protocol("engine refused a reserved segment"));
+        };
+        if is_last {
+            return Ok(Some((address, stream, reader)));
+        }
+        loop {
+            match stream.next().await? {
+                EngineEvent::End { complete: true } => break,
+                EngineEvent::End { .. } => return Err(NodeError::Protocol("segment cancelled")),
+                _ => {}
+            }
+        }
+        import = Some(engine::export(&address, &order.stream).await?);
+    }
+    Ok(None)
+}
+
+/// The order for a member's part of the prompt, and where the part ends, in bytes.
+fn part_order(
+    host: &HostRef,
+    work: WorkKey,
+    member: &GroupMember,
+    index: usize,
+    start: usize,
+    is_last: bool,
+) -> Option<(EngineOrder, usize)> {
+    let state = host.state.borrow();
+    let entry = state.pool.works.get(&work)?;
+    let prompt = &entry.order.prompt;
+    let wanted = start + member.tokens as usize * BYTES_PER_TOKEN;
+    let end = if is_last { prompt.len() } else { prompt.floor_char_boundary(wanted) };
+    let stream = stream::stream_id(&entry.order);
+    let order = EngineOrder {
+        stream: if is_last { stream } else { format!("{stream}-{index}").into() },
+        model: entry.order.model.clone(),
+        prompt: prompt[start..end].into(),
+        offset: if is_last { entry.produced } else { 0 },
+        max_tokens: if is_last { entry.order.max_tokens } else { 0 },
+        priority: PRIORITY,
+    };
+    Some((order, end))
+}
+
+/// Notes where the answer comes from.
+fn place(host: &HostRef, work: WorkKey, member: &GroupMember, order: &EngineOrder) -> u64 {
+    let mut state = host.state.borrow_mut();
+    let engine = EngineKey(state.engines.intern(&member.engine));
+    let Some(entry) = state.pool.works.get_mut(&work) else { return 0 };
+    entry.placed = Some((engine, order.stream.clone()));
+    entry.reader += 1;
+    let (stream, attempt) = (order.stream.clone(), entry.order.attempt);
+    let started = StreamEvent::Started { engine: member.engine.clone(), stream, attempt };
+    entry.sink.send(started);
+    entry.reader
+}
--- a/crates/node/src/pool/mod.rs
+++ b/crates/node/src/pool/mod.rs
@@ -8,8 +8,8 @@
 use async_channel::Sender;
 use async_io::Timer;
 use parsley_core::{
+    group::GroupPlanner,
     key::{AccountKey, EngineKey, ModelKey, RankKey, WorkKey},
-    refusal::{Reason, Refusal},
     scheduler::{PoolScheduler, SchedulerInput, SchedulerOutput, WorkItem, cost::PREFIX_TOKENS},
     time::Time,
 };
@@ -20,6 +20,7 @@
 };
 
 pub mod assign;
+pub mod group;
 pub mod stream;
 
 /// Bytes of a prompt counted as one token.
@@ -69,14 +70,29 @@
 }
 
 /// The requests of the engines that this host owns.
-#[derive(Default)]
 pub struct EnginePool {
     scheduler: PoolScheduler,
     works: BTreeMap<WorkKey, PoolWork>,
     owned: BTreeMap<EngineKey, Arc<str>>,
+    groups: GroupPlanner,
+    /// Memory reserved for groups of this host.
+    reserved: BTreeMap<(EngineKey, WorkKey), u64>,
     next_work: u64,
 }
 
+impl Default for EnginePool {
+    fn default() -> EnginePool {
+        EnginePool {
+            scheduler: PoolScheduler::default(),
+            works: BTreeMap::new(),
+            owned: BTreeMap::new(),
+            groups: GroupPlanner::new(fastrand::Rng::new()),
+            reserved: BTreeMap::new(),
+            next_work: 0,
+        }
+    }
+}
+
 impl EnginePool {
     /// Number of requests.
     pub fn len(&self) -> usize {
@@ -118,6 +134,7 @@
         Timer::after(TICK).await;
         cancel_detached(&host);
         step(&host, SchedulerInput::Tick);
+        group::tick(&host);
     }
 }
 
@@ -258,21 +275,13 @@
             SchedulerOutput::Refuse { work, refusal } => {
                 finish(host, work, StreamEvent::Refused(refusal));
             }
-            SchedulerOutput::Group(work) => refuse_group(host, work),
-            SchedulerOutput::AbortGroup(_) => {}
+            SchedulerOutput::Group(work) => group::start(host, work),
+            SchedulerOutput::AbortGroup(work) => group::abort(host, work),
             SchedulerOutput::Move(work) => finish(host, work, StreamEvent::Moved),
         }
     }
 }
 
-/// Without group reservation a prompt beyond one engine cannot be served.
-fn refuse_group(host: &HostRef, work: WorkKey) {
-    let text = "the prompt needs more memory than one engine has";
-    let refusal = Refusal::not_run(Reason::PromptExceedsFleet, text);
-    finish(host, work, StreamEvent::Refused(refusal));
-    step(host, SchedulerInput::Finished(work));
-}
-
 fn finish(host: &HostRef, work: WorkKey, event: StreamEvent) {
     if let Some(entry) = host.state.borrow_mut().pool.works.remove(&work) {
         entry.sink.send(event);
--- a/crates/node/src/pool/stream.rs
+++ b/crates/node/src/pool/stream.rs
@@ -98,7 +98,7 @@
     Some((address, order))
 }
 
-async fn relay(
+pub(super) async fn relay(
     host: &HostRef,
     work: WorkKey,
     reader: u64,
@@ -160,7 +160,7 @@
 }
 
 /// The engine failed: queues the rest of the request for another engine, or fails it.
-fn next_attempt(host: &HostRef, work: WorkKey, reader: u64) {
+pub(super) fn next_attempt(host: &HostRef, work: WorkKey, reader: u64) {
     if !is_current(host, work, reader) {
         return;
     }
--- a/crates/standins/src/decision/run.rs
+++ b/crates/standins/src/decision/run.rs
@@ -233,6 +233,7 @@
                     offset: outcome.produced,
                     end: outcome.arrival.output_tokens,
                     priority,
+                    group: None,
                 };
                 let index = engine.0 as usize;
                 let id = format!("{:08}", work.0);
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -4,18 +4,24 @@
 //! |---|---|
 //! | `POST /streams` | submit a stream, or attach to it if the id is known; lines of JSON follow |
 //! | `GET /streams/<id>?offset=N` | attach to a stream at a position |
+//! | `GET /streams/<id>/state` | export the KV state of a stream |
+//! | `POST /reservations` | reserve memory for a group for a term, or renew the reservation |
+//! | `DELETE /reservations/<group>` | give a reservation back and cancel its streams |
 //! | `DELETE /streams/<id>` | cancel a stream and return its memory |
 //! | `GET /streams` | list streams |
 //! | `GET /load` | load report, as it was one lag ago |
 //! | `GET /runs` | every stream id that was ever taken, for tests |
 //!
+//! A stream with `group` uses the memory of that group's reservation; `import` is the exported KV
+//! state of the part before its prompt. The state of the stand-in is the text it stands for.
+//!
 //! A line is `{"o":offset,"t":text,"n":tokens}`, `{}` as keep-alive, or `{"end":"stop"}`.
 
 use std::{
     cell::RefCell,
     collections::{BTreeMap, VecDeque},
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_channel::{Receiver, Sender};
@@ -51,6 +57,10 @@
     listeners: BTreeMap<String, Vec<Sender<Vec<u8>>>>,
     runs: Vec<String>,
     reports: VecDeque<serde_json::Value>,
+    /// End of each reservation's term.
+    terms: BTreeMap<String, Instant>,
+    /// Prompts of streams of groups with everything before them, for export.
+    states: BTreeMap<String, String>,
 }
 
 type EngineRef = Rc<RefCell<Engine>>;
@@ -63,6 +73,8 @@
             listeners: BTreeMap::new(),
             runs: Vec::new(),
             reports: VecDeque::new(),
+            terms: BTreeMap::new(),
+            states: BTreeMap::new(),
         }));
         executor.spawn(run_steps(engine.clone(), config.step)).detach();
         executor.spawn(send_keep_alives(engine.clone())).detach();
@@ -75,6 +87,7 @@
     loop {
         Timer::after(step).await;
         let mut engine = engine.borrow_mut();
+        engine.end_terms();
         for id in engine.model.advance() {
             engine.publish(&id);
         }
@@ -122,6 +135,20 @@
             }
             server::streamed(engine.borrow_mut().attach(id, offset))
         }
+        (Method::Get, ["streams", id, "state"]) => match engine.borrow().states.get(*id) {
+            Some(state) => server::json(200, &json!(state)),
+            None => server::json(404, &json!({"reason": "unknown-stream"})),
+        },
+        (Method::Post, ["reservations"]) => {
+            let Ok(body) = request.body_json::<serde_json::Value>().await else {
+                return server::json(400, &json!({"reason": "bad-json"}));
+            };
+            engine.borrow_mut().reserve(&body)
+        }
+        (Method::Delete, ["reservations", group]) => {
+            engine.borrow_mut().release(group);
+            server::json(200, &json!({}))
+        }
         (Method::Delete, ["streams", id]) => {
             let known = engine.borrow_mut().cancel(id);
             server::json(if known { 200 } else { 404 }, &json!({}))
@@ -142,6 +169,9 @@
     };
     let mut engine = engine.borrow_mut();
     let offset = order.offset;
+    if order.group.is_some() {
+        engine.states.insert(id.clone(), full_prompt(body).unwrap_or_default());
+    }
     let known = engine.model.streams().contains_key(&id);
     match engine.model.submit(&id, order) {
         Ok(()) => {
@@ -162,15 +192,21 @@
     let order = StreamOrder {
         model: body["model"].as_str()?.to_owned(),
         prompt_tokens: prompt_tokens + offset,
-        prompt_hash: engine_model::prompt_hash(prompt),
+        prompt_hash: engine_model::prompt_hash(&full_prompt(body)?),
         prefixes: prefix_chain(prompt),
         offset,
         end: body["max_tokens"].as_u64()?,
         priority: u8::try_from(body["priority"].as_u64()?).ok()?,
+        group: body["group"].as_str().map(str::to_owned),
     };
     Some((body["stream"].as_str()?.to_owned(), order))
 }
 
+/// The prompt with the part that the imported state stands for.
+fn full_prompt(body: &serde_json::Value) -> Option<String> {
+    Some(body["import"].as_str().unwrap_or_default().to_owned() + body["prompt"].as_str()?)
+}
+
 /// Tokens of a prompt: four bytes a token.
 pub fn prompt_tokens(prompt: &str) -> u64 {
     (prompt.len() as u64).div_ceil(4)
@@ -232,6 +268,38 @@
         self.model.cancel(id)
     }
 
+    fn reserve(&mut self, body: &serde_json::Value) -> Response {
+        let fields = (body["group"].as_str(), body["tokens"].as_u64(), body["term_ms"].as_u64());
+        let (Some(group), Some(tokens), Some(term)) = fields else {
+            return server::json(400, &json!({"reason": "bad-order"}));
+        };
+        match self.model.reserve(group, tokens) {
+            Ok(()) => {
+                let end = Instant::now() + Duration::from_millis(term);
+                self.terms.insert(group.to_owned(), end);
+                server::json(200, &json!({}))
+            }
+            Err(StreamRefusal::Memory) => server::json(409, &json!({"reason": "memory"})),
+            Err(StreamRefusal::TooLarge) => server::json(413, &json!({"reason": "too-large"})),
+        }
+    }
+
+    fn release(&mut self, group: &str) {
+        self.terms.remove(group);
+        for id in self.model.release(group) {
+            self.states.remove(&id);
+            self.cancel(&id);
+        }
+    }
+
+    /// Drops reservations whose term was not renewed.
+    fn end_terms(&mut self) {
+        let now = Instant::now();
+        let ended = self.terms.iter().filter(|(_, end)| **end <= now);
+        let ended: Vec<_> = ended.map(|(group, _)| group.clone()).collect();
+        ended.iter().for_each(|group| self.release(group));
+    }
+
     fn report(&self) -> serde_json::Value {
         json!({
             "held_tokens": self.model.held(),
--- a/crates/standins/src/engine_model.rs
+++ b/crates/standins/src/engine_model.rs
@@ -36,6 +36,8 @@
     pub end: u64,
     /// Lower is more urgent.
     pub priority: u8,
+    /// Group whose reservation holds the stream's memory.
+    pub group: Option<String>,
 }
 
 /// Where a stream stands.
@@ -79,6 +81,7 @@
     shape: EngineShape,
     streams: BTreeMap<String, EngineStream>,
     prefixes: VecDeque<u64>,
+    reservations: BTreeMap<String, u64>,
     held: u64,
     next_sequence: u64,
 }
@@ -90,6 +93,7 @@
             shape,
             streams: BTreeMap::new(),
             prefixes: VecDeque::new(),
+            reservations: BTreeMap::new(),
             held: 0,
             next_sequence: 0,
         }
@@ -116,6 +120,12 @@
             return Ok(());
         }
         let need = memory_of(&order);
+        if let Some(group) = &order.group {
+            let tokens = order.prompt_tokens + order.end.saturating_sub(order.offset);
+            if self.reservations.get(group).is_none_or(|reserved| tokens > *reserved) {
+                return Err(StreamRefusal::Memory);
+            }
+        }
         if need > self.shape.memory_tokens {
             return Err(StreamRefusal::TooLarge);
         }
@@ -136,6 +146,31 @@
         Ok(())
     }
 
+    /// Reserves memory for a group, or renews its reservation.
+    pub fn reserve(&mut self, group: &str, tokens: u64) -> Result<(), StreamRefusal> {
+        if self.reservations.contains_key(group) {
+            return Ok(());
+        }
+        if tokens > self.shape.memory_tokens {
+            return Err(StreamRefusal::TooLarge);
+        }
+        if self.held + tokens > self.shape.memory_tokens {
+            return Err(StreamRefusal::Memory);
+        }
+        self.held += tokens;
+        self.reservations.insert(group.to_owned(), tokens);
+        Ok(())
+    }
+
+    /// Drops a group's reservation. Returns the ids of its streams, which must be cancelled.
+    pub fn release(&mut self, group: &str) -> Vec<String> {
+        let Some(tokens) = self.reservations.remove(group) else { return Vec::new() };
+        self.held -= tokens;
+        let of_group = |stream: &EngineStream| stream.order.group.as_deref() == Some(group);
+        let streams = self.streams.iter().filter(|(_, stream)| of_group(stream));
+        streams.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Drops a stream and returns its memory. Returns whether the stream was known.
     pub fn cancel(&mut self, id: &str) -> bool {
         let Some(stream) = self.streams.remove(id) else { return false };
@@ -227,8 +262,11 @@
     }
 }
 
-/// Memory that an order needs, in tokens.
+/// Memory that an order needs besides reservations, in tokens.
 pub fn memory_of(order: &StreamOrder) -> u64 {
+    if order.group.is_some() {
+        return 0;
+    }
     order.prompt_tokens + order.end.saturating_sub(order.offset)
 }
 
