Exchange use of accounts and read engine load

Cause: an account on many hosts got a share on each, and an owner did not know what other hosts sent to its engines. Ruled out: reports to every host, which grow with the square of the fleet. Change: hosts send usage reports and sums as datagrams once a second and pass them to the scheduler; owners read each engine's load report every 200 ms. Conclusion: limits and fair share count all hosts.

--- a/crates/node/src/adapter/engine.rs
+++ b/crates/node/src/adapter/engine.rs
@@ -4,6 +4,7 @@
 
 use futures_lite::AsyncBufReadExt;
 use http_types::{Method, Response, StatusCode};
+use parsley_core::scheduler::EngineReport;
 use serde::Deserialize;
 use serde_json::json;
 
@@ -162,6 +163,23 @@
     Ok(())
 }
 
+#[derive(Deserialize)]
+struct Load {
+    held_tokens: u64,
+    running: u32,
+    waiting: u32,
+    #[serde(default)]
+    leaving: bool,
+}
+
+/// The engine's load report, which lags.
+pub async fn load(address: &str) -> Result<EngineReport, NodeError> {
+    let mut response = http::send(address, Method::Get, "/load", None, HEAD_LIMIT).await?;
+    let body = async { response.body_json().await.map_err(|_| NodeError::Protocol("bad load")) };
+    let Load { held_tokens, running, waiting, leaving } = within(HEAD_LIMIT, body).await?;
+    Ok(EngineReport { held_tokens, running, waiting, leaving })
+}
+
 fn answer(response: Response) -> EngineAnswer {
     match response.status() {
         StatusCode::Ok => {
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -11,6 +11,7 @@
     settings::HostSettings,
     time::Time,
     token::TokenSigner,
+    usage::UsageLedger,
 };
 use slog::Logger;
 
@@ -44,6 +45,8 @@
     pub picker: EnginePicker,
     /// Work on the engines that this host owns.
     pub pool: EnginePool,
+    /// Use of accounts over all hosts.
+    pub usage: UsageLedger,
     /// Keys of client accounts.
     pub accounts: NameTable,
     /// Keys of models.
@@ -70,6 +73,7 @@
             config: ConfigStore::default(),
             picker: EnginePicker::default(),
             pool: EnginePool::default(),
+            usage: UsageLedger::new(settings.name.clone()),
             accounts: NameTable::default(),
             models: NameTable::default(),
             engines: NameTable::default(),
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -6,6 +6,7 @@
 use parsley_core::{
     member::{MemberInput, MemberMessage, MemberOutput, PROBE_PERIOD},
     placement::EngineLoad,
+    usage::{UsageInput, UsageMessage},
 };
 use parsley_macros::message;
 
@@ -28,6 +29,8 @@
     Load(Vec<EngineLoad>),
     /// Keep new work off an engine that the receiver owns, as a group waits for it.
     Drain(Arc<str>),
+    /// Use of accounts.
+    Usage(UsageMessage),
 }
 
 thread_local! {
@@ -59,6 +62,9 @@
         let Some(datagram) = open(&host, &buffer[..size]) else { continue };
         match datagram {
             PeerDatagram::Member(message) => member_step(&host, MemberInput::Received(message)),
+            PeerDatagram::Usage(message) => {
+                pool::report::usage_step(&host, UsageInput::Received(message));
+            }
             PeerDatagram::Drain(engine) => pool::group::drain_owned(&host, &engine),
             PeerDatagram::Load(loads) => {
                 let mut state = host.state.borrow_mut();
--- a/crates/node/src/pool/mod.rs
+++ b/crates/node/src/pool/mod.rs
@@ -21,6 +21,7 @@
 
 pub mod assign;
 pub mod group;
+pub mod report;
 pub mod stream;
 
 /// Bytes of a prompt counted as one token.
@@ -127,6 +128,8 @@
 pub fn start(host: &HostRef) {
     host.spawn(tick_loop(host.clone()));
     host.spawn(assign::load_loop(host.clone()));
+    host.spawn(report::usage_loop(host.clone()));
+    host.spawn(report::engine_loop(host.clone()));
 }
 
 async fn tick_loop(host: HostRef) {
