--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -20,6 +20,11 @@
 const FIRST_WINDOW_TOKENS: f64 = 16_000.0;
 /// Share of an engine's batch that each size class may fill.
 const CLASS_ROOM: [f64; CLASSES] = [1.0, 0.9, 0.5, 0.25];
+/// Smallest batch of which accounts over their share leave a place free.
+const SHARED_BATCH: u32 = 16;
+/// Part of an engine's memory up to which each size class may fill it, so that a short prompt finds
+/// room beside long ones.
+const CLASS_MEMORY: [f64; CLASSES] = [1.0, 0.97, 0.92, 0.87];
 /// First size class whose prefill must be protected from shorter prompts that keep coming.
 const LONG_CLASS: usize = 2;
 /// Share of prefill that a long prompt keeps while shorter prompts keep coming.
@@ -47,16 +52,19 @@
     pub priority: u8,
     /// Whether the request may use the headroom.
     pub entitled: bool,
+    /// Whether its account received less than its share lately.
+    pub within_share: bool,
 }
 
 impl Placement {
-    pub fn new(item: &WorkItem, priority: u8, entitled: bool) -> Placement {
+    pub fn new(item: &WorkItem, priority: u8, entitled: bool, within_share: bool) -> Placement {
         Placement {
             work: item.work,
             class: size_class(item.prompt_tokens),
             need: memory_tokens(item),
             priority,
             entitled,
+            within_share,
         }
     }
 }
@@ -196,7 +204,9 @@
     fn has_space(&self, now: Time, place: &Placement, room: Headroom) -> bool {
         let (foreign_held, foreign_running) = self.foreign(now);
         let kept = if place.entitled { Headroom::default() } else { room };
-        if self.running + foreign_running + kept.slots >= self.spec.batch {
+        // Accounts over their share leave one more place, so that the others need not wait for one.
+        let more = u32::from(!place.within_share && self.spec.batch >= SHARED_BATCH);
+        if self.running + foreign_running + kept.slots + more >= self.spec.batch {
             return false;
         }
         let ceiling = (f64::from(self.spec.batch) * CLASS_ROOM[place.class]).ceil() as u32;
@@ -208,23 +218,33 @@
         let held = self.held + self.reserved + foreign_held;
         // A prompt that only fits without headroom may use an engine that holds nothing.
         let alone = held == 0 && drained == 0;
-        let kept = if alone { 0 } else { kept.tokens };
+        let shorter = (1.0 - CLASS_MEMORY[place.class]) * self.spec.memory_tokens as f64;
+        let kept = if alone || place.entitled { 0 } else { kept.tokens.max(shorter as u64) };
         held + place.need + kept + drained <= self.spec.memory_tokens
     }
 
+    /// Whether a prompt of this class may start: at most one of the longest class is processed at
+    /// a time.
+    pub fn may_start(&self, class: usize) -> bool {
+        class < CLASSES - 1 || !self.processes_class(class)
+    }
+
+    fn processes_class(&self, from: usize) -> bool {
+        self.prefills.values().any(|prefill| prefill.class >= from)
+    }
+
     /// Whether the request would reach the prefill soon and leaves long prompts their share.
     fn has_pace(&self, place: &Placement, pool_rate: f64) -> bool {
-        let last = CLASSES - 1;
-        let has_class = |from: usize| self.prefills.values().any(|prefill| prefill.class >= from);
-        if place.class == last && has_class(last) {
-            return false;
-        }
-        if place.entitled {
-            return true;
+        if place.entitled || !self.may_start(place.class) {
+            return self.may_start(place.class);
         }
         let rate = self.rate(pool_rate);
         let is_over = rate > 0.0 && self.short_credit <= 0.0;
-        if place.class < LONG_CLASS && is_over && has_class(LONG_CLASS) {
+        if place.class < LONG_CLASS
+            && !place.within_share
+            && is_over
+            && self.processes_class(LONG_CLASS)
+        {
             return false;
         }
         let window = rate * PREFILL_WINDOW.as_secs_f64();
@@ -288,9 +308,9 @@
     }
 
     /// Notes the first token of a request whose prompt took this prefill.
-    pub fn first_token(&mut self, now: Time, item: &WorkItem, prefill: u64) {
-        self.forget_prefill(item.work);
-        self.pace.confirm(now, prefill, self.prefills.is_empty());
+    pub fn first_token(&mut self, now: Time, sent: Time, item: &WorkItem, prefill: u64) {
+        self.pace.confirm(now, sent, prefill);
+        self.end_prefill(now, item.work);
         for hash in &item.prefixes {
             self.prefixes.retain(|known| known != hash);
             self.prefixes.push_back(*hash);
@@ -314,14 +334,13 @@
         if was_leaving {
             self.leaving = (self.leaving.0 - need, self.leaving.1 - 1);
         }
-        if self.forget_prefill(item.work) && self.prefills.is_empty() {
-            self.pace.confirm(now, 0, true);
-        }
+        self.end_prefill(now, item.work);
     }
 
-    fn forget_prefill(&mut self, work: WorkKey) -> bool {
-        let before = self.prefills.len();
+    fn end_prefill(&mut self, now: Time, work: WorkKey) {
         self.prefills.retain(|_, prefill| prefill.work != work);
-        self.prefills.len() < before
+        if self.prefills.is_empty() {
+            self.pace.end(now);
+        }
     }
 }
--- a/crates/core/src/scheduler/forecast.rs
+++ b/crates/core/src/scheduler/forecast.rs
@@ -55,7 +55,8 @@
         let pool_rate = self.prefill_rate();
         let priority = self.priority(now, item, false);
         let entitled = self.is_entitled(now, item.rank, item.account);
-        let place = Placement::new(item, priority, entitled);
+        let within_share = self.is_within_share(now, item.rank, item.account);
+        let place = Placement::new(item, priority, entitled, within_share);
         let mut prefill = f64::INFINITY;
         let mut idle_prefill = f64::INFINITY;
         let engines = self.engines.values();
@@ -132,7 +133,15 @@
         let rate =
             if is_top { pool * state.spec.guaranteed } else { self.available_rate(now, rank) };
         let share = rate * state.queue.share(account, self.weight(account));
-        state.queue.recent_rate(now, account) < share
+        state.queue.is_below(now, account, share)
+    }
+
+    /// Keeps the order of an account up to date with its share.
+    pub(super) fn note_share(&mut self, now: Time, rank: RankKey, account: AccountKey) {
+        let is_over = !self.is_within_share(now, rank, account);
+        if let Some(state) = self.ranks.get_mut(&rank) {
+            state.queue.set_over(account, is_over);
+        }
     }
 
     /// Whether the request may use the headroom and preempt: it is of the most urgent rank, and
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -115,8 +115,8 @@
     token_seconds: f64,
     /// Recent cost of each size class.
     class_recent: [FadingSum; CLASSES],
-    /// Urgent requests that wait for preempted work to leave an engine.
-    preempting: BTreeMap<WorkKey, EngineKey>,
+    /// Urgent requests that wait for preempted work to leave an engine, and since when.
+    preempting: BTreeMap<WorkKey, Time>,
     usage: BTreeMap<(AccountKey, RankKey), (u64, u64)>,
     held: BTreeMap<(AccountKey, RankKey), u64>,
     forgotten: Time,
@@ -272,12 +272,11 @@
             return outputs.push(SchedulerOutput::Refuse { work, refusal });
         }
         let serving = self.engines.values().filter(|book| book.spec.models.contains(&model));
-        let open = serving.filter(|book| book.takes_work());
-        let Some(largest) = open.map(|book| book.spec.memory_tokens).max() else {
+        if !serving.into_iter().any(EngineBook::takes_work) {
             return outputs.push(SchedulerOutput::Move(work));
-        };
+        }
         let need = memory_tokens(&item);
-        let is_group = need > largest;
+        let is_group = self.is_group(&item);
         if is_group && self.groups.get(&model).is_none_or(|tokens| need > *tokens) {
             let text = "the prompt needs more memory than the fleet can give it";
             let refusal = Refusal::not_run(Reason::PromptExceedsFleet, text);
@@ -308,6 +307,7 @@
         let need = memory_tokens(&item);
         let weight = self.weight(item.account);
         let cost = self.estimate(&item, item.prompt_tokens);
+        self.note_share(now, rank, item.account);
         self.rank(rank).queue.push(now, item, weight, cost, ahead);
         self.queued.insert(work, rank);
         self.queued_tokens += need;
@@ -331,16 +331,28 @@
     fn requeue(&mut self, now: Time, item: WorkItem, outputs: &mut Vec<SchedulerOutput>) {
         self.release(now, item.work);
         self.unqueue(item.work);
-        if item.deadline <= now {
-            return self.give_up(now, item.work, outputs);
-        }
         if !self.open.contains_key(&item.work) {
             self.adopt_limits(now, &item);
         }
         self.open.entry(item.work).or_default().ran = true;
+        if item.deadline <= now {
+            return self.give_up(now, item.work, outputs);
+        }
+        if self.is_group(&item) {
+            let work = item.work;
+            self.start_group(now, item);
+            return outputs.push(SchedulerOutput::Group(work));
+        }
         self.enqueue(now, item, true);
     }
 
+    /// Whether no engine of this host can hold the request.
+    fn is_group(&self, item: &WorkItem) -> bool {
+        let serving = self.engines.values().filter(|book| book.spec.models.contains(&item.model));
+        let largest = serving.map(|book| book.spec.memory_tokens).max();
+        largest.is_some_and(|largest| memory_tokens(item) > largest)
+    }
+
     fn retry(&mut self, now: Time, item: WorkItem, outputs: &mut Vec<SchedulerOutput>) {
         let work = item.work;
         self.release(now, work);
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -59,6 +59,8 @@
     CANCEL_FAILED: "E1302" Warning "cancel failed" ["stream", "error"];
     LEASE_CALL_FAILED: "E1303" Warning "lease call failed" ["shard", "error"];
     ORDER_SENT: "E1304" Info "order sent" ["engine", "action", "model", "fencing", "result"];
+    RELEASE_FAILED: "E1305" Warning "release of a group failed" ["group", "error"];
+    GROUP_FAILED: "E1306" Warning "group failed" ["work", "error"];
     RESOURCE_APPLIED: "E1401" Info "resource applied"
         ["operator", "resource", "revision", "write_id"];
     RESOURCE_DELETED: "E1402" Info "resource deleted"
