--- a/crates/core/src/scheduler/queue.rs
+++ b/crates/core/src/scheduler/queue.rs
@@ -16,7 +16,11 @@
 };
 
 /// Span over which an account's recent service is compared with its share.
-const RECENT_SPAN: Duration = Duration::from_secs(5);
+const RECENT_SPAN: Duration = Duration::from_secs(15);
+/// A shorter span, in which an account may receive [`BURST_FACTOR`] times its share. It bounds what
+/// an account that was idle gets before the longer span shows that it floods.
+const BURST_SPAN: Duration = Duration::from_secs(1);
+const BURST_FACTOR: f64 = 2.0;
 /// Resolution of tags: tag units for one unit of cost at weight 1.
 const TAG_UNITS: f64 = 1_000.0;
 
@@ -35,21 +39,26 @@
 /// The request that a lane would serve next.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Head {
-    pub tag: u64,
+    pub place: Place,
     pub class: usize,
     pub account: AccountKey,
     pub work: WorkKey,
 }
 
+/// Place of an account in the order of service: accounts within their share first, then by tag.
+type Place = (bool, u64);
+
 #[derive(Default)]
 struct Lane {
-    heads: BTreeSet<(u64, AccountKey)>,
+    heads: BTreeSet<(Place, AccountKey)>,
     works: BTreeMap<AccountKey, BTreeMap<i64, WorkKey>>,
 }
 
 #[derive(Default)]
 struct Client {
     tag: u64,
+    /// Whether the account got more than its share lately.
+    is_over: bool,
     weight: u32,
     /// Requests queued and running.
     open: u32,
@@ -57,9 +66,16 @@
     /// Estimated cost queued, by size class.
     queued_cost: [u64; CLASSES],
     recent: FadingSum,
+    burst: FadingSum,
     lanes: BTreeSet<LaneKey>,
 }
 
+impl Client {
+    fn place(&self) -> Place {
+        (self.is_over, self.tag)
+    }
+}
+
 /// The queue of one rank.
 #[derive(Default)]
 pub(super) struct RankQueue {
@@ -121,9 +137,9 @@
         client.queued_cost[lane.1] += cost;
         client.lanes.insert(lane);
         self.cost[lane.1] += cost;
-        let tag = client.tag;
+        let place = client.place();
         let lane = self.lanes.entry(lane).or_default();
-        lane.heads.insert((tag, account));
+        lane.heads.insert((place, account));
         lane.works.entry(account).or_default().insert(order, work);
         self.waiting.insert(work, Waiting { item, cost, since: now, order });
     }
@@ -142,7 +158,7 @@
         works.remove(&waiting.order);
         if works.is_empty() {
             lane.works.remove(&account);
-            lane.heads.remove(&(client.tag, account));
+            lane.heads.remove(&(client.place(), account));
             client.lanes.remove(&key);
         }
         if lane.works.is_empty() {
@@ -162,9 +178,9 @@
     /// The head of a lane.
     pub fn head(&self, key: LaneKey) -> Option<Head> {
         let lane = self.lanes.get(&key)?;
-        let (tag, account) = *lane.heads.first()?;
+        let (place, account) = *lane.heads.first()?;
         let (_, work) = lane.works[&account].first_key_value()?;
-        Some(Head { tag, class: key.1, account, work: *work })
+        Some(Head { place, class: key.1, account, work: *work })
     }
 
     /// Counts a request of the account that was not queued as open.
@@ -197,18 +213,33 @@
         let Some(client) = self.clients.get_mut(&account) else { return };
         let units = (cost as f64 * TAG_UNITS / f64::from(client.weight.max(1))) as i64;
         let tag = client.tag.saturating_add_signed(units);
+        self.move_to(account, |client| client.tag = tag);
+    }
+
+    /// Notes whether an account got more than its share lately.
+    pub fn set_over(&mut self, account: AccountKey, is_over: bool) {
+        if self.clients.get(&account).is_some_and(|client| client.is_over != is_over) {
+            self.move_to(account, |client| client.is_over = is_over);
+        }
+    }
+
+    fn move_to(&mut self, account: AccountKey, change: impl FnOnce(&mut Client)) {
+        let Some(client) = self.clients.get_mut(&account) else { return };
+        let before = client.place();
+        change(client);
+        let after = client.place();
         for key in &client.lanes {
             let heads = &mut self.lanes.get_mut(key).expect("client is queued there").heads;
-            heads.remove(&(client.tag, account));
-            heads.insert((tag, account));
+            heads.remove(&(before, account));
+            heads.insert((after, account));
         }
-        client.tag = tag;
     }
 
     /// Adds actual service to the account's recent use.
     pub fn note_use(&mut self, now: Time, account: AccountKey, cost: u64) {
         let client = self.clients.entry(account).or_default();
         client.recent.add(now, RECENT_SPAN, cost as f64);
+        client.burst.add(now, BURST_SPAN, cost as f64);
     }
 
     /// The account's share among the accounts with open requests, 0 to 1.
@@ -219,10 +250,12 @@
         own / (own + others.max(0.0))
     }
 
-    /// Service that the account received lately, in cost a second.
-    pub fn recent_rate(&self, now: Time, account: AccountKey) -> f64 {
-        let recent = self.clients.get(&account).map_or(0.0, |c| c.recent.get(now, RECENT_SPAN));
-        recent / RECENT_SPAN.as_secs_f64()
+    /// Whether the account received less than a rate lately, in cost a second.
+    pub fn is_below(&self, now: Time, account: AccountKey, rate: f64) -> bool {
+        let Some(client) = self.clients.get(&account) else { return true };
+        let recent = client.recent.get(now, RECENT_SPAN) / RECENT_SPAN.as_secs_f64();
+        let burst = client.burst.get(now, BURST_SPAN) / BURST_SPAN.as_secs_f64();
+        recent < rate && burst < rate * BURST_FACTOR
     }
 
     /// Forgets accounts that have nothing open and are not ahead of the virtual time.
--- a/crates/core/src/scheduler/running.rs
+++ b/crates/core/src/scheduler/running.rs
@@ -38,6 +38,7 @@
         let state = self.rank(rank);
         state.queue.open(account, weight);
         self.charge(rank, account, charged as i64);
+        self.note_share(now, rank, account);
         self.deadlines.insert((item.deadline, work));
         *self.held.entry((account, rank)).or_default() += memory_tokens(&item);
         let first_token = if prefill == 0 { Some(now) } else { None };
@@ -75,6 +76,7 @@
         running.produced += tokens;
         let is_first = running.first_token.is_none();
         let (item, site, prefill) = (&running.item, running.site, running.prefill);
+        let since = running.since;
         let (account, rank) = (item.account, item.rank);
         let mut cost = tokens * DECODE_COST;
         if is_first {
@@ -83,7 +85,7 @@
             if let Site::Engine(engine) = site
                 && let Some(book) = self.engines.get_mut(&engine)
             {
-                book.first_token(now, item, prefill);
+                book.first_token(now, since, item, prefill);
             }
         }
         self.open.entry(work).or_default().produced += tokens;
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -14,6 +14,7 @@
     settings::HostSettings,
     time::Time,
     token::TokenSigner,
+    usage::UsageLedger,
 };
 use slog::Logger;
 
@@ -64,6 +65,8 @@
     pub shard_leases: BTreeMap<ShardKey, u64>,
     /// Seals and opens datagrams.
     pub datagrams: DatagramSealer,
+    /// Use of accounts over all hosts.
+    pub usage: UsageLedger,
     /// Keys of client accounts.
     pub accounts: NameTable,
     /// Keys of models.
@@ -104,6 +107,7 @@
             shard_leases: BTreeMap::new(),
             datagrams: DatagramSealer::new(&settings.peer_key),
             pool: EnginePool::default(),
+            usage: UsageLedger::new(settings.name.clone()),
             accounts: NameTable::default(),
             models: NameTable::default(),
             engines: NameTable::default(),
--- a/crates/node/src/peer/datagram.rs
+++ b/crates/node/src/peer/datagram.rs
@@ -7,6 +7,7 @@
     config::Revision,
     member::{MemberMessage, ReplayFilter},
     placement::LoadPush,
+    usage::UsageMessage,
 };
 use parsley_macros::{key, message};
 
@@ -27,6 +28,10 @@
     ConfigPush(Revision),
     /// Backend servers that the host list names as leaving and that the receiver owns.
     Leaving(Vec<Arc<str>>),
+    /// Keep new work off an engine that the receiver owns, as a group waits for it.
+    Drain(Arc<str>),
+    /// Use of accounts.
+    Usage(UsageMessage),
 }
 
 /// A datagram with what identifies it.
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -12,6 +12,7 @@
     config::ConfigInput,
     member::{MEMBER_TICK, MemberInput, MemberOutput},
     placement::PlacementInput,
+    usage::UsageInput,
 };
 
 use crate::{config_sync, error::NodeError, event, host::HostRef, pool};
@@ -74,6 +75,10 @@
             let input = ConfigInput::PeerRevision { host: from.clone(), revision };
             config_sync::step(host, input);
         }
+        PeerDatagram::Drain(engine) => pool::group::drain_owned(host, &engine),
+        PeerDatagram::Usage(message) => {
+            pool::report::usage_step(host, UsageInput::Received(message));
+        }
         PeerDatagram::Leaving(names) => pool::assign::leaving(host, &names),
     }
 }
@@ -145,6 +150,8 @@
         PeerDatagram::Load(_) | PeerDatagram::LoadSubscribe => "load",
         PeerDatagram::ConfigPush(_) => "config",
         PeerDatagram::Leaving(_) => "leaving",
+        PeerDatagram::Drain(_) => "drain",
+        PeerDatagram::Usage(_) => "usage",
     }
 }
 
