--- a/crates/node/src/adapter/engine.rs
+++ b/crates/node/src/adapter/engine.rs
@@ -1,9 +1,13 @@
 //! Model engines over HTTP: streams as lines of JSON.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use futures_lite::AsyncBufReadExt;
 use http_types::{Method, Response, StatusCode};
+use parsley_core::{
+    order::{OrderAction, OrderResult, RoleOrder},
+    placement::CacheEvent,
+};
 use serde::Deserialize;
 use serde_json::json;
 
@@ -93,6 +97,61 @@
     Ok(answer(response))
 }
 
+/// A part of a prompt that a member of a group processes.
+pub struct GroupPart<'a> {
+    /// Group, whose reservation holds the memory.
+    pub group: &'a str,
+    /// State exported by the member before.
+    pub import: Option<&'a str>,
+}
+
+/// Submits a part of a prompt to a member of a group.
+pub async fn submit_part(
+    address: &str,
+    order: &EngineOrder,
+    part: &GroupPart<'_>,
+) -> Result<EngineAnswer, NodeError> {
+    let body = json!({
+        "stream": order.stream, "model": order.model, "prompt": order.prompt,
+        "offset": order.offset, "max_tokens": order.max_tokens, "priority": order.priority,
+        "group": part.group, "import": part.import,
+    });
+    let body = Some(body.to_string());
+    let response = http::send(address, Method::Post, "/streams", body, HEAD_LIMIT).await?;
+    Ok(answer(response))
+}
+
+/// Exports the KV state of a stream that processed its prompt.
+pub async fn export(address: &str, stream: &str) -> Result<String, NodeError> {
+    let path = format!("/streams/{stream}/state");
+    let mut response = http::send(address, Method::Get, &path, None, HEAD_LIMIT).await?;
+    if response.status() != StatusCode::Ok {
+        return Err(NodeError::Protocol("engine does not know the stream"));
+    }
+    let state = async { response.body_json().await.map_err(|_| NodeError::Protocol("bad state")) };
+    within(HEAD_LIMIT, state).await
+}
+
+/// Reserves memory for a group, or renews the reservation. Returns whether it was granted.
+pub async fn reserve(
+    address: &str,
+    group: &str,
+    tokens: u64,
+    term: Duration,
+) -> Result<bool, NodeError> {
+    let body = json!({"group": group, "tokens": tokens, "term_ms": term.as_millis() as u64});
+    let body = Some(body.to_string());
+    let response = http::send(address, Method::Post, "/reservations", body, HEAD_LIMIT).await?;
+    Ok(response.status() == StatusCode::Ok)
+}
+
+/// Gives a reservation back. An unknown one counts as given back.
+pub async fn release(address: &str, group: &str) -> Result<(), NodeError> {
+    let path = format!("/reservations/{group}");
+    http::send(address, Method::Delete, &path, None, HEAD_LIMIT).await?;
+    Ok(())
+}
+
 /// Attaches to a stream at a position.
 pub async fn attach(address: &str, stream: &str, offset: u64) -> Result<EngineAnswer, NodeError> {
     let path = format!("/streams/{stream}?offset={offset}");
@@ -134,3 +193,65 @@
         })
     }
 }
+
+/// An engine's load report, which lags behind.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct LoadReport {
+    /// KV cache memory in use, in tokens.
+    pub held_tokens: u64,
+    /// Sequences running.
+    pub running: u32,
+    /// Sequences waiting inside the engine.
+    pub waiting: u32,
+    /// Whether the engine says that it is leaving.
+    pub leaving: bool,
+    /// Models loaded, if the engine tells.
+    pub models: Option<BTreeSet<Arc<str>>>,
+}
+
+/// Reads the load report.
+pub async fn load(address: &str) -> Result<LoadReport, NodeError> {
+    let mut response = http::send(address, Method::Get, "/load", None, HEAD_LIMIT).await?;
+    Ok(response.body_json().await?)
+}
+
+#[derive(Deserialize)]
+struct CacheLine {
+    sequence: u64,
+    #[serde(default)]
+    added: Vec<u64>,
+    #[serde(default)]
+    removed: Vec<u64>,
+}
+
+/// Reads the cache events after a number. Events come late, and old ones are no longer listed.
+pub async fn cache_events(address: &str, after: u64) -> Result<Vec<CacheEvent>, NodeError> {
+    let path = format!("/cache?after={after}");
+    let mut response = http::send(address, Method::Get, &path, None, HEAD_LIMIT).await?;
+    if response.status() != StatusCode::Ok {
+        return Ok(Vec::new());
+    }
+    let lines: Vec<CacheLine> = response.body_json().await?;
+    let event = |line: CacheLine| CacheEvent {
+        sequence: line.sequence,
+        added: line.added,
+        removed: line.removed,
+    };
+    Ok(lines.into_iter().map(event).collect())
+}
+
+/// Sends an order. An engine that checks the fencing number refuses an old one.
+pub async fn order(address: &str, order: &RoleOrder) -> Result<OrderResult, NodeError> {
+    let (action, model) = match &order.action {
+        OrderAction::Load(model) => ("load", model),
+        OrderAction::Unload(model) => ("unload", model),
+    };
+    let body = json!({"fencing": order.fencing, "action": action, "model": model}).to_string();
+    let response = http::send(address, Method::Post, "/orders", Some(body), HEAD_LIMIT).await?;
+    Ok(match response.status() {
+        StatusCode::Ok | StatusCode::Accepted => OrderResult::Taken,
+        StatusCode::PreconditionFailed => OrderResult::Fenced,
+        _ => OrderResult::Failed,
+    })
+}
--- a/crates/node/src/adapter/store.rs
+++ b/crates/node/src/adapter/store.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http_types::{Method, StatusCode};
+use http_types::{Method, Response, StatusCode};
 use parsley_core::config::{ConfigDelta, ConfigItem, Revision};
 use serde::Deserialize;
 use serde_json::json;
@@ -31,6 +31,12 @@
     revision: u64,
 }
 
+#[derive(Deserialize)]
+struct ValueBody {
+    revision: u64,
+    value: Arc<str>,
+}
+
 /// Result of a compare-and-swap that the service answered.
 pub enum SwapAnswer {
     /// It took effect at this revision.
@@ -72,7 +78,32 @@
 ) -> Result<SwapAnswer, NodeError> {
     let body = json!({"value": value, "expect": expect.0}).to_string();
     let path = format!("/kv/{key}");
-    let mut response = http::send(address, Method::Put, &path, Some(body), CALL_LIMIT).await?;
+    let response = http::send(address, Method::Put, &path, Some(body), CALL_LIMIT).await?;
+    swap_answer(response).await
+}
+
+/// A key's revision and value, if it exists.
+pub async fn read(address: &str, key: &str) -> Result<Option<(Revision, Arc<str>)>, NodeError> {
+    let path = format!("/kv/{key}");
+    let mut response = http::send(address, Method::Get, &path, None, CALL_LIMIT).await?;
+    match response.status() {
+        StatusCode::Ok => {
+            let body: ValueBody = response.body_json().await?;
+            Ok(Some((Revision(body.revision), body.value)))
+        }
+        StatusCode::NotFound => Ok(None),
+        _ => Err(NodeError::Protocol("the key-value service refused the read")),
+    }
+}
+
+/// Deletes a key if its revision is `expect`.
+pub async fn remove(address: &str, key: &str, expect: Revision) -> Result<SwapAnswer, NodeError> {
+    let path = format!("/kv/{key}?expect={}", expect.0);
+    let response = http::send(address, Method::Delete, &path, None, CALL_LIMIT).await?;
+    swap_answer(response).await
+}
+
+async fn swap_answer(mut response: Response) -> Result<SwapAnswer, NodeError> {
     let status = response.status();
     let body: RevisionBody = response.body_json().await?;
     match status {
@@ -81,3 +112,65 @@
         _ => Err(NodeError::Protocol("the key-value service refused the write")),
     }
 }
+
+/// Who holds a leased key.
+pub enum LeaseAnswer {
+    /// The caller.
+    Held {
+        /// Its lease.
+        lease: u64,
+        /// Revision at which the key was created.
+        revision: Revision,
+    },
+    /// Somebody else, or nobody any more.
+    NotHeld,
+}
+
+#[derive(Deserialize)]
+struct LeaseBody {
+    lease: u64,
+}
+
+/// Holds a key with a value of the caller's own: renews `known`, or creates the key under a new
+/// lease if it is absent. If an earlier create took effect although its answer was lost, the key
+/// holds the caller's value under a lease that nobody renews; it runs out and is created again.
+pub async fn hold_key(
+    address: &str,
+    key: &str,
+    value: &str,
+    known: Option<u64>,
+    term: Duration,
+) -> Result<LeaseAnswer, NodeError> {
+    if let Some(lease) = known {
+        let path = format!("/leases/{lease}");
+        let response =
+            http::send(address, Method::Post, &path, Some("{}".into()), CALL_LIMIT).await?;
+        if response.status() != StatusCode::Ok {
+            return Ok(LeaseAnswer::NotHeld);
+        }
+        let held = read(address, key).await?.filter(|(_, held)| **held == *value);
+        return Ok(held
+            .map_or(LeaseAnswer::NotHeld, |(revision, _)| LeaseAnswer::Held { lease, revision }));
+    }
+    if read(address, key).await?.is_some() {
+        return Ok(LeaseAnswer::NotHeld);
+    }
+    let body = json!({"ttl_ms": term.as_millis() as u64}).to_string();
+    let mut response = http::send(address, Method::Post, "/leases", Some(body), CALL_LIMIT).await?;
+    let LeaseBody { lease } = response.body_json().await?;
+    let body = json!({"value": value, "expect": 0, "lease": lease}).to_string();
+    let path = format!("/kv/{key}");
+    let mut response = http::send(address, Method::Put, &path, Some(body), CALL_LIMIT).await?;
+    if response.status() != StatusCode::Ok {
+        return Ok(LeaseAnswer::NotHeld);
+    }
+    let body: RevisionBody = response.body_json().await?;
+    Ok(LeaseAnswer::Held { lease, revision: Revision(body.revision) })
+}
+
+/// Gives a lease up, with the keys under it.
+pub async fn revoke(address: &str, lease: u64) -> Result<(), NodeError> {
+    let path = format!("/leases/{lease}");
+    http::send(address, Method::Delete, &path, None, CALL_LIMIT).await?;
+    Ok(())
+}
--- a/crates/node/src/api/chat.rs
+++ b/crates/node/src/api/chat.rs
@@ -13,11 +13,12 @@
 use serde::Deserialize;
 use serde_json::json;
 
-use super::problem::problem_body;
+use super::{gate, problem::problem_body};
 use crate::{
     carrier::{self, PlacedStream},
     host::{HostRef, RequestGuard},
     http::ChannelReader,
+    metrics::FirstTokenMeter,
     peer::{
         frame::{RequestOrder, StreamEvent},
         link::unix_ms,
@@ -47,12 +48,13 @@
 
 /// Answers a request for a completion.
 pub async fn complete(host: &HostRef, mut request: Request) -> Result<Response, Refusal> {
-    let account = authenticate(host, &request)?;
+    let account = super::access::account(host, &request)?;
     let body: ChatBody = request.body_json().await.map_err(|err| bad_request(&err.to_string()))?;
     let order = order(host, &request, account, &body)?;
     let (order, placed) = continuation(host, &request, order)?;
     let guard = host.open_request();
-    let call = ChatCall { host: host.clone(), order: order.clone(), guard };
+    let meter = FirstTokenMeter::start(&order.rank, order.prompt.len());
+    let call = ChatCall { host: host.clone(), order: order.clone(), guard, meter };
     let events = carrier::start(host, order, placed);
     match first_event(&events).await? {
         StreamEvent::Refused(refusal) => Err(refusal),
@@ -61,18 +63,6 @@
     }
 }
 
-fn authenticate(host: &HostRef, request: &Request) -> Result<Arc<str>, Refusal> {
-    let denied = || Refusal::not_run(Reason::Unauthenticated, "no valid bearer token");
-    let header = request.header("authorization").map(|values| values.as_str());
-    let token = header.and_then(|value| value.strip_prefix("Bearer ")).ok_or_else(denied)?;
-    let digest = blake3::hash(token.as_bytes()).to_hex();
-    let state = host.state.borrow();
-    let mut accounts = state.config.resources().accounts.iter();
-    let found = accounts
-        .find(|(_, account)| account.credential_digests.iter().any(|known| **known == *digest));
-    found.map(|(name, _)| name.clone()).ok_or_else(denied)
-}
-
 fn order(
     host: &HostRef,
     request: &Request,
@@ -144,6 +134,7 @@
     host: HostRef,
     order: RequestOrder,
     guard: RequestGuard,
+    meter: FirstTokenMeter,
 }
 
 impl ChatCall {
@@ -151,7 +142,10 @@
         let mut answer = String::new();
         loop {
             match first_event(&events).await? {
-                StreamEvent::Chunk { text, .. } => answer.push_str(&text),
+                StreamEvent::Chunk { text, .. } => {
+                    self.meter.chunk(&self.host.metrics);
+                    answer.push_str(&text);
+                }
                 StreamEvent::Refused(refusal) => return Err(refusal),
                 StreamEvent::Finished => break,
                 _ => {}
@@ -203,6 +197,7 @@
                 format!("event: continuation\ndata: {token}\n\n")
             }
             StreamEvent::Chunk { offset, tokens, text } => {
+                self.meter.chunk(&self.host.metrics);
                 let delta = json!({
                     "id": self.order.request, "object": "chat.completion.chunk",
                     "model": self.order.model,
@@ -212,6 +207,8 @@
             }
             StreamEvent::Finished => "data: [DONE]\n\n".to_owned(),
             StreamEvent::Refused(refusal) => {
+                // The head of the answer is gone, so the refusal was not recorded with it.
+                gate::record(&self.host, gate::CHAT, &refusal);
                 format!("event: error\ndata: {}\n\n", problem_body(&refusal))
             }
         }
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -1,32 +1,28 @@
 //! Traffic between hosts: membership datagrams and framed connections.
 
-use std::{cell::RefCell, net::UdpSocket, rc::Rc, sync::Arc};
+use std::{
+    cell::RefCell,
+    net::{SocketAddr, UdpSocket},
+    rc::Rc,
+    sync::Arc,
+};
 
 use async_io::{Async, Timer};
 use parsley_core::{
-    member::{MemberInput, MemberMessage, MemberOutput, PROBE_PERIOD},
-    placement::EngineLoad,
+    config::ConfigInput,
+    member::{MEMBER_TICK, MemberInput, MemberOutput},
+    placement::PlacementInput,
+    usage::UsageInput,
 };
-use parsley_macros::message;
 
-use crate::{config_sync, error::NodeError, host::HostRef, pool};
+use crate::{config_sync, error::NodeError, event, host::HostRef, pool};
 
+pub mod datagram;
 pub mod frame;
 pub mod link;
 pub mod serve;
 
-/// Largest datagram, in bytes.
-const DATAGRAM_BYTES: usize = 1400;
-const TAG_BYTES: usize = 16;
-
-/// A datagram between hosts.
-#[message]
-pub enum PeerDatagram {
-    /// Membership.
-    Member(MemberMessage),
-    /// Loads of the engines that the sender owns.
-    Load(Vec<EngineLoad>),
-}
+use datagram::{DATAGRAM_BYTES, PeerDatagram};
 
 thread_local! {
     // One host runs on a thread, and every sender needs the socket.
@@ -35,33 +31,55 @@
 
 /// Starts to listen for other hosts.
 pub fn start(host: &HostRef) -> Result<(), NodeError> {
-    let address = &*host.settings.peer_listen;
-    let socket = Rc::new(Async::<UdpSocket>::try_from(UdpSocket::bind(address)?)?);
+    let address = &host.settings.peer_listen;
+    let me: SocketAddr =
+        address.parse().map_err(|_| NodeError::Protocol("peer_listen is not an IP address"))?;
+    let socket = UdpSocket::bind(me).and_then(Async::<UdpSocket>::try_from);
+    let socket = Rc::new(socket.map_err(|err| NodeError::Listen(address.clone(), err))?);
     SOCKET.with_borrow_mut(|slot| *slot = Some(socket.clone()));
-    host.spawn(receive_loop(host.clone(), socket));
-    host.spawn(probe_loop(host.clone()));
+    host.spawn(receive_loop(host.clone(), socket, me));
+    host.spawn(tick_loop(host.clone()));
     serve::start(host)
 }
 
-async fn probe_loop(host: HostRef) {
+async fn tick_loop(host: HostRef) {
     loop {
         member_step(&host, MemberInput::Tick);
-        Timer::after(PROBE_PERIOD).await;
+        Timer::after(MEMBER_TICK).await;
     }
 }
 
-async fn receive_loop(host: HostRef, socket: Rc<Async<UdpSocket>>) {
+async fn receive_loop(host: HostRef, socket: Rc<Async<UdpSocket>>, me: SocketAddr) {
     let mut buffer = vec![0; DATAGRAM_BYTES * 2];
     loop {
         let Ok((size, _)) = socket.recv_from(&mut buffer).await else { continue };
-        let Some(datagram) = open(&host, &buffer[..size]) else { continue };
-        match datagram {
-            PeerDatagram::Member(message) => member_step(&host, MemberInput::Received(message)),
-            PeerDatagram::Load(loads) => {
-                let mut state = host.state.borrow_mut();
-                loads.into_iter().for_each(|load| state.picker.report(load));
+        // Dropped datagrams are counted by reason.
+        let opened = host.state.borrow_mut().datagrams.open(me, &buffer[..size]);
+        let Ok(envelope) = opened else { continue };
+        count_bytes(&host, "received", content_name(&envelope.datagram), size);
+        receive(&host, &envelope.from, envelope.datagram);
+    }
+}
+
+fn receive(host: &HostRef, from: &Arc<str>, datagram: PeerDatagram) {
+    match datagram {
+        PeerDatagram::Member(message) => member_step(host, MemberInput::Received(message)),
+        PeerDatagram::Load(push) => {
+            // A push speaks only for the engines of its sender.
+            if push.owner == *from {
+                host.state.borrow_mut().picker.step(host.now(), PlacementInput::Load(push));
             }
         }
+        PeerDatagram::LoadSubscribe => pool::assign::subscribed(host, from),
+        PeerDatagram::ConfigPush(revision) => {
+            let input = ConfigInput::PeerRevision { host: from.clone(), revision };
+            config_sync::step(host, input);
+        }
+        PeerDatagram::Drain(engine) => pool::group::drain_owned(host, &engine),
+        PeerDatagram::Usage(message) => {
+            pool::report::usage_step(host, UsageInput::Received(message));
+        }
+        PeerDatagram::Leaving(names) => pool::assign::leaving(host, &names),
     }
 }
 
@@ -70,17 +88,55 @@
     let outputs = host.state.borrow_mut().members.step(host.now(), input);
     for output in outputs {
         match output {
-            MemberOutput::Send { to, message } => send(host, &to, &PeerDatagram::Member(message)),
-            MemberOutput::PeerAhead { host: peer, revision: _ } => config_sync::pull(host, peer),
-            MemberOutput::Changed => pool::assign::assign(host),
+            MemberOutput::Send { to, message } => send(host, &to, PeerDatagram::Member(message)),
+            MemberOutput::PeerAhead { host: peer, revision } => {
+                config_sync::step(host, ConfigInput::PeerRevision { host: peer, revision });
+            }
+            MemberOutput::Changed => changed(host),
+            MemberOutput::DeclaredDead => {
+                event!(host.log, DECLARED_DEAD);
+                // Others may have taken the engines over; queued work goes back to its callers.
+                pool::assign::hand_back(host);
+            }
         }
     }
 }
 
+fn changed(host: &HostRef) {
+    {
+        let mut state = host.state.borrow_mut();
+        let state = &mut *state;
+        let members = &state.members;
+        state.datagrams.retain(|name| members.get(name).is_some());
+    }
+    pool::assign::assign(host);
+}
+
+/// Sends a datagram to a host by name; one that is not known gets nothing.
+pub fn send_to(host: &HostRef, name: &str, datagram: PeerDatagram) {
+    let address = {
+        let state = host.state.borrow();
+        state.members.get(name).map(|record| record.peer_address.clone())
+    };
+    if let Some(address) = address {
+        send(host, &address, datagram);
+    }
+}
+
 /// Sends a datagram; a lost one is not noticed.
-pub fn send(host: &HostRef, to: &Arc<str>, datagram: &PeerDatagram) {
-    let Ok(address) = to.parse::<std::net::SocketAddr>() else { return };
-    let bytes = seal(host, datagram);
+pub fn send(host: &HostRef, to: &Arc<str>, datagram: PeerDatagram) {
+    let Ok(address) = to.parse::<SocketAddr>() else { return };
+    let content = content_name(&datagram);
+    let bytes = {
+        let mut state = host.state.borrow_mut();
+        let state = &mut *state;
+        let me = state.members.me();
+        state.datagrams.seal(address, &me.name, me.incarnation, datagram)
+    };
+    if bytes.len() > DATAGRAM_BYTES {
+        event!(host.log, DATAGRAM_TOO_LARGE, "bytes" => bytes.len());
+    }
+    count_bytes(host, "sent", content, bytes.len());
     SOCKET.with_borrow(|socket| {
         let Some(socket) = socket else { return };
         // A full socket buffer drops the datagram, as the network may.
@@ -88,22 +144,18 @@
     });
 }
 
-fn seal(host: &HostRef, datagram: &PeerDatagram) -> Vec<u8> {
-    let mut bytes = postcard::to_stdvec(datagram).expect("datagrams are plain data");
-    let tag = blake3::keyed_hash(&datagram_key(host), &bytes);
-    bytes.extend_from_slice(&tag.as_bytes()[..TAG_BYTES]);
-    bytes
-}
-
-fn open(host: &HostRef, bytes: &[u8]) -> Option<PeerDatagram> {
-    let (body, tag) = bytes.split_at_checked(bytes.len().checked_sub(TAG_BYTES)?)?;
-    let expected = blake3::keyed_hash(&datagram_key(host), body);
-    if expected.as_bytes()[..TAG_BYTES] != *tag {
-        return None;
+fn content_name(datagram: &PeerDatagram) -> &'static str {
+    match datagram {
+        PeerDatagram::Member(_) => "member",
+        PeerDatagram::Load(_) | PeerDatagram::LoadSubscribe => "load",
+        PeerDatagram::ConfigPush(_) => "config",
+        PeerDatagram::Leaving(_) => "leaving",
+        PeerDatagram::Drain(_) => "drain",
+        PeerDatagram::Usage(_) => "usage",
     }
-    postcard::from_bytes(body).ok()
 }
 
-fn datagram_key(host: &HostRef) -> [u8; 32] {
-    blake3::derive_key("parsleystage peer datagram 1", host.settings.peer_key.as_bytes())
+fn count_bytes(host: &HostRef, direction: &str, content: &str, bytes: usize) {
+    let counter = host.metrics.control_bytes.with_label_values(&[direction, content]);
+    counter.inc_by(u64::try_from(bytes).unwrap_or(0));
 }
--- a/crates/node/src/pool/mod.rs
+++ b/crates/node/src/pool/mod.rs
@@ -8,8 +8,9 @@
 use async_channel::Sender;
 use async_io::Timer;
 use parsley_core::{
+    group::GroupPlanner,
     key::{AccountKey, EngineKey, ModelKey, RankKey, WorkKey},
-    scheduler::{PoolScheduler, SchedulerInput, SchedulerOutput, WorkItem},
+    scheduler::{PoolScheduler, SchedulerInput, SchedulerOutput, WorkItem, cost::PREFIX_TOKENS},
     time::Time,
 };
 
@@ -19,8 +20,12 @@
 };
 
 pub mod assign;
+pub mod group;
+pub mod report;
 pub mod stream;
 
+/// Bytes of a prompt counted as one token.
+const BYTES_PER_TOKEN: usize = 4;
 const TICK: Duration = Duration::from_millis(50);
 /// Time for which a stream without a caller is kept for resumption.
 const DETACHED_LIMIT: Duration = Duration::from_secs(10);
@@ -61,17 +66,34 @@
     /// Grows when another task takes over the stream; the earlier task then stops.
     reader: u64,
     detached: Option<Time>,
+    /// Hashes of the prompt's leading parts.
+    prefixes: Vec<u64>,
 }
 
 /// The requests of the engines that this host owns.
-#[derive(Default)]
 pub struct EnginePool {
     scheduler: PoolScheduler,
     works: BTreeMap<WorkKey, PoolWork>,
     owned: BTreeMap<EngineKey, Arc<str>>,
+    groups: GroupPlanner,
+    /// Memory reserved for groups of this host.
+    reserved: BTreeMap<(EngineKey, WorkKey), u64>,
     next_work: u64,
 }
 
+impl Default for EnginePool {
+    fn default() -> EnginePool {
+        EnginePool {
+            scheduler: PoolScheduler::default(),
+            works: BTreeMap::new(),
+            owned: BTreeMap::new(),
+            groups: GroupPlanner::new(fastrand::Rng::new()),
+            reserved: BTreeMap::new(),
+            next_work: 0,
+        }
+    }
+}
+
 impl EnginePool {
     /// Number of requests.
     pub fn len(&self) -> usize {
@@ -87,8 +109,10 @@
         self.next_work += 1;
         let work = WorkKey(self.next_work);
         let produced = order.offset;
+        let prefixes = prefix_hashes(&order.prompt);
+        let (placed, reader, detached) = (None, 0, None);
         let entry =
-            PoolWork { order, sink, deadline, produced, placed: None, reader: 0, detached: None };
+            PoolWork { order, sink, deadline, produced, placed, reader, detached, prefixes };
         self.works.insert(work, entry);
         work
     }
@@ -103,7 +127,8 @@
 /// Starts the timers of the pool.
 pub fn start(host: &HostRef) {
     host.spawn(tick_loop(host.clone()));
-    host.spawn(assign::load_loop(host.clone()));
+    assign::start(host);
+    host.spawn(report::usage_loop(host.clone()));
 }
 
 async fn tick_loop(host: HostRef) {
@@ -111,6 +136,7 @@
         Timer::after(TICK).await;
         cancel_detached(&host);
         step(&host, SchedulerInput::Tick);
+        group::tick(&host);
     }
 }
 
@@ -201,6 +227,7 @@
 fn work_item(state: &mut HostState, work: WorkKey, preferred: Option<EngineKey>) -> WorkItem {
     let entry = &state.pool.works[&work];
     let order = &entry.order;
+    let prefixes = entry.prefixes.clone();
     let rank = state.config.resources().ranks.get(&order.rank).map_or(u8::MAX, |rank| rank.level);
     WorkItem {
         work,
@@ -209,7 +236,7 @@
         model: ModelKey(state.models.intern(&order.model) as u16),
         prompt_tokens: prompt_tokens(&order.prompt) + entry.produced,
         max_tokens: order.max_tokens.saturating_sub(entry.produced),
-        prefixes: Vec::new(),
+        prefixes,
         preferred,
         deadline: entry.deadline,
     }
@@ -217,7 +244,24 @@
 
 /// Tokens of a prompt: four bytes a token.
 pub fn prompt_tokens(prompt: &str) -> u64 {
-    (prompt.len() as u64).div_ceil(4)
+    prompt.len().div_ceil(BYTES_PER_TOKEN) as u64
+}
+
+/// Hashes of the prompt's first 1k, 4k, 16k and 64k tokens, as far as it reaches.
+fn prefix_hashes(prompt: &str) -> Vec<u64> {
+    let mut hasher = blake3::Hasher::new();
+    let mut hashes = Vec::new();
+    let mut done = 0;
+    for tokens in PREFIX_TOKENS {
+        let end = tokens as usize * BYTES_PER_TOKEN;
+        let Some(part) = prompt.as_bytes().get(done..end) else { break };
+        hasher.update(part);
+        done = end;
+        let mut head = [0; 8];
+        head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        hashes.push(u64::from_le_bytes(head));
+    }
+    hashes
 }
 
 /// Advances the scheduler and carries out what it asks for.
@@ -233,6 +277,8 @@
             SchedulerOutput::Refuse { work, refusal } => {
                 finish(host, work, StreamEvent::Refused(refusal));
             }
+            SchedulerOutput::Group(work) => group::start(host, work),
+            SchedulerOutput::AbortGroup(work) => group::abort(host, work),
             SchedulerOutput::Move(work) => finish(host, work, StreamEvent::Moved),
         }
     }
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -4,18 +4,28 @@
 //! |---|---|
 //! | `POST /streams` | submit a stream, or attach to it if the id is known; lines of JSON follow |
 //! | `GET /streams/<id>?offset=N` | attach to a stream at a position |
+//! | `GET /streams/<id>/state` | export the KV state of a stream |
+//! | `POST /reservations` | reserve memory for a group for a term, or renew the reservation |
+//! | `DELETE /reservations/<group>` | give a reservation back and cancel its streams |
 //! | `DELETE /streams/<id>` | cancel a stream and return its memory |
 //! | `GET /streams` | list streams |
 //! | `GET /load` | load report, as it was one lag ago |
+//! | `GET /cache?after=N` | cache events after a number, late and with gaps |
+//! | `POST /orders` `{"fencing","action","model"}` | load or unload a model; 412 for an old number |
+//! | `GET /orders` | orders that took effect, for tests |
+//! | `PUT /leaving` | says that it is leaving, for tests |
 //! | `GET /runs` | every stream id that was ever taken, for tests |
 //!
+//! A stream with `group` uses the memory of that group's reservation; `import` is the exported KV
+//! state of the part before its prompt. The state of the stand-in is the text it stands for.
+//!
 //! A line is `{"o":offset,"t":text,"n":tokens}`, `{}` as keep-alive, or `{"end":"stop"}`.
 
 use std::{
     cell::RefCell,
     collections::{BTreeMap, VecDeque},
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_channel::{Receiver, Sender};
@@ -24,7 +34,9 @@
 use serde_json::json;
 
 use crate::{
+    caller,
     engine_model::{self, EngineModel, EngineShape, StreamOrder, StreamRefusal, StreamState},
+    engine_roles::EngineRoles,
     server::{self, AnswerFuture, ServerHandle},
 };
 
@@ -44,6 +56,12 @@
     pub shape: EngineShape,
     /// Time of one step.
     pub step: Duration,
+    /// Models loaded from the start.
+    pub models: Vec<String>,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fencing: bool,
+    /// Address of the weight store; without one, loads are done at once.
+    pub weights: Option<String>,
 }
 
 struct Engine {
@@ -51,6 +69,12 @@
     listeners: BTreeMap<String, Vec<Sender<Vec<u8>>>>,
     runs: Vec<String>,
     reports: VecDeque<serde_json::Value>,
+    roles: EngineRoles,
+    weights: Option<String>,
+    /// End of each reservation's term.
+    terms: BTreeMap<String, Instant>,
+    /// Prompts of streams of groups with everything before them, for export.
+    states: BTreeMap<String, String>,
 }
 
 type EngineRef = Rc<RefCell<Engine>>;
@@ -63,6 +87,10 @@
             listeners: BTreeMap::new(),
             runs: Vec::new(),
             reports: VecDeque::new(),
+            roles: EngineRoles::new(config.models, config.checks_fencing),
+            weights: config.weights,
+            terms: BTreeMap::new(),
+            states: BTreeMap::new(),
         }));
         executor.spawn(run_steps(engine.clone(), config.step)).detach();
         executor.spawn(send_keep_alives(engine.clone())).detach();
@@ -75,9 +103,14 @@
     loop {
         Timer::after(step).await;
         let mut engine = engine.borrow_mut();
+        engine.end_terms();
         for id in engine.model.advance() {
             engine.publish(&id);
         }
+        let (added, removed) = engine.model.take_cache_changes();
+        if !added.is_empty() || !removed.is_empty() {
+            engine.roles.publish(&added, &removed);
+        }
     }
 }
 
@@ -122,6 +155,20 @@
             }
             server::streamed(engine.borrow_mut().attach(id, offset))
         }
+        (Method::Get, ["streams", id, "state"]) => match engine.borrow().states.get(*id) {
+            Some(state) => server::json(200, &json!(state)),
+            None => server::json(404, &json!({"reason": "unknown-stream"})),
+        },
+        (Method::Post, ["reservations"]) => {
+            let Ok(body) = request.body_json::<serde_json::Value>().await else {
+                return server::json(400, &json!({"reason": "bad-json"}));
+            };
+            engine.borrow_mut().reserve(&body)
+        }
+        (Method::Delete, ["reservations", group]) => {
+            engine.borrow_mut().release(group);
+            server::json(200, &json!({}))
+        }
         (Method::Delete, ["streams", id]) => {
             let known = engine.borrow_mut().cancel(id);
             server::json(if known { 200 } else { 404 }, &json!({}))
@@ -131,17 +178,53 @@
             let report = engine.borrow().reports.front().cloned().unwrap_or_default();
             server::json(200, &report)
         }
+        (Method::Get, ["cache"]) => {
+            let after = query.get("after").and_then(|text| text.parse().ok()).unwrap_or(0);
+            server::json(200, &engine.borrow().roles.events(after))
+        }
+        (Method::Post, ["orders"]) => {
+            let body = request.body_json::<serde_json::Value>().await.unwrap_or_default();
+            take_order(&engine, &body).await
+        }
+        (Method::Get, ["orders"]) => server::json(200, &engine.borrow().roles.history()),
+        (Method::Put, ["leaving"]) => {
+            engine.borrow_mut().roles.leaving = true;
+            server::json(200, &json!({}))
+        }
         (Method::Get, ["runs"]) => server::json(200, &json!(engine.borrow().runs)),
         _ => server::json(404, &json!({"reason": "no-route"})),
     }
 }
 
+/// Takes an order; a load counts when the weight store gave the weights.
+async fn take_order(engine: &EngineRef, body: &serde_json::Value) -> Response {
+    let load = engine.borrow_mut().roles.order(body);
+    let model = match load {
+        Ok(Some(model)) => model,
+        Ok(None) => return server::json(200, &json!({})),
+        Err(status) => return server::json(status, &json!({})),
+    };
+    let weights = engine.borrow().weights.clone();
+    if let Some(address) = weights {
+        let request = caller::request(Method::Get, &address, &format!("/weights/{model}"));
+        let served = caller::send(&address, request).await;
+        if !served.is_ok_and(|response| response.status().is_success()) {
+            return server::json(503, &json!({"reason": "weights"}));
+        }
+    }
+    engine.borrow_mut().roles.loaded(model);
+    server::json(202, &json!({}))
+}
+
 fn submit(engine: &EngineRef, body: &serde_json::Value) -> Response {
     let Some((id, order)) = parse_order(body) else {
         return server::json(400, &json!({"reason": "bad-order"}));
     };
     let mut engine = engine.borrow_mut();
     let offset = order.offset;
+    if order.group.is_some() {
+        engine.states.insert(id.clone(), full_prompt(body).unwrap_or_default());
+    }
     let known = engine.model.streams().contains_key(&id);
     match engine.model.submit(&id, order) {
         Ok(()) => {
@@ -162,15 +245,21 @@
     let order = StreamOrder {
         model: body["model"].as_str()?.to_owned(),
         prompt_tokens: prompt_tokens + offset,
-        prompt_hash: engine_model::prompt_hash(prompt),
+        prompt_hash: engine_model::prompt_hash(&full_prompt(body)?),
         prefixes: prefix_chain(prompt),
         offset,
         end: body["max_tokens"].as_u64()?,
         priority: u8::try_from(body["priority"].as_u64()?).ok()?,
+        group: body["group"].as_str().map(str::to_owned),
     };
     Some((body["stream"].as_str()?.to_owned(), order))
 }
 
+/// The prompt with the part that the imported state stands for.
+fn full_prompt(body: &serde_json::Value) -> Option<String> {
+    Some(body["import"].as_str().unwrap_or_default().to_owned() + body["prompt"].as_str()?)
+}
+
 /// Tokens of a prompt: four bytes a token.
 pub fn prompt_tokens(prompt: &str) -> u64 {
     (prompt.len() as u64).div_ceil(4)
@@ -232,12 +321,45 @@
         self.model.cancel(id)
     }
 
+    fn reserve(&mut self, body: &serde_json::Value) -> Response {
+        let fields = (body["group"].as_str(), body["tokens"].as_u64(), body["term_ms"].as_u64());
+        let (Some(group), Some(tokens), Some(term)) = fields else {
+            return server::json(400, &json!({"reason": "bad-order"}));
+        };
+        match self.model.reserve(group, tokens) {
+            Ok(()) => {
+                let end = Instant::now() + Duration::from_millis(term);
+                self.terms.insert(group.to_owned(), end);
+                server::json(200, &json!({}))
+            }
+            Err(StreamRefusal::Memory) => server::json(409, &json!({"reason": "memory"})),
+            Err(StreamRefusal::TooLarge) => server::json(413, &json!({"reason": "too-large"})),
+        }
+    }
+
+    fn release(&mut self, group: &str) {
+        self.terms.remove(group);
+        for id in self.model.release(group) {
+            self.states.remove(&id);
+            self.cancel(&id);
+        }
+    }
+
+    /// Drops reservations whose term was not renewed.
+    fn end_terms(&mut self) {
+        let now = Instant::now();
+        let ended = self.terms.iter().filter(|(_, end)| **end <= now);
+        let ended: Vec<_> = ended.map(|(group, _)| group.clone()).collect();
+        ended.iter().for_each(|group| self.release(group));
+    }
+
     fn report(&self) -> serde_json::Value {
         json!({
             "held_tokens": self.model.held(),
             "running": self.model.count(StreamState::Running),
             "waiting": self.model.count(StreamState::Waiting),
-            "leaving": false,
+            "leaving": self.roles.leaving,
+            "models": self.roles.models(),
         })
     }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,10 +4,15 @@
 //! can embed a whole platform.
 
 pub mod caller;
+pub mod decision;
 pub mod engine;
 pub mod engine_model;
+pub mod engine_roles;
 pub mod fleet;
 pub mod hostlist;
+pub mod load;
 pub mod server;
 pub mod service;
+pub mod solo;
 pub mod store;
+pub mod weights;
