Add the request, record and call slices

Cause: the life of a request was decided in the node, between I/O, where no test could drop, repeat or delay a message; records and at-most-once calls did not exist. Ruled out: one slice for entry host and owner; they fail separately, so each has its own table and trusts the other only for leg and offset. The change: RequestTable (legs, attempts, offsets, one final answer), StreamTable (readers, receivers, repeated cancellation), OrphanTracker, RecordKeeper, CallKeeper and RetryBudget, all as step(now, input). Conclusion: the decisions can be driven without sockets and clocks.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,12 +5,15 @@
 //! the node drive the same code.
 
 pub mod arena;
+pub mod call;
 pub mod config;
 pub mod entry;
 pub mod key;
 pub mod member;
 pub mod placement;
+pub mod record;
 pub mod refusal;
+pub mod request;
 pub mod resource;
 pub mod scheduler;
 pub mod settings;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -54,12 +54,18 @@
     NoEngine,
     /// The key-value service cannot be reached.
     StoreUnavailable,
+    /// No connection to the service came about.
+    ServiceUnavailable,
+    /// The service failed on every allowed try.
+    ServiceFailed,
     /// The engine failed and no retry is allowed.
     EngineFailed,
     /// The host is shutting down.
     Draining,
     /// The caller cancelled the request.
     Cancelled,
+    /// An at-most-once call with the same key is in progress.
+    InProgress,
     /// The outcome of an at-most-once call cannot be determined.
     OutcomeUnknown,
 }
@@ -80,9 +86,12 @@
             Reason::Overloaded => "overloaded",
             Reason::NoEngine => "no-engine",
             Reason::StoreUnavailable => "store-unavailable",
+            Reason::ServiceUnavailable => "service-unavailable",
+            Reason::ServiceFailed => "service-failed",
             Reason::EngineFailed => "engine-failed",
             Reason::Draining => "draining",
             Reason::Cancelled => "cancelled",
+            Reason::InProgress => "in-progress",
             Reason::OutcomeUnknown => "outcome-unknown",
         }
     }
@@ -95,12 +104,16 @@
             Reason::Forbidden => 403,
             Reason::NotFound => 404,
             Reason::DeadlineExceeded => 408,
-            Reason::Conflict | Reason::Cancelled | Reason::OutcomeUnknown => 409,
+            Reason::Conflict | Reason::Cancelled | Reason::InProgress | Reason::OutcomeUnknown => {
+                409
+            }
             Reason::BodyTooLarge | Reason::PromptExceedsFleet => 413,
             Reason::AccountLimit => 429,
             Reason::Overloaded
             | Reason::NoEngine
             | Reason::StoreUnavailable
+            | Reason::ServiceUnavailable
+            | Reason::ServiceFailed
             | Reason::EngineFailed
             | Reason::Draining => 503,
         }
--- /dev/null
+++ b/crates/core/src/request/stream.rs
@@ -0,0 +1,305 @@
+//! The owner's part of a request: which reader follows its stream, how far it got, and what
+//! follows a failure of the engine.
+
+use std::{
+    cmp::Ordering,
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use super::{EngineReply, Receiver, StreamInput, StreamOutput};
+use crate::{
+    key::{EngineKey, WorkKey},
+    refusal::{Reason, Refusal},
+    time::Time,
+};
+
+/// Attempts of one request.
+const MAX_ATTEMPTS: u32 = 4;
+/// Time for which a request without a receiver is kept for resumption.
+const DETACHED_LIMIT: Duration = Duration::from_secs(10);
+/// Time between two tries to cancel a stream on an engine that does not answer.
+const CANCEL_PERIOD: Duration = Duration::from_secs(1);
+/// Time after which a cancellation is left to the owner of an engine that comes back.
+const CANCEL_LIMIT: Duration = Duration::from_secs(120);
+
+struct RelayedStream {
+    receiver: Receiver,
+    detached: Option<Time>,
+    /// Position after the last token relayed.
+    produced: u64,
+    attempt: u32,
+    deadline: Time,
+    placed: Option<(EngineKey, Arc<str>)>,
+    /// Grows when another task follows the stream; answers to earlier ones are ignored.
+    reader: u64,
+}
+
+struct PendingCancel {
+    next: Time,
+    until: Time,
+}
+
+/// The requests that this host relays as an owner, and the streams that it still has to cancel.
+#[derive(Default)]
+pub struct StreamTable {
+    streams: BTreeMap<WorkKey, RelayedStream>,
+    cancels: BTreeMap<(EngineKey, Arc<str>), PendingCancel>,
+    next_reader: u64,
+}
+
+impl StreamTable {
+    /// Position after the last token relayed.
+    pub fn produced(&self, work: WorkKey) -> u64 {
+        self.streams.get(&work).map_or(0, |entry| entry.produced)
+    }
+
+    /// Attempt number.
+    pub fn attempt(&self, work: WorkKey) -> u32 {
+        self.streams.get(&work).map_or(1, |entry| entry.attempt)
+    }
+
+    /// The engine and stream that a request is on.
+    pub fn placed(&self, work: WorkKey) -> Option<&(EngineKey, Arc<str>)> {
+        self.streams.get(&work)?.placed.as_ref()
+    }
+
+    /// Whether a reader is the one whose answers count.
+    pub fn is_current(&self, work: WorkKey, reader: u64) -> bool {
+        self.streams.get(&work).is_some_and(|entry| entry.reader == reader)
+    }
+
+    /// Streams that requests of this host are on.
+    pub fn claimed(&self) -> BTreeSet<Arc<str>> {
+        let placed = self.streams.values().filter_map(|entry| entry.placed.as_ref());
+        placed.map(|(_, stream)| stream.clone()).collect()
+    }
+
+    /// Streams that engines have not yet confirmed as cancelled.
+    pub fn cancelling(&self) -> usize {
+        self.cancels.len()
+    }
+
+    /// Advances the table.
+    pub fn step(&mut self, now: Time, input: StreamInput) -> Vec<StreamOutput> {
+        let mut outputs = Vec::new();
+        match input {
+            StreamInput::Open { work, receiver, offset, attempt, deadline } => {
+                let entry = RelayedStream {
+                    receiver,
+                    detached: None,
+                    produced: offset,
+                    attempt,
+                    deadline,
+                    placed: None,
+                    reader: 0,
+                };
+                self.streams.insert(work, entry);
+            }
+            StreamInput::Attach { work, receiver, offset } => {
+                self.attach(work, receiver, offset, &mut outputs);
+            }
+            StreamInput::Detach { work, attachment } => {
+                self.detach(now, work, attachment, &mut outputs);
+            }
+            StreamInput::Place { work, engine, stream, submit } => {
+                outputs.extend(self.place(work, engine, stream, submit));
+            }
+            StreamInput::Reply { work, reader, reply } => {
+                self.reply(now, work, reader, reply, &mut outputs);
+            }
+            StreamInput::Chunk { work, reader, offset, tokens } => {
+                let Some(entry) = self.current(work, reader) else { return outputs };
+                if offset == entry.produced {
+                    entry.produced += tokens;
+                    outputs.push(StreamOutput::Relay(work));
+                } else if offset > entry.produced {
+                    outputs.push(self.follow(work));
+                }
+            }
+            StreamInput::Ended { work, reader, complete } => {
+                let Some(entry) = self.current(work, reader) else { return outputs };
+                let end = entry.produced;
+                if complete {
+                    self.streams.remove(&work);
+                    outputs.push(StreamOutput::Finish { work, end });
+                } else {
+                    entry.placed = None;
+                    self.next_attempt(work, &mut outputs);
+                }
+            }
+            StreamInput::Broken { work, reader } => {
+                if self.current(work, reader).is_some() {
+                    outputs.push(self.follow(work));
+                }
+            }
+            StreamInput::Preempt(work) => {
+                self.cancel_placed(now, work, &mut outputs);
+                if let Some(entry) = self.streams.get_mut(&work) {
+                    entry.attempt += 1;
+                    outputs.push(StreamOutput::Requeue(work));
+                }
+            }
+            StreamInput::Close(work) => {
+                self.cancel_placed(now, work, &mut outputs);
+                self.streams.remove(&work);
+            }
+            StreamInput::CancelDone { engine, stream } => {
+                self.cancels.remove(&(engine, stream));
+            }
+            StreamInput::Resumed => {
+                let followed = self.streams.iter().filter(|(_, entry)| entry.reader > 0);
+                let followed: Vec<_> = followed.map(|(work, _)| *work).collect();
+                outputs.extend(followed.into_iter().map(|work| self.follow(work)));
+            }
+            StreamInput::Tick => self.tick(now, &mut outputs),
+        }
+        outputs
+    }
+
+    fn current(&mut self, work: WorkKey, reader: u64) -> Option<&mut RelayedStream> {
+        self.streams.get_mut(&work).filter(|entry| entry.reader == reader)
+    }
+
+    fn new_reader(&mut self, work: WorkKey) -> u64 {
+        self.next_reader += 1;
+        if let Some(entry) = self.streams.get_mut(&work) {
+            entry.reader = self.next_reader;
+        }
+        self.next_reader
+    }
+
+    fn follow(&mut self, work: WorkKey) -> StreamOutput {
+        StreamOutput::Follow { work, reader: self.new_reader(work) }
+    }
+
+    fn place(
+        &mut self,
+        work: WorkKey,
+        engine: EngineKey,
+        stream: Arc<str>,
+        submit: bool,
+    ) -> Option<StreamOutput> {
+        // The same attempt may come back to an engine on which its cancellation is pending.
+        self.cancels.remove(&(engine, stream.clone()));
+        self.streams.get_mut(&work)?.placed = Some((engine, stream));
+        let reader = self.new_reader(work);
+        Some(match submit {
+            true => StreamOutput::Submit { work, reader },
+            false => StreamOutput::Follow { work, reader },
+        })
+    }
+
+    fn attach(
+        &mut self,
+        work: WorkKey,
+        receiver: Receiver,
+        offset: u64,
+        outputs: &mut Vec<StreamOutput>,
+    ) {
+        let Some(entry) = self.streams.get_mut(&work) else { return };
+        let held = &entry.receiver;
+        // A host that was paused may come back for a request that its caller has since resumed
+        // elsewhere; the later resumption keeps the request.
+        let may_take = match receiver.resume.cmp(&held.resume) {
+            Ordering::Less => false,
+            Ordering::Greater => true,
+            Ordering::Equal => receiver.entry == held.entry || entry.detached.is_some(),
+        };
+        if !may_take {
+            return outputs.push(StreamOutput::Denied(work));
+        }
+        entry.receiver = receiver;
+        entry.detached = None;
+        entry.produced = offset;
+        outputs.push(StreamOutput::Attached(work));
+        if entry.placed.is_some() {
+            outputs.push(self.follow(work));
+        }
+    }
+
+    fn detach(
+        &mut self,
+        now: Time,
+        work: WorkKey,
+        attachment: u64,
+        outputs: &mut Vec<StreamOutput>,
+    ) {
+        let Some(entry) = self.streams.get_mut(&work) else { return };
+        // A receiver that was replaced must not take the request from its successor.
+        if entry.receiver.attachment != attachment {
+            return;
+        }
+        entry.detached.get_or_insert(now);
+        // Queued work is submitted again by its entry host; it must not stay here as well.
+        if entry.placed.is_none() {
+            outputs.push(StreamOutput::Expired(work));
+        }
+    }
+
+    fn reply(
+        &mut self,
+        now: Time,
+        work: WorkKey,
+        reader: u64,
+        reply: EngineReply,
+        outputs: &mut Vec<StreamOutput>,
+    ) {
+        let Some(entry) = self.current(work, reader) else { return };
+        match reply {
+            EngineReply::NoMemory => {
+                entry.placed = None;
+                entry.reader = 0;
+                outputs.push(StreamOutput::Rejected(work));
+            }
+            EngineReply::Unknown => {
+                // A stream that starts after the wanted position is of no use any more.
+                self.cancel_placed(now, work, outputs);
+                self.next_attempt(work, outputs);
+            }
+            EngineReply::Failed => {
+                let engine = entry.placed.as_ref().map(|placed| placed.0);
+                // The stream may run on, and would keep its memory.
+                self.cancel_placed(now, work, outputs);
+                outputs.extend(engine.map(StreamOutput::EngineFailed));
+                self.next_attempt(work, outputs);
+            }
+        }
+    }
+
+    fn next_attempt(&mut self, work: WorkKey, outputs: &mut Vec<StreamOutput>) {
+        let Some(entry) = self.streams.remove(&work) else { return };
+        let attempt = entry.attempt + 1;
+        if attempt <= MAX_ATTEMPTS {
+            return outputs.push(StreamOutput::Retry { work, attempt });
+        }
+        let refusal = Refusal::ran(Reason::EngineFailed, "the engine failed on every attempt");
+        outputs.push(StreamOutput::Fail { work, refusal });
+    }
+
+    fn cancel_placed(&mut self, now: Time, work: WorkKey, outputs: &mut Vec<StreamOutput>) {
+        let Some(entry) = self.streams.get_mut(&work) else { return };
+        entry.reader = 0;
+        let Some((engine, stream)) = entry.placed.take() else { return };
+        let pending = PendingCancel { next: now + CANCEL_PERIOD, until: now + CANCEL_LIMIT };
+        self.cancels.insert((engine, stream.clone()), pending);
+        outputs.push(StreamOutput::Cancel { engine, stream });
+    }
+
+    fn tick(&mut self, now: Time, outputs: &mut Vec<StreamOutput>) {
+        self.cancels.retain(|_, pending| pending.until > now);
+        for ((engine, stream), pending) in &mut self.cancels {
+            if pending.next <= now {
+                pending.next = now + CANCEL_PERIOD;
+                outputs.push(StreamOutput::Cancel { engine: *engine, stream: stream.clone() });
+            }
+        }
+        for (work, entry) in &self.streams {
+            let is_left = entry.detached.is_some_and(|since| now.since(since) >= DETACHED_LIMIT);
+            if is_left || entry.deadline + DETACHED_LIMIT <= now {
+                outputs.push(StreamOutput::Expired(*work));
+            }
+        }
+    }
+}
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -18,6 +18,9 @@
     pub listen: Arc<str>,
     /// Address for other hosts, TCP and UDP, as `ip:port`.
     pub peer_listen: Arc<str>,
+    /// Address that other hosts use instead of `peer_listen`, as `ip:port`.
+    #[serde(default)]
+    pub peer_advertise: Option<Arc<str>>,
     /// Secret shared by all hosts.
     pub peer_key: Arc<str>,
     /// BLAKE3 hex digests of the operators' bearer tokens; anyone may administer if empty.
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -9,6 +9,7 @@
 
 /// Microseconds since an arbitrary start that is fixed for the life of a process.
 #[key]
+#[derive(Default)]
 pub struct Time(pub u64);
 
 impl Time {
--- a/crates/core/src/token/mod.rs
+++ b/crates/core/src/token/mod.rs
@@ -24,6 +24,8 @@
     pub stream: Arc<str>,
     /// Attempt number.
     pub attempt: u32,
+    /// Times that the caller resumed the request.
+    pub resume: u32,
     /// Unix time in milliseconds after which the token is void.
     pub expires_ms: u64,
 }
--- a/crates/core/src/token/tests.rs
+++ b/crates/core/src/token/tests.rs
@@ -8,6 +8,7 @@
         engine: "e1".into(),
         stream: "s1".into(),
         attempt: 1,
+        resume: 1,
         expires_ms: 1000,
     }
 }
