--- a/crates/core/src/request/tests.rs
+++ b/crates/core/src/request/tests.rs
@@ -188,10 +188,10 @@
 #[test]
 fn cancellation_is_repeated_until_the_engine_answers() {
     let mut table = owner_with_stream();
-    let cancel = StreamOutput::Cancel { engine: ENGINE, stream: "s1".into() };
-    assert_eq!(table.step(Time(1), StreamInput::Close(WORK)), [cancel.clone()]);
-    assert_eq!(table.step(Time(2_000_000), StreamInput::Tick), [cancel.clone()]);
-    assert_eq!(table.step(Time(4_000_000), StreamInput::Tick), [cancel]);
+    let cancel = [StreamOutput::Cancel { engine: ENGINE, stream: "s1".into() }];
+    assert_eq!(table.step(Time(1), StreamInput::Close(WORK)), cancel);
+    assert_eq!(table.step(Time(2_000_000), StreamInput::Tick), cancel);
+    assert_eq!(table.step(Time(4_000_000), StreamInput::Tick), cancel);
     table.step(Time(4_000_001), StreamInput::CancelDone { engine: ENGINE, stream: "s1".into() });
     assert_eq!(table.step(Time(6_000_000), StreamInput::Tick), []);
 }
--- a/crates/node/src/adapter/engine.rs
+++ b/crates/node/src/adapter/engine.rs
@@ -4,6 +4,7 @@
 
 use futures_lite::AsyncBufReadExt;
 use http_types::{Method, Response, StatusCode};
+use parsley_core::request::ListedStream;
 use serde::Deserialize;
 use serde_json::json;
 
@@ -32,6 +33,10 @@
     pub max_tokens: u64,
     /// Lower is more urgent.
     pub priority: u8,
+    /// Host that answers for the stream.
+    pub owner: Arc<str>,
+    /// Time left until the final answer is due.
+    pub time_left: Duration,
 }
 
 /// How an engine answers a submission or an attachment.
@@ -87,26 +92,66 @@
     let body = json!({
         "stream": order.stream, "model": order.model, "prompt": order.prompt,
         "offset": order.offset, "max_tokens": order.max_tokens, "priority": order.priority,
+        "owner": order.owner, "time_left_ms": order.time_left.as_millis() as u64,
     });
     let body = Some(body.to_string());
     let response = http::send(address, Method::Post, "/streams", body, HEAD_LIMIT).await?;
     Ok(answer(response))
 }
 
-/// Attaches to a stream at a position.
-pub async fn attach(address: &str, stream: &str, offset: u64) -> Result<EngineAnswer, NodeError> {
-    let path = format!("/streams/{stream}?offset={offset}");
+/// Attaches to a stream at a position. The owner answers for the stream from now on.
+pub async fn attach(
+    address: &str,
+    stream: &str,
+    offset: u64,
+    owner: &str,
+) -> Result<EngineAnswer, NodeError> {
+    let path = format!("/streams/{stream}?offset={offset}&owner={owner}");
     let response = http::send(address, Method::Get, &path, None, HEAD_LIMIT).await?;
     Ok(answer(response))
 }
 
-/// Cancels a stream. An unknown stream counts as cancelled.
-pub async fn cancel(address: &str, stream: &str) -> Result<(), NodeError> {
-    let path = format!("/streams/{stream}");
+/// Cancels a stream if the owner still answers for it. An unknown stream, or one that another
+/// host took over, counts as cancelled.
+pub async fn cancel(address: &str, stream: &str, owner: &str) -> Result<(), NodeError> {
+    let path = format!("/streams/{stream}?owner={owner}");
     http::send(address, Method::Delete, &path, None, HEAD_LIMIT).await?;
     Ok(())
 }
 
+#[derive(Deserialize)]
+struct StreamList {
+    streams: Vec<ListLine>,
+}
+
+#[derive(Deserialize)]
+struct ListLine {
+    stream: Arc<str>,
+    finished: bool,
+    owner: Arc<str>,
+    overdue: bool,
+    followed: bool,
+}
+
+/// The streams that hold memory on an engine.
+pub async fn list(address: &str) -> Result<Vec<ListedStream>, NodeError> {
+    let list = async {
+        let mut response =
+            http::send(address, Method::Get, "/streams?open=1", None, HEAD_LIMIT).await?;
+        Ok(response.body_json::<StreamList>().await?)
+    };
+    let list = within(HEAD_LIMIT, list).await?;
+    let open = list.streams.into_iter().filter(|line| !line.finished);
+    Ok(open
+        .map(|line| ListedStream {
+            stream: line.stream,
+            owner: line.owner,
+            overdue: line.overdue,
+            followed: line.followed,
+        })
+        .collect())
+}
+
 fn answer(response: Response) -> EngineAnswer {
     match response.status() {
         StatusCode::Ok => {
--- a/crates/node/src/adapter/mod.rs
+++ b/crates/node/src/adapter/mod.rs
@@ -3,4 +3,5 @@
 
 pub mod engine;
 pub mod hostlist;
+pub mod service;
 pub mod store;
--- a/crates/node/src/adapter/store.rs
+++ b/crates/node/src/adapter/store.rs
@@ -3,11 +3,17 @@
 use std::{sync::Arc, time::Duration};
 
 use http_types::{Method, StatusCode};
-use parsley_core::config::{ConfigDelta, ConfigItem, Revision};
+use parsley_core::{
+    call::{CallRecord, RETENTION, StoreAnswer},
+    config::{ConfigDelta, ConfigItem, Revision},
+};
 use serde::Deserialize;
 use serde_json::json;
 
-use crate::{error::NodeError, http};
+use crate::{
+    error::NodeError,
+    http::{self, within},
+};
 
 /// Time within which a call is answered.
 pub const CALL_LIMIT: Duration = Duration::from_secs(1);
@@ -81,3 +87,108 @@
         _ => Err(NodeError::Protocol("the key-value service refused the write")),
     }
 }
+
+#[derive(Deserialize)]
+struct ValueBody {
+    revision: u64,
+    value: String,
+}
+
+#[derive(Deserialize)]
+struct LeaseBody {
+    lease: u64,
+}
+
+/// Grants a lease with the term for which calls are remembered.
+pub async fn grant_retention(addresses: &[Arc<str>]) -> Option<u64> {
+    let ttl_ms = RETENTION.as_millis() as u64;
+    let body = json!({"ttl_ms": ttl_ms}).to_string();
+    let Ok((200, text)) = exchange(addresses, Method::Post, "/leases", Some(body)).await else {
+        return None;
+    };
+    serde_json::from_str::<LeaseBody>(&text).ok().map(|body| body.lease)
+}
+
+/// Reads the record of a call.
+pub async fn read_call(
+    addresses: &[Arc<str>],
+    key: &str,
+    is_holder_alive: impl FnOnce(&CallRecord) -> bool,
+) -> StoreAnswer {
+    match exchange(addresses, Method::Get, &format!("/kv/{key}"), None).await {
+        Ok((200, text)) => {
+            let parse = || {
+                let body: ValueBody = serde_json::from_str(&text).ok()?;
+                let record: CallRecord = serde_json::from_str(&body.value).ok()?;
+                Some((Revision(body.revision), record))
+            };
+            let Some((revision, record)) = parse() else { return StoreAnswer::NoAnswer };
+            let is_holder_alive = is_holder_alive(&record);
+            StoreAnswer::Found { revision, record, is_holder_alive }
+        }
+        Ok((404, _)) => StoreAnswer::Absent,
+        Ok(_) => StoreAnswer::NoAnswer,
+        Err(err) => unanswered(&err),
+    }
+}
+
+/// Writes the record of a call if its key has the expected revision (zero: absent).
+pub async fn write_call(
+    addresses: &[Arc<str>],
+    key: &str,
+    expect: Revision,
+    record: &CallRecord,
+    lease: u64,
+) -> StoreAnswer {
+    let value = serde_json::to_string(record).expect("records are plain data");
+    let body = json!({"value": value, "expect": expect.0, "lease": lease}).to_string();
+    let answer = exchange(addresses, Method::Put, &format!("/kv/{key}"), Some(body)).await;
+    written(answer)
+}
+
+/// Deletes the record of a call if its key has the expected revision.
+pub async fn delete_call(addresses: &[Arc<str>], key: &str, expect: Revision) -> StoreAnswer {
+    let path = format!("/kv/{key}?expect={}", expect.0);
+    written(exchange(addresses, Method::Delete, &path, None).await)
+}
+
+fn written(answer: Result<(u16, String), NodeError>) -> StoreAnswer {
+    match answer {
+        Ok((200, text)) => match serde_json::from_str::<RevisionBody>(&text) {
+            Ok(body) => StoreAnswer::Done(Revision(body.revision)),
+            Err(_) => StoreAnswer::NoAnswer,
+        },
+        Ok((409, _)) => StoreAnswer::Lost,
+        Ok((410, _)) => StoreAnswer::LeaseGone,
+        Ok(_) => StoreAnswer::NoAnswer,
+        Err(err) => unanswered(&err),
+    }
+}
+
+fn unanswered(err: &NodeError) -> StoreAnswer {
+    match err {
+        NodeError::Connect(_) => StoreAnswer::NotSent,
+        _ => StoreAnswer::NoAnswer,
+    }
+}
+
+/// One call on a new connection to the first address that accepts one; status and body.
+async fn exchange(
+    addresses: &[Arc<str>],
+    method: Method,
+    path: &str,
+    body: Option<String>,
+) -> Result<(u16, String), NodeError> {
+    let mut last = NodeError::Protocol("no address of the key-value service is known");
+    for address in addresses {
+        let call = async {
+            let mut response = http::send(address, method, path, body.clone(), CALL_LIMIT).await?;
+            Ok((u16::from(response.status()), response.body_string().await?))
+        };
+        match within(CALL_LIMIT, call).await {
+            Err(err @ NodeError::Connect(_)) => last = err,
+            result => return result,
+        }
+    }
+    Err(last)
+}
--- a/crates/node/src/api/chat.rs
+++ b/crates/node/src/api/chat.rs
@@ -2,12 +2,14 @@
 
 use std::{sync::Arc, time::Duration};
 
-use async_channel::{Receiver, Sender};
+use async_channel::Sender;
 use async_io::Timer;
 use futures_lite::FutureExt;
 use http_types::{Body, Request, Response, StatusCode};
 use parsley_core::{
+    record::{RecordOutput, RequestRecord},
     refusal::{Reason, Refusal},
+    request::{PlacedStream, StreamEvent},
     token::ContinuationToken,
 };
 use serde::Deserialize;
@@ -15,17 +17,18 @@
 
 use super::problem::problem_body;
 use crate::{
-    carrier::{self, PlacedStream},
+    carrier::{self, CarriedRequest},
     host::{HostRef, RequestGuard},
     http::ChannelReader,
-    peer::{
-        frame::{RequestOrder, StreamEvent},
-        link::unix_ms,
-    },
+    peer::{frame::RequestOrder, link::unix_ms},
+    pool::stream::stream_id,
+    records,
 };
 
 /// Time between two comments that keep a stream's connection alive.
 const KEEP_ALIVE: Duration = Duration::from_secs(1);
+/// Time for which a write to a caller may be blocked before the caller counts as gone.
+const WRITE_LIMIT: Duration = Duration::from_secs(30);
 /// Tokens generated when the caller sets no limit.
 const DEFAULT_MAX_TOKENS: u64 = 256;
 
@@ -50,18 +53,71 @@
     let account = authenticate(host, &request)?;
     let body: ChatBody = request.body_json().await.map_err(|err| bad_request(&err.to_string()))?;
     let order = order(host, &request, account, &body)?;
-    let (order, placed) = continuation(host, &request, order)?;
+    let token = continuation(host, &request, &order)?;
     let guard = host.open_request();
-    let call = ChatCall { host: host.clone(), order: order.clone(), guard };
-    let events = carrier::start(host, order, placed);
-    match first_event(&events).await? {
+    let (order, placed, is_running) = record(host, order, token).await?;
+    let carried = carrier::carry(host, order.clone(), placed, is_running);
+    let call = ChatCall { host: host.clone(), order, guard };
+    match next_event(&carried).await? {
         StreamEvent::Refused(refusal) => Err(refusal),
-        _ if body.stream => Ok(call.stream(events)),
-        _ => call.collect(events).await,
+        _ if body.stream => Ok(call.stream(carried)),
+        _ => call.collect(carried).await,
     }
 }
 
-fn authenticate(host: &HostRef, request: &Request) -> Result<Arc<str>, Refusal> {
+/// Records the request before it is dispatched. Returns where it runs or is to run, and whether
+/// it may be running.
+async fn record(
+    host: &HostRef,
+    mut order: RequestOrder,
+    token: Option<ContinuationToken>,
+) -> Result<(RequestOrder, PlacedStream, bool), Refusal> {
+    let placed = match &token {
+        Some(token) => PlacedStream { engine: token.engine.clone(), stream: token.stream.clone() },
+        None => {
+            let no_engine = || Refusal::not_run(Reason::NoEngine, "no engine serves the model now");
+            let engine = carrier::pick_engine(host, &order)
+                .ok_or_else(|| no_engine().retry_after(Duration::from_secs(1)))?;
+            PlacedStream { engine, stream: stream_id(&order.account, &order.request, 1) }
+        }
+    };
+    if let Some(token) = &token {
+        let left = Duration::from_millis(token.expires_ms.saturating_sub(unix_ms()));
+        order.time_left = order.time_left.min(left);
+        order.attempt = token.attempt;
+        order.resume = token.resume + 1;
+    }
+    let limit = order.max_tokens.to_string();
+    let mine = RequestRecord {
+        name: records::name(&order.account, &order.request),
+        body_hash: records::body_hash(&[&order.model, &order.prompt, &limit]),
+        placed: placed.clone(),
+        attempt: order.attempt,
+        resume: order.resume,
+        time_left: order.time_left,
+    };
+    let body_hash = mine.body_hash;
+    let known = match records::open(host, mine).await {
+        Ok(RecordOutput::Known { record, is_retry }) => Some((record, is_retry)),
+        // The token alone leads to the stream.
+        Err(_) if token.is_some() => None,
+        Err(refusal) => return Err(refusal),
+    };
+    let Some((record, is_retry)) = known else { return Ok((order, placed, true)) };
+    if record.body_hash != body_hash {
+        let detail = "the request id was used with another body";
+        return Err(Refusal::not_run(Reason::Conflict, detail));
+    }
+    if !is_retry {
+        return Ok((order, placed, token.is_some()));
+    }
+    order.resume = order.resume.max(record.resume);
+    order.attempt = order.attempt.max(record.attempt);
+    order.time_left = order.time_left.min(record.time_left);
+    Ok((order, record.placed, true))
+}
+
+pub(super) fn authenticate(host: &HostRef, request: &Request) -> Result<Arc<str>, Refusal> {
     let denied = || Refusal::not_run(Reason::Unauthenticated, "no valid bearer token");
     let header = request.header("authorization").map(|values| values.as_str());
     let token = header.and_then(|value| value.strip_prefix("Bearer ")).ok_or_else(denied)?;
@@ -108,35 +164,38 @@
         prompt: lines.collect::<String>().into(),
         max_tokens: body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS).max(1),
         time_left,
-        offset: 0,
+        offset: position(request)?,
         attempt: 1,
+        entry: "".into(),
+        resume: 1,
     })
 }
 
-/// Where to go on, if the caller presents a continuation token and the last position it has.
+/// The continuation token, if the caller presents one.
 fn continuation(
     host: &HostRef,
     request: &Request,
-    mut order: RequestOrder,
-) -> Result<(RequestOrder, Option<PlacedStream>), Refusal> {
-    let Some(text) = request.header("parsley-continuation") else { return Ok((order, None)) };
+    order: &RequestOrder,
+) -> Result<Option<ContinuationToken>, Refusal> {
+    let Some(text) = request.header("parsley-continuation") else { return Ok(None) };
     let forbidden = || Refusal::not_run(Reason::Forbidden, "the continuation token is not valid");
     let token = host.signer.check(text.as_str(), unix_ms()).ok_or_else(forbidden)?;
-    if token.account != order.account {
-        return Err(forbidden());
-    }
-    if let Some(position) = request.header("last-event-id") {
-        let position: u64 =
-            position.as_str().parse().map_err(|_| bad_request("Last-Event-ID: not a number"))?;
-        order.offset = position;
-    }
-    order.request = token.request;
-    order.attempt = token.attempt;
-    Ok((order, Some(PlacedStream { engine: token.engine, stream: token.stream })))
+    // The token names a stream; with another request's id or account it would cross answers.
+    let is_own = token.account == order.account
+        && token.request == order.request
+        && token.model == order.model;
+    is_own.then_some(token).ok_or_else(forbidden).map(Some)
+}
+
+/// The position from which the caller wants tokens.
+fn position(request: &Request) -> Result<u64, Refusal> {
+    let Some(position) = request.header("last-event-id") else { return Ok(0) };
+    position.as_str().parse().map_err(|_| bad_request("Last-Event-ID: not a number"))
 }
 
-async fn first_event(events: &Receiver<StreamEvent>) -> Result<StreamEvent, Refusal> {
-    events.recv().await.map_err(|_| Refusal::ran(Reason::EngineFailed, "the request was dropped"))
+async fn next_event(carried: &CarriedRequest) -> Result<StreamEvent, Refusal> {
+    let dropped = || Refusal::ran(Reason::EngineFailed, "the request was dropped");
+    carried.next().await.ok_or_else(dropped)
 }
 
 /// An admitted request and what is needed to answer it.
@@ -147,13 +206,13 @@
 }
 
 impl ChatCall {
-    async fn collect(self, events: Receiver<StreamEvent>) -> Result<Response, Refusal> {
+    async fn collect(self, carried: CarriedRequest) -> Result<Response, Refusal> {
         let mut answer = String::new();
         loop {
-            match first_event(&events).await? {
+            match next_event(&carried).await? {
                 StreamEvent::Chunk { text, .. } => answer.push_str(&text),
                 StreamEvent::Refused(refusal) => return Err(refusal),
-                StreamEvent::Finished => break,
+                StreamEvent::Finished { .. } => break,
                 _ => {}
             }
         }
@@ -162,34 +221,52 @@
             "id": self.order.request, "object": "chat.completion", "model": self.order.model,
             "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
         });
-        let mut response = super::json_answer(&body);
+        let bytes = body.to_string().into_bytes();
+        let length = bytes.len();
+        let mut response = Response::new(StatusCode::Ok);
         response.insert_header("request-id", &*self.order.request);
-        drop(self.guard);
+        let reader = ChannelReader::whole(bytes, self.guard);
+        response.set_body(Body::from_reader(reader, Some(length)));
+        response.insert_header("content-type", "application/json");
         Ok(response)
     }
 
-    fn stream(self, events: Receiver<StreamEvent>) -> Response {
+    fn stream(self, carried: CarriedRequest) -> Response {
+        let ChatCall { host, order, guard } = self;
         let (blocks, reader) = async_channel::bounded(64);
         let mut response = Response::new(StatusCode::Ok);
-        response.insert_header("request-id", &*self.order.request);
-        response.set_body(Body::from_reader(ChannelReader::new(reader), None));
+        response.insert_header("request-id", &*order.request);
+        response.set_body(Body::from_reader(ChannelReader::new(reader, guard), None));
         response.insert_header("content-type", "text/event-stream");
         response.insert_header("cache-control", "no-store");
-        let host = self.host.clone();
-        host.spawn(self.write_events(events, blocks));
+        let stream = ChatStream { host: host.clone(), order };
+        host.spawn(stream.write_events(carried, blocks));
         response
     }
+}
 
-    async fn write_events(self, events: Receiver<StreamEvent>, blocks: Sender<Vec<u8>>) {
+/// A request whose answer is streamed.
+struct ChatStream {
+    host: HostRef,
+    order: RequestOrder,
+}
+
+impl ChatStream {
+    async fn write_events(self, carried: CarriedRequest, blocks: Sender<Vec<u8>>) {
         loop {
-            let next = async { events.recv().await.ok() };
             let keep_alive = async {
                 Timer::after(KEEP_ALIVE).await;
                 Some(StreamEvent::Accepted)
             };
-            let Some(event) = next.or(keep_alive).await else { return };
-            let is_final = matches!(event, StreamEvent::Finished | StreamEvent::Refused(_));
-            if blocks.send(self.render(event).into_bytes()).await.is_err() || is_final {
+            let Some(event) = carried.next().or(keep_alive).await else { return };
+            let is_final = event.is_final();
+            let block = self.render(event).into_bytes();
+            let write = async { blocks.send(block).await.is_ok() };
+            let stuck = async {
+                Timer::after(WRITE_LIMIT).await;
+                false
+            };
+            if !write.or(stuck).await || is_final {
                 return;
             }
         }
@@ -197,7 +274,9 @@
 
     fn render(&self, event: StreamEvent) -> String {
         match event {
-            StreamEvent::Accepted | StreamEvent::Moved => ": keep-alive\n\n".to_owned(),
+            StreamEvent::Accepted | StreamEvent::Moved | StreamEvent::Retry { .. } => {
+                ": keep-alive\n\n".to_owned()
+            }
             StreamEvent::Started { engine, stream, attempt } => {
                 let token = self.host.signer.sign(&self.token(engine, stream, attempt));
                 format!("event: continuation\ndata: {token}\n\n")
@@ -210,7 +289,7 @@
                 });
                 format!("id: {}\ndata: {delta}\n\n", offset + tokens)
             }
-            StreamEvent::Finished => "data: [DONE]\n\n".to_owned(),
+            StreamEvent::Finished { .. } => "data: [DONE]\n\n".to_owned(),
             StreamEvent::Refused(refusal) => {
                 format!("event: error\ndata: {}\n\n", problem_body(&refusal))
             }
@@ -226,11 +305,12 @@
             engine,
             stream,
             attempt,
+            resume: self.order.resume,
             expires_ms: unix_ms().saturating_add(left),
         }
     }
 }
 
-fn bad_request(detail: &str) -> Refusal {
+pub(super) fn bad_request(detail: &str) -> Refusal {
     Refusal::not_run(Reason::BadRequest, detail)
 }
--- a/crates/node/src/api/mod.rs
+++ b/crates/node/src/api/mod.rs
@@ -4,6 +4,7 @@
 
 use async_io::Async;
 use async_net::TcpStream;
+use futures_lite::FutureExt;
 use http_types::{Method, Request, Response, StatusCode};
 use parsley_core::{
     entry::pick_entries,
@@ -15,6 +16,8 @@
 
 mod chat;
 mod problem;
+mod requests;
+pub mod services;
 
 pub use problem::problem;
 
@@ -27,7 +30,13 @@
 
 async fn accept_loop(host: HostRef, listener: Async<TcpListener>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
+        let accept = async { Some(listener.accept().await) };
+        let closed = async {
+            let _ = host.accepting.recv().await;
+            None
+        };
+        let Some(accepted) = accept.or(closed).await else { return };
+        let Ok((stream, _)) = accepted else { continue };
         let _ = stream.get_ref().set_nodelay(true);
         let stream = TcpStream::from(stream);
         let serving = host.clone();
@@ -49,6 +58,10 @@
         (Method::Get, ["v1", "entry"]) => Ok(entry(host, &request)),
         (Method::Get, ["v1", "models"]) => Ok(models(host)),
         (Method::Post, ["v1", "chat", "completions"]) => chat::complete(host, request).await,
+        (Method::Post, ["v1", "services", service, path @ ..]) => {
+            services::call(host, service, &path.join("/"), request).await
+        }
+        (Method::Delete, ["v1", "requests", id]) => requests::cancel(host, id, &request).await,
         (Method::Get, ["healthz" | "readyz"]) => Ok(json_answer(&json!({"status": "ok"}))),
         _ => Err(Refusal::not_run(Reason::NotFound, "no such route")),
     };
--- /dev/null
+++ b/crates/node/src/api/requests.rs
@@ -0,0 +1,44 @@
+//! `DELETE /v1/requests/<id>`: cancels a request of the caller's own account.
+
+use std::sync::Arc;
+
+use http_types::{Request, Response, StatusCode};
+use parsley_core::{
+    placement::engine_owner,
+    refusal::{Reason, Refusal},
+};
+
+use super::chat::authenticate;
+use crate::{
+    host::HostRef,
+    peer::{frame::PeerFrame, link},
+    pool, records,
+};
+
+/// Cancels a request, wherever it runs. The name of a request contains its account, so another
+/// account's request is not found.
+pub async fn cancel(host: &HostRef, id: &str, request: &Request) -> Result<Response, Refusal> {
+    let not_found = || Refusal::not_run(Reason::NotFound, "no such request is open");
+    let account = authenticate(host, request)?;
+    let name = records::name(&account, &Arc::from(id));
+    let record = records::find(host, &name).await.ok_or_else(not_found)?;
+    let owner = {
+        let state = host.state.borrow();
+        let server = state.config.resources().servers.get(&record.placed.engine);
+        let owner =
+            server.and_then(|server| engine_owner(&state.members, &record.placed.engine, server));
+        owner.cloned().ok_or_else(not_found)?
+    };
+    let found = if owner.name == host.settings.name {
+        pool::cancel_named(host, &name)
+    } else {
+        let channel = host.state.borrow_mut().rng.u64(..);
+        let link = link::get(host, &owner.name, &owner.peer_address);
+        let frame = PeerFrame::CancelRequest { channel, name: name.clone() };
+        matches!(link.ask(channel, frame).await, Ok(PeerFrame::CancelAnswer { found: true, .. }))
+    };
+    if !found {
+        return Err(not_found());
+    }
+    Ok(Response::new(StatusCode::NoContent))
+}
--- a/crates/node/src/carrier.rs
+++ b/crates/node/src/carrier.rs
@@ -1,165 +1,299 @@
-//! Carries a request from the entry host to the owner of an engine, and on to the next owner when
-//! a connection breaks or the engine moves.
+//! Carries the requests of callers to the owners of engines, as the request table decides.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use parsley_core::{
     member::MemberRecord,
-    placement::engine_owner,
-    refusal::{Reason, Refusal},
-    time::Time,
+    placement::{engine_owner, serves},
+    request::{
+        LegKey, PlacedStream, RequestInput, RequestKey, RequestOutput, RequestTable, StreamEvent,
+    },
 };
 
 use crate::{
     host::HostRef,
     peer::{
-        frame::{PeerFrame, RequestOrder, StreamEvent},
-        link,
+        frame::{PeerFrame, RequestOrder},
+        link::{self, PeerLink},
     },
-    pool::{self, EventSink},
+    pool::{self, Attachment, EventSink},
+    records,
 };
 
-/// Delay before a request is submitted again after a connection broke.
-const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Time between two looks at the timers of requests.
+const TICK: Duration = Duration::from_millis(20);
 
-/// A stream that may run on an engine.
-#[derive(Clone)]
-pub struct PlacedStream {
-    /// Engine.
-    pub engine: Arc<str>,
-    /// Stream id on the engine.
-    pub stream: Arc<str>,
+/// The requests of callers at this host.
+#[derive(Default)]
+pub struct CarrierTable {
+    table: RequestTable,
+    carriers: BTreeMap<RequestKey, Carrier>,
+    next_request: u64,
 }
 
-/// A request on its way.
 struct Carrier {
-    host: HostRef,
     order: RequestOrder,
-    deadline: Time,
-    placed: Option<PlacedStream>,
+    /// Engine chosen before the request was recorded, for the first leg.
+    engine: Option<Arc<str>>,
+    /// Stream that the record hosts know of.
+    recorded: PlacedStream,
     events: Sender<StreamEvent>,
+    leg: Option<OpenLeg>,
 }
 
-/// Starts to carry a request; its events arrive on the receiver. Dropping the receiver cancels
-/// nothing: the stream stays resumable for a while.
-pub fn start(
-    host: &HostRef,
-    order: RequestOrder,
-    placed: Option<PlacedStream>,
-) -> Receiver<StreamEvent> {
-    let (events, receiver) = async_channel::unbounded();
-    let deadline = host.now() + order.time_left;
-    let carrier = Carrier { host: host.clone(), order, deadline, placed, events };
-    host.spawn(carrier.run());
-    receiver
+struct OpenLeg {
+    leg: LegKey,
+    way: LegWay,
+    events: Receiver<StreamEvent>,
 }
 
-struct ChosenEngine {
-    engine: Arc<str>,
-    owner: MemberRecord,
+enum LegWay {
+    Local(Attachment),
+    Remote { link: PeerLink, channel: u64 },
+}
+
+/// A request being carried. Dropping it gives the request up; its stream stays resumable for a
+/// while.
+pub struct CarriedRequest {
+    host: HostRef,
+    request: RequestKey,
+    events: Receiver<StreamEvent>,
 }
 
-enum LegEnd {
-    /// The final event was passed on, or the caller is gone.
-    Done,
-    /// The request must go to another owner.
-    Again,
+impl CarriedRequest {
+    /// The next event; none after the final one.
+    pub async fn next(&self) -> Option<StreamEvent> {
+        self.events.recv().await.ok()
+    }
 }
 
-impl Carrier {
-    async fn run(mut self) {
+impl Drop for CarriedRequest {
+    fn drop(&mut self) {
+        step(&self.host, RequestInput::Abandon(self.request));
+    }
+}
+
+/// Starts the timers of carried requests.
+pub fn start(host: &HostRef) {
+    let host = host.clone();
+    host.clone().spawn(async move {
         loop {
-            let now = self.host.now();
-            if self.deadline <= now {
-                let ran = self.placed.is_some();
-                let refuse = if ran { Refusal::ran } else { Refusal::not_run };
-                let refusal = refuse(Reason::DeadlineExceeded, "no engine within the rank's time");
-                let _ = self.events.send(StreamEvent::Refused(refusal)).await;
-                return;
-            }
-            self.order.time_left = self.deadline.since(now);
-            match self.leg().await {
-                LegEnd::Done => return,
-                LegEnd::Again => drop(Timer::after(RETRY_DELAY).await),
+            Timer::after(TICK).await;
+            step(&host, RequestInput::Tick);
+        }
+    });
+}
+
+/// Starts to carry a request to the engine that it was recorded for, or to the stream on which it
+/// may be running there.
+pub fn carry(
+    host: &HostRef,
+    mut order: RequestOrder,
+    recorded: PlacedStream,
+    is_running: bool,
+) -> CarriedRequest {
+    let (sender, events) = async_channel::unbounded();
+    let deadline = host.now() + order.time_left;
+    let (offset, attempt) = (order.offset, order.attempt);
+    let placed = is_running.then(|| recorded.clone());
+    let request = {
+        let carriers = &mut host.state.borrow_mut().carriers;
+        carriers.next_request += 1;
+        let request = RequestKey(carriers.next_request);
+        order.entry = format!("{}/{}/{}", host.settings.name, host.incarnation, request.0).into();
+        let engine = Some(recorded.engine.clone());
+        let carrier = Carrier { order, engine, recorded, events: sender, leg: None };
+        carriers.carriers.insert(request, carrier);
+        request
+    };
+    step(host, RequestInput::Open { request, deadline, offset, attempt, placed });
+    CarriedRequest { host: host.clone(), request, events }
+}
+
+/// Advances the request table and carries out what it asks for.
+fn step(host: &HostRef, input: RequestInput) {
+    let mut inputs = VecDeque::from([input]);
+    while let Some(input) = inputs.pop_front() {
+        let now = host.now();
+        let outputs = host.state.borrow_mut().carriers.table.step(now, input);
+        for output in outputs {
+            match output {
+                RequestOutput::StartLeg {
+                    request,
+                    leg,
+                    offset,
+                    attempt,
+                    placed,
+                    avoid,
+                    time_left,
+                } => {
+                    let update = |order: &mut RequestOrder| {
+                        order.offset = offset;
+                        order.attempt = attempt;
+                        order.time_left = time_left;
+                    };
+                    inputs.extend(start_leg(host, request, leg, placed, avoid, update));
+                }
+                RequestOutput::EndLeg { request, leg, cancel } => {
+                    end_leg(host, request, leg, cancel);
+                }
+                RequestOutput::Deliver { request, event } => {
+                    inputs.extend(deliver(host, request, event));
+                }
+                RequestOutput::Closed(request) => {
+                    host.state.borrow_mut().carriers.carriers.remove(&request);
+                }
             }
         }
     }
+}
 
-    async fn leg(&mut self) -> LegEnd {
-        let Some(ChosenEngine { engine, owner }) = self.choose() else {
-            let refusal = Refusal::not_run(Reason::NoEngine, "no engine serves the model now")
-                .retry_after(Duration::from_secs(1));
-            let _ = self.events.send(StreamEvent::Refused(refusal)).await;
-            return LegEnd::Done;
-        };
-        if owner.name == self.host.settings.name {
-            let (sender, events) = async_channel::unbounded();
-            let sink = EventSink::Local(sender);
-            let order = self.order.clone();
-            let work = match &self.placed {
-                None => pool::submit(&self.host, order, &engine, sink),
-                Some(placed) => pool::attach(&self.host, order, &engine, &placed.stream, sink),
-            };
-            let end = self.pass_on(&events).await;
-            pool::detach(&self.host, work);
-            return end;
+fn start_leg(
+    host: &HostRef,
+    request: RequestKey,
+    leg: LegKey,
+    placed: Option<PlacedStream>,
+    avoid: Option<Arc<str>>,
+    update: impl FnOnce(&mut RequestOrder),
+) -> Option<RequestInput> {
+    let (order, planned) = {
+        let mut state = host.state.borrow_mut();
+        let carrier = state.carriers.carriers.get_mut(&request)?;
+        update(&mut carrier.order);
+        (carrier.order.clone(), carrier.engine.take())
+    };
+    let known = placed.as_ref().map(|placed| placed.engine.clone()).or(planned);
+    let known = known.or_else(|| avoid.and_then(|avoid| pick_other(host, &order, &avoid)));
+    let Some(chosen) = choose(host, &order, known) else {
+        return Some(RequestInput::NoEngine { request, leg });
+    };
+    let stream = placed.map(|placed| placed.stream);
+    let (way, events) = open_leg(host, order, chosen, stream);
+    let open = OpenLeg { leg, way, events: events.clone() };
+    host.state.borrow_mut().carriers.carriers.get_mut(&request)?.leg = Some(open);
+    let host = host.clone();
+    host.clone().spawn(async move {
+        while let Ok(event) = events.recv().await {
+            step(&host, RequestInput::Event { request, leg, event });
         }
-        let link = link::get(&self.host, &owner.name, &owner.peer_address);
-        let channel = self.host.state.borrow_mut().rng.u64(..);
-        let events = link.open(channel);
-        let order = self.order.clone();
-        link.send(match &self.placed {
-            None => PeerFrame::Submit { channel, order, engine },
-            Some(placed) => {
-                PeerFrame::Attach { channel, order, engine, stream: placed.stream.clone() }
-            }
-        });
-        let end = self.pass_on(&events).await;
-        link.close_channel(channel);
-        end
+        step(&host, RequestInput::Broken { request, leg });
+    });
+    None
+}
+
+fn open_leg(
+    host: &HostRef,
+    order: RequestOrder,
+    chosen: ChosenEngine,
+    stream: Option<Arc<str>>,
+) -> (LegWay, Receiver<StreamEvent>) {
+    let ChosenEngine { engine, owner } = chosen;
+    if owner.name == host.settings.name {
+        let (sender, events) = async_channel::unbounded();
+        let sink = EventSink::Local(sender);
+        let attachment = pool::receive(host, order, &engine, stream, sink);
+        return (LegWay::Local(attachment), events);
     }
+    let link = link::get(host, &owner.name, &owner.peer_address);
+    let channel = host.state.borrow_mut().rng.u64(..);
+    let events = link.open(channel);
+    link.send(match stream {
+        None => PeerFrame::Submit { channel, order, engine },
+        Some(stream) => PeerFrame::Attach { channel, order, engine, stream },
+    });
+    (LegWay::Remote { link, channel }, events)
+}
 
-    fn choose(&self) -> Option<ChosenEngine> {
-        let mut state = self.host.state.borrow_mut();
-        let state = &mut *state;
-        let set = state.config.resources();
-        let engine = match &self.placed {
-            Some(placed) => placed.engine.clone(),
-            None => state.picker.pick(set, &self.order.model, &mut state.rng)?,
-        };
-        let server = set.servers.get(&engine)?;
-        let owner = engine_owner(&state.members, &engine, server)?;
-        let tokens = pool::prompt_tokens(&self.order.prompt) + self.order.max_tokens;
-        state.picker.sent(&engine, tokens);
-        let owner = owner.clone();
-        Some(ChosenEngine { engine, owner })
+fn end_leg(host: &HostRef, request: RequestKey, leg: LegKey, cancel: bool) {
+    let open = {
+        let mut state = host.state.borrow_mut();
+        let carrier = state.carriers.carriers.get_mut(&request);
+        carrier.and_then(|carrier| carrier.leg.take_if(|open| open.leg == leg))
+    };
+    let Some(open) = open else { return };
+    open.events.close();
+    match open.way {
+        LegWay::Local(attachment) if cancel => pool::cancel_attached(host, attachment),
+        LegWay::Local(attachment) => pool::detach(host, attachment),
+        LegWay::Remote { link, channel } => {
+            link.close_channel(channel);
+            link.send(match cancel {
+                true => PeerFrame::Cancel { channel },
+                false => PeerFrame::Detach { channel },
+            });
+        }
     }
+}
 
-    async fn pass_on(&mut self, events: &Receiver<StreamEvent>) -> LegEnd {
-        loop {
-            let Ok(event) = events.recv().await else { return LegEnd::Again };
-            match &event {
-                StreamEvent::Moved => return LegEnd::Again,
-                StreamEvent::Started { engine, stream, attempt } => {
-                    let placed = PlacedStream { engine: engine.clone(), stream: stream.clone() };
-                    self.placed = Some(placed);
-                    self.order.attempt = *attempt;
-                }
-                StreamEvent::Chunk { offset, tokens, .. } => {
-                    // A chunk at another position was sent before the stream was attached again.
-                    if *offset != self.order.offset {
-                        continue;
-                    }
-                    self.order.offset += tokens;
-                }
-                _ => {}
-            }
-            let is_final = matches!(event, StreamEvent::Finished | StreamEvent::Refused(_));
-            if self.events.send(event).await.is_err() || is_final {
-                return LegEnd::Done;
-            }
+fn deliver(host: &HostRef, request: RequestKey, event: StreamEvent) -> Option<RequestInput> {
+    let (name, moved, is_final, is_gone) = {
+        let mut state = host.state.borrow_mut();
+        let carrier = state.carriers.carriers.get_mut(&request)?;
+        let name = records::name(&carrier.order.account, &carrier.order.request);
+        let moved = carrier.note(&event);
+        let is_final = event.is_final();
+        (name, moved, is_final, carrier.events.try_send(event).is_err())
+    };
+    if let Some((placed, attempt)) = moved {
+        records::moved(host, &name, &placed, attempt);
+    }
+    if is_final {
+        records::ended(host, &name);
+    }
+    is_gone.then_some(RequestInput::Abandon(request))
+}
+
+impl Carrier {
+    /// Where the request went, if the record hosts do not know.
+    fn note(&mut self, event: &StreamEvent) -> Option<(PlacedStream, u32)> {
+        let StreamEvent::Started { engine, stream, attempt } = event else { return None };
+        let placed = PlacedStream { engine: engine.clone(), stream: stream.clone() };
+        if self.recorded == placed {
+            return None;
         }
+        self.recorded = placed.clone();
+        Some((placed, *attempt))
     }
 }
+
+struct ChosenEngine {
+    engine: Arc<str>,
+    owner: MemberRecord,
+}
+
+/// An engine for a new request.
+pub fn pick_engine(host: &HostRef, order: &RequestOrder) -> Option<Arc<str>> {
+    let mut state = host.state.borrow_mut();
+    let state = &mut *state;
+    state.picker.pick(state.config.resources(), &order.model, &mut state.rng)
+}
+
+/// An engine other than the one that failed, if there is one.
+fn pick_other(host: &HostRef, order: &RequestOrder, avoid: &str) -> Option<Arc<str>> {
+    let mut state = host.state.borrow_mut();
+    let state = &mut *state;
+    let servers = state.config.resources().servers.iter();
+    let others: Vec<_> = servers
+        .filter(|(name, server)| {
+            !server.leaving && ***name != *avoid && serves(server, &order.model)
+        })
+        .map(|(name, _)| name.clone())
+        .collect();
+    state.rng.choice(others)
+}
+
+fn choose(host: &HostRef, order: &RequestOrder, known: Option<Arc<str>>) -> Option<ChosenEngine> {
+    let engine = known.or_else(|| pick_engine(host, order))?;
+    let mut state = host.state.borrow_mut();
+    let state = &mut *state;
+    let server = state.config.resources().servers.get(&engine)?;
+    let owner = engine_owner(&state.members, &engine, server)?.clone();
+    state.picker.sent(&engine, pool::prompt_tokens(&order.prompt) + order.max_tokens);
+    Some(ChosenEngine { engine, owner })
+}
--- a/crates/node/src/command/serve.rs
+++ b/crates/node/src/command/serve.rs
@@ -10,12 +10,12 @@
 use slog::info;
 
 use crate::{
-    api,
+    api, carrier,
     command::SettingsArgs,
     config_sync,
     error::NodeError,
     host::{Host, HostRef},
-    log, peer, pool,
+    log, peer, pool, records,
 };
 
 const USAGE: &str = "\
@@ -25,6 +25,9 @@
     parsleystage serve --settings FILE
 ";
 
+/// Time in which the last accepted connections send their request.
+const LAST_REQUEST: Duration = Duration::from_millis(500);
+
 /// Runs the command.
 pub fn run(parser: lexopt::Parser) -> Result<(), NodeError> {
     let Some(args) = SettingsArgs::parse(parser, USAGE)? else { return Ok(()) };
@@ -43,6 +46,9 @@
     peer::start(&host)?;
     api::start(&host)?;
     pool::start(&host);
+    carrier::start(&host);
+    records::start(&host);
+    api::services::start(&host);
     config_sync::start(&host);
     info!(host.log, "host started"; "event" => "E1001", "listen" => &*host.settings.listen);
     signals.next().await;
@@ -59,6 +65,9 @@
     peer::member_step(host, MemberInput::Drain);
     pool::assign::hand_back(host);
     Timer::after(ENTRY_LIFETIME).await;
+    host.stop_accepting();
+    // Connections that were accepted last have sent their request by then.
+    Timer::after(LAST_REQUEST).await;
     while host.open_requests() > 0 {
         Timer::after(Duration::from_millis(50)).await;
     }
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -33,6 +33,11 @@
             source(err)
             display("{err}")
         }
+        /// No connection came about; nothing was sent.
+        Connect(err: io::Error) {
+            source(err)
+            display("cannot connect: {err}")
+        }
         /// An HTTP exchange failed.
         Http(detail: Arc<str>) {
             from(err: http_types::Error) -> (err.to_string().into())
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -1,20 +1,35 @@
 //! The state of one host, shared by all its tasks.
 
-use std::{cell::RefCell, collections::BTreeMap, future::Future, rc::Rc, sync::Arc, time::Instant};
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    future::Future,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Instant,
+};
 
+use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use parsley_core::{
     arena::NameTable,
+    call::CallKeeper,
     config::ConfigStore,
     member::{MemberRecord, MemberState, MemberTable},
     placement::EnginePicker,
+    record::RecordKeeper,
     settings::HostSettings,
     time::Time,
     token::TokenSigner,
 };
 use slog::Logger;
 
-use crate::{peer::link::PeerLink, pool::EnginePool};
+use crate::{
+    api::services::CallTable, carrier::CarrierTable, peer::link::PeerLink, pool::EnginePool,
+};
 
 /// A host. No borrow of [`Host::state`] may be held across an await.
 pub struct Host {
@@ -26,9 +41,15 @@
     pub log: Logger,
     /// Signs continuation tokens.
     pub signer: TokenSigner,
+    /// Incarnation with which the host started.
+    pub incarnation: u64,
+    /// Closed when callers' connections are accepted no more.
+    pub accepting: Receiver<()>,
     /// Mutable state.
     pub state: RefCell<HostState>,
     started: Instant,
+    open_requests: Arc<AtomicUsize>,
+    accept_end: Sender<()>,
 }
 
 /// A shared host.
@@ -44,6 +65,12 @@
     pub picker: EnginePicker,
     /// Work on the engines that this host owns.
     pub pool: EnginePool,
+    /// Requests of callers at this host.
+    pub carriers: CarrierTable,
+    /// Request records kept for peers.
+    pub records: RecordKeeper,
+    /// Calls to plain services.
+    pub calls: CallTable,
     /// Keys of client accounts.
     pub accounts: NameTable,
     /// Keys of models.
@@ -55,7 +82,6 @@
     /// Randomness.
     pub rng: fastrand::Rng,
     draining: bool,
-    open_requests: usize,
 }
 
 impl Host {
@@ -65,26 +91,37 @@
         executor: Rc<LocalExecutor<'static>>,
         log: Logger,
     ) -> HostRef {
+        let me = member_record(&settings);
+        let incarnation = me.incarnation;
+        let mut rng = fastrand::Rng::new();
+        let keeper = CallKeeper::new(settings.name.clone(), incarnation, rng.fork());
         let state = HostState {
-            members: MemberTable::new(member_record(&settings), settings.seeds.clone()),
+            members: MemberTable::new(me, settings.seeds.clone()),
             config: ConfigStore::default(),
             picker: EnginePicker::default(),
             pool: EnginePool::default(),
+            carriers: CarrierTable::default(),
+            records: RecordKeeper::default(),
+            calls: CallTable::new(keeper),
             accounts: NameTable::default(),
             models: NameTable::default(),
             engines: NameTable::default(),
             links: BTreeMap::new(),
-            rng: fastrand::Rng::new(),
+            rng,
             draining: false,
-            open_requests: 0,
         };
+        let (accept_end, accepting) = async_channel::bounded(1);
         Rc::new(Host {
+            accepting,
+            accept_end,
             signer: TokenSigner::new(&settings.peer_key),
+            incarnation,
             settings,
             executor,
             log,
             state: RefCell::new(state),
             started: Instant::now(),
+            open_requests: Arc::default(),
         })
     }
 
@@ -103,6 +140,11 @@
         self.state.borrow_mut().draining = true;
     }
 
+    /// Ends the acceptance of callers' connections.
+    pub fn stop_accepting(&self) {
+        self.accept_end.close();
+    }
+
     /// Whether the host is draining.
     pub fn is_draining(&self) -> bool {
         self.state.borrow().draining
@@ -116,24 +158,25 @@
     /// Requests that are open to callers or peers.
     pub fn open_requests(&self) -> usize {
         let state = self.state.borrow();
-        state.open_requests + state.pool.len()
+        let open = self.open_requests.load(Ordering::Relaxed);
+        open + state.pool.len() + state.calls.len()
     }
 
     /// Counts a request as open until the guard is dropped.
-    pub fn open_request(self: &Rc<Host>) -> RequestGuard {
-        self.state.borrow_mut().open_requests += 1;
-        RequestGuard { host: self.clone() }
+    pub fn open_request(&self) -> RequestGuard {
+        self.open_requests.fetch_add(1, Ordering::Relaxed);
+        RequestGuard { open_requests: self.open_requests.clone() }
     }
 }
 
-/// Counts an open request.
+/// Counts an open request. Bodies of answers hold one and must be `Send`.
 pub struct RequestGuard {
-    host: HostRef,
+    open_requests: Arc<AtomicUsize>,
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.host.state.borrow_mut().open_requests -= 1;
+        self.open_requests.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -144,7 +187,7 @@
         region: settings.region.clone(),
         failure_domain: settings.failure_domain.clone(),
         address: settings.listen.clone(),
-        peer_address: settings.peer_listen.clone(),
+        peer_address: settings.peer_advertise.as_ref().unwrap_or(&settings.peer_listen).clone(),
         capacity: settings.capacity,
         // A restarted host must outrank its earlier self, and it keeps nothing; wall time grows.
         incarnation: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -13,7 +13,7 @@
 use futures_lite::{AsyncBufRead, AsyncRead, FutureExt, Stream, io};
 use http_types::{Method, Request, Response, Url};
 
-use crate::error::NodeError;
+use crate::{error::NodeError, host::RequestGuard};
 
 /// Runs a future for at most `limit`.
 pub async fn within<T>(
@@ -45,8 +45,9 @@
     within(limit, exchange(address, request)).await
 }
 
-async fn exchange(address: &str, request: Request) -> Result<Response, NodeError> {
-    let stream = TcpStream::connect(address).await?;
+/// Sends a request on a new connection and returns the answer's head; the body follows.
+pub async fn exchange(address: &str, request: Request) -> Result<Response, NodeError> {
+    let stream = TcpStream::connect(address).await.map_err(NodeError::Connect)?;
     stream.set_nodelay(true)?;
     Ok(async_h1::connect(stream, request).await?)
 }
@@ -56,12 +57,20 @@
     blocks: Pin<Box<Receiver<Vec<u8>>>>,
     block: Vec<u8>,
     at: usize,
+    /// The HTTP server drops the body after it wrote all of it to the connection.
+    _guard: RequestGuard,
 }
 
 impl ChannelReader {
-    /// Reads from a channel.
-    pub fn new(blocks: Receiver<Vec<u8>>) -> ChannelReader {
-        ChannelReader { blocks: Box::pin(blocks), block: Vec::new(), at: 0 }
+    /// Reads from a channel. The request counts as open until the reader is dropped.
+    pub fn new(blocks: Receiver<Vec<u8>>, guard: RequestGuard) -> ChannelReader {
+        ChannelReader { blocks: Box::pin(blocks), block: Vec::new(), at: 0, _guard: guard }
+    }
+
+    /// Reads bytes that are all there. The request counts as open until the reader is dropped.
+    pub fn whole(bytes: Vec<u8>, guard: RequestGuard) -> ChannelReader {
+        let (_, blocks) = async_channel::bounded(1);
+        ChannelReader { blocks: Box::pin(blocks), block: bytes, at: 0, _guard: guard }
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod log;
 pub mod peer;
 pub mod pool;
+pub mod records;
--- a/crates/node/src/peer/frame.rs
+++ b/crates/node/src/peer/frame.rs
@@ -5,7 +5,8 @@
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use parsley_core::{
     config::{ConfigDelta, Revision},
-    refusal::Refusal,
+    record::{RequestName, RequestRecord},
+    request::{PlacedStream, StreamEvent},
 };
 use parsley_macros::message;
 
@@ -35,37 +36,10 @@
     pub offset: u64,
     /// Attempt number, from 1.
     pub attempt: u32,
-}
-
-/// What happens to a request, in the order in which the entry host is told.
-#[message]
-pub enum StreamEvent {
-    /// The request is in the owner's queue.
-    Accepted,
-    /// The request goes to an engine.
-    Started {
-        /// Engine.
-        engine: Arc<str>,
-        /// Stream id on the engine.
-        stream: Arc<str>,
-        /// Attempt number.
-        attempt: u32,
-    },
-    /// Tokens.
-    Chunk {
-        /// Position of the first token.
-        offset: u64,
-        /// Number of tokens.
-        tokens: u64,
-        /// Text.
-        text: String,
-    },
-    /// The answer is complete.
-    Finished,
-    /// The request was refused or failed; this is its final answer.
-    Refused(Refusal),
-    /// The host no longer owns the engine; submit again.
-    Moved,
+    /// Entry host and its number for the request.
+    pub entry: Arc<str>,
+    /// Times that the caller resumed the request.
+    pub resume: u32,
 }
 
 /// A frame.
@@ -105,6 +79,69 @@
         /// Channel of the request.
         channel: u64,
     },
+    /// The receiver of a request's events is gone; the request stays resumable for a while.
+    Detach {
+        /// Channel of the request.
+        channel: u64,
+    },
+    /// Keep the record of a request that is about to be dispatched.
+    RecordPut {
+        /// Channel for the answer.
+        channel: u64,
+        /// Record.
+        record: RequestRecord,
+    },
+    /// Answer to `RecordPut`.
+    RecordAck {
+        /// Channel of the question.
+        channel: u64,
+        /// Record in force.
+        record: RequestRecord,
+        /// Whether it was there before.
+        is_retry: bool,
+    },
+    /// A recorded request goes to another stream.
+    RecordMove {
+        /// Request.
+        name: RequestName,
+        /// Stream.
+        placed: PlacedStream,
+        /// Attempt number.
+        attempt: u32,
+    },
+    /// A recorded request ended.
+    RecordDrop {
+        /// Request.
+        name: RequestName,
+    },
+    /// Ask for the record of a request.
+    RecordGet {
+        /// Channel for the answer.
+        channel: u64,
+        /// Request.
+        name: RequestName,
+    },
+    /// Answer to `RecordGet`.
+    RecordAnswer {
+        /// Channel of the question.
+        channel: u64,
+        /// Record, if there is one.
+        record: Option<RequestRecord>,
+    },
+    /// Cancel a request on the engines of the receiver.
+    CancelRequest {
+        /// Channel for the answer.
+        channel: u64,
+        /// Request.
+        name: RequestName,
+    },
+    /// Answer to `CancelRequest`.
+    CancelAnswer {
+        /// Channel of the question.
+        channel: u64,
+        /// Whether the request was there.
+        found: bool,
+    },
     /// An event of a request.
     Event {
         /// Channel of the request.
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -6,14 +6,16 @@
 use async_io::Timer;
 use async_net::TcpStream;
 use futures_lite::{FutureExt, io::BufReader};
+use parsley_core::request::StreamEvent;
 use slog::info;
 
-use super::frame::{PeerFrame, StreamEvent, hello_tag, read_frame, write_frame};
+use super::frame::{PeerFrame, hello_tag, read_frame, write_frame};
 use crate::{
     config_sync,
     error::NodeError,
     host::{Host, HostRef},
     http::within,
+    pool,
 };
 
 /// Time between two pings.
@@ -23,12 +25,14 @@
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
 type Channels = Rc<RefCell<BTreeMap<u64, Sender<StreamEvent>>>>;
+type Questions = Rc<RefCell<BTreeMap<u64, Sender<PeerFrame>>>>;
 
 /// A connection to another host. Clones share it.
 #[derive(Clone)]
 pub struct PeerLink {
     frames: Sender<PeerFrame>,
     channels: Channels,
+    questions: Questions,
 }
 
 impl PeerLink {
@@ -46,6 +50,19 @@
         receiver
     }
 
+    /// Sends a frame that is answered on a channel, and waits for the answer.
+    pub async fn ask(&self, channel: u64, frame: PeerFrame) -> Result<PeerFrame, NodeError> {
+        let (sender, receiver) = async_channel::bounded(1);
+        self.questions.borrow_mut().insert(channel, sender);
+        self.send(frame);
+        if self.frames.is_closed() {
+            self.questions.borrow_mut().clear();
+        }
+        let answer = within(SILENCE_LIMIT, async { Ok(receiver.recv().await.ok()) }).await;
+        self.questions.borrow_mut().remove(&channel);
+        answer?.ok_or(NodeError::Protocol("connection to peer broke"))
+    }
+
     /// Closes a channel.
     pub fn close_channel(&self, channel: u64) {
         self.channels.borrow_mut().remove(&channel);
@@ -60,7 +77,7 @@
         return link.clone();
     }
     let (frames, outgoing) = async_channel::unbounded();
-    let link = PeerLink { frames, channels: Channels::default() };
+    let link = PeerLink { frames, channels: Channels::default(), questions: Questions::default() };
     host.state.borrow_mut().links.insert(name.clone(), link.clone());
     host.spawn(run(host.clone(), name.clone(), address.clone(), link.clone(), outgoing));
     link
@@ -81,6 +98,7 @@
     // Closing the channels tells every open request that it must attach elsewhere.
     link.frames.close();
     link.channels.borrow_mut().clear();
+    link.questions.borrow_mut().clear();
 }
 
 async fn exchange(
@@ -94,7 +112,8 @@
     stream.set_nodelay(true)?;
     let reader = BufReader::with_capacity(64 << 10, stream.clone());
     let writer = stream;
-    write_loop(host, writer, outgoing).or(read_loop(host, reader, link)).await
+    let epoch = pool::check_pause(host);
+    write_loop(host, writer, outgoing).or(read_loop(host, reader, link, epoch)).await
 }
 
 async fn write_loop(
@@ -128,9 +147,15 @@
     host: &HostRef,
     mut reader: BufReader<TcpStream>,
     link: &PeerLink,
+    epoch: u64,
 ) -> Result<(), NodeError> {
     loop {
-        match within(SILENCE_LIMIT, read_frame(&mut reader)).await? {
+        let frame = within(SILENCE_LIMIT, read_frame(&mut reader)).await?;
+        // What was sent to this host before a pause may be long out of date.
+        if pool::check_pause(host) != epoch {
+            return Err(NodeError::Protocol("this host was paused"));
+        }
+        match frame {
             PeerFrame::Event { channel, event } => {
                 let sender = link.channels.borrow().get(&channel).cloned();
                 let delivered = sender.is_some_and(|sender| sender.try_send(event).is_ok());
@@ -139,6 +164,13 @@
                 }
             }
             PeerFrame::ConfigDelta(delta) => config_sync::apply(host, delta),
+            PeerFrame::RecordAck { channel, .. }
+            | PeerFrame::RecordAnswer { channel, .. }
+            | PeerFrame::CancelAnswer { channel, .. } => {
+                if let Some(sender) = link.questions.borrow_mut().remove(&channel) {
+                    let _ = sender.try_send(frame);
+                }
+            }
             PeerFrame::Ping => link.send(PeerFrame::Pong),
             PeerFrame::Pong => {}
             _ => return Err(NodeError::Protocol("unexpected frame")),
--- a/crates/node/src/peer/serve.rs
+++ b/crates/node/src/peer/serve.rs
@@ -6,7 +6,7 @@
 use async_io::Async;
 use async_net::TcpStream;
 use futures_lite::{FutureExt, io::BufReader};
-use parsley_core::key::WorkKey;
+use parsley_core::record::RecordOutput;
 use slog::info;
 
 use super::{
@@ -17,7 +17,8 @@
     error::NodeError,
     host::HostRef,
     http::within,
-    pool::{self, EventSink},
+    pool::{self, Attachment, EventSink},
+    records,
 };
 
 /// Largest difference between the clocks of two hosts.
@@ -49,8 +50,8 @@
     if let Err(err) = result {
         info!(host.log, "connection from peer ended"; "event" => "E1102", "error" => %err);
     }
-    for work in channels.into_values() {
-        pool::detach(&host, work);
+    for attachment in channels.into_values() {
+        pool::detach(&host, attachment);
     }
 }
 
@@ -65,34 +66,72 @@
     host: &HostRef,
     mut reader: BufReader<TcpStream>,
     frames: &Sender<PeerFrame>,
-    channels: &mut BTreeMap<u64, WorkKey>,
+    channels: &mut BTreeMap<u64, Attachment>,
 ) -> Result<(), NodeError> {
     let hello = within(SILENCE_LIMIT, read_frame(&mut reader)).await?;
     check_hello(host, &hello)?;
-    let sink = |channel| EventSink::Peer { channel, frames: frames.clone() };
+    let epoch = pool::check_pause(host);
     loop {
-        match within(SILENCE_LIMIT, read_frame(&mut reader)).await? {
-            PeerFrame::Submit { channel, order, engine } => {
-                channels.insert(channel, pool::submit(host, order, &engine, sink(channel)));
-            }
-            PeerFrame::Attach { channel, order, engine, stream } => {
-                let work = pool::attach(host, order, &engine, &stream, sink(channel));
-                channels.insert(channel, work);
-            }
-            PeerFrame::Cancel { channel } => {
-                if let Some(work) = channels.remove(&channel) {
-                    pool::cancel(host, work);
-                }
+        let frame = within(SILENCE_LIMIT, read_frame(&mut reader)).await?;
+        // What was sent to this host before a pause may be long out of date.
+        if pool::check_pause(host) != epoch {
+            return Err(NodeError::Protocol("this host was paused"));
+        }
+        receive(host, frame, frames, channels)?;
+    }
+}
+
+fn receive(
+    host: &HostRef,
+    frame: PeerFrame,
+    frames: &Sender<PeerFrame>,
+    channels: &mut BTreeMap<u64, Attachment>,
+) -> Result<(), NodeError> {
+    let sink = |channel| EventSink::Peer { channel, frames: frames.clone() };
+    let answer = |frame| drop(frames.try_send(frame));
+    match frame {
+        PeerFrame::Submit { channel, order, engine } => {
+            channels.insert(channel, pool::receive(host, order, &engine, None, sink(channel)));
+        }
+        PeerFrame::Attach { channel, order, engine, stream } => {
+            let attachment = pool::receive(host, order, &engine, Some(stream), sink(channel));
+            channels.insert(channel, attachment);
+        }
+        PeerFrame::Cancel { channel } => {
+            if let Some(attachment) = channels.remove(&channel) {
+                pool::cancel_attached(host, attachment);
             }
-            PeerFrame::ConfigPull { after } => {
-                let delta = host.state.borrow().config.delta(after);
-                let _ = frames.try_send(PeerFrame::ConfigDelta(delta));
+        }
+        PeerFrame::Detach { channel } => {
+            if let Some(attachment) = channels.remove(&channel) {
+                pool::detach(host, attachment);
             }
-            PeerFrame::Ping => drop(frames.try_send(PeerFrame::Pong)),
-            PeerFrame::Pong => {}
-            _ => return Err(NodeError::Protocol("unexpected frame")),
         }
+        PeerFrame::RecordPut { channel, record } => {
+            let RecordOutput::Known { record, is_retry } = records::open_here(host, record);
+            answer(PeerFrame::RecordAck { channel, record, is_retry });
+        }
+        PeerFrame::RecordMove { name, placed, attempt } => {
+            records::move_here(host, name, placed, attempt);
+        }
+        PeerFrame::RecordDrop { name } => records::end_here(host, name),
+        PeerFrame::RecordGet { channel, name } => {
+            let record = records::get_here(host, &name);
+            answer(PeerFrame::RecordAnswer { channel, record });
+        }
+        PeerFrame::CancelRequest { channel, name } => {
+            let found = pool::cancel_named(host, &name);
+            answer(PeerFrame::CancelAnswer { channel, found });
+        }
+        PeerFrame::ConfigPull { after } => {
+            let delta = host.state.borrow().config.delta(after);
+            answer(PeerFrame::ConfigDelta(delta));
+        }
+        PeerFrame::Ping => answer(PeerFrame::Pong),
+        PeerFrame::Pong => {}
+        _ => return Err(NodeError::Protocol("unexpected frame")),
     }
+    Ok(())
 }
 
 fn check_hello(host: &HostRef, frame: &PeerFrame) -> Result<(), NodeError> {
--- a/crates/node/src/pool/assign.rs
+++ b/crates/node/src/pool/assign.rs
@@ -6,15 +6,17 @@
 use parsley_core::{
     key::{EngineKey, ModelKey},
     placement::{EngineLoad, engine_owner},
+    request::{OrphanInput, StreamEvent},
     resource::BackendRole,
     scheduler::{EngineSpec, SchedulerInput},
+    time::Time,
 };
 use slog::info;
 
-use super::{finish, step};
+use super::{end, step};
 use crate::{
     host::{HostRef, HostState},
-    peer::{self, PeerDatagram, frame::StreamEvent},
+    peer::{self, PeerDatagram},
 };
 
 const LOAD_PERIOD: Duration = Duration::from_millis(200);
@@ -52,14 +54,14 @@
     let inputs = {
         let mut state = host.state.borrow_mut();
         let draining = host.is_draining_in(&state);
-        owned_engines(&mut state, draining)
+        owned_engines(&mut state, host.now(), draining)
     };
     for input in inputs {
         step(host, input);
     }
 }
 
-fn owned_engines(state: &mut HostState, draining: bool) -> Vec<SchedulerInput> {
+fn owned_engines(state: &mut HostState, now: Time, draining: bool) -> Vec<SchedulerInput> {
     let mut inputs = Vec::new();
     let mut owned = BTreeMap::new();
     let me = state.members.me().name.clone();
@@ -80,7 +82,10 @@
         }));
     }
     let gone = state.pool.owned.keys().filter(|engine| !owned.contains_key(engine));
-    inputs.extend(gone.map(|engine| SchedulerInput::EngineRemoved(*engine)));
+    for engine in gone {
+        inputs.push(SchedulerInput::EngineRemoved(*engine));
+        state.pool.orphans.step(now, OrphanInput::Gone(*engine));
+    }
     state.pool.owned = owned;
     inputs
 }
@@ -90,11 +95,12 @@
     assign(host);
     let queued: Vec<_> = {
         let state = host.state.borrow();
-        let works = state.pool.works.iter();
-        works.filter(|(_, entry)| entry.placed.is_none()).map(|(work, _)| *work).collect()
+        let pool = &state.pool;
+        let works = pool.works.keys().copied();
+        works.filter(|work| pool.streams.placed(*work).is_none()).collect()
     };
     for work in queued {
-        finish(host, work, StreamEvent::Moved);
+        end(host, work, StreamEvent::Moved);
         step(host, SchedulerInput::Cancel(work));
     }
 }
--- a/crates/node/src/pool/mod.rs
+++ b/crates/node/src/pool/mod.rs
@@ -1,7 +1,8 @@
 //! Requests on the engines that this host owns: queues them, drives the engines and tells the
 //! entry hosts what happens.
 //!
-//! [`assign`] decides which engines those are, [`stream`] drives the streams on them.
+//! [`assign`] decides which engines those are, [`stream`] drives the streams on them, [`orphan`]
+//! returns the memory of streams that nobody claims.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -9,21 +10,25 @@
 use async_io::Timer;
 use parsley_core::{
     key::{AccountKey, EngineKey, ModelKey, RankKey, WorkKey},
+    record::RequestName,
+    refusal::{Reason, Refusal},
+    request::{OrphanTracker, Receiver, StreamEvent, StreamInput, StreamTable},
     scheduler::{PoolScheduler, SchedulerInput, SchedulerOutput, WorkItem},
     time::Time,
 };
 
 use crate::{
     host::{HostRef, HostState},
-    peer::frame::{PeerFrame, RequestOrder, StreamEvent},
+    peer::frame::{PeerFrame, RequestOrder},
 };
 
 pub mod assign;
+pub mod orphan;
 pub mod stream;
 
 const TICK: Duration = Duration::from_millis(50);
-/// Time for which a stream without a caller is kept for resumption.
-const DETACHED_LIMIT: Duration = Duration::from_secs(10);
+/// Time without a tick after which this host counts as having been paused.
+const PAUSE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Where the events of a request go.
 #[derive(Clone)]
@@ -51,25 +56,35 @@
     }
 }
 
+/// A receiver's hold on a request.
+#[derive(Clone, Copy)]
+pub struct Attachment {
+    /// The request.
+    pub work: WorkKey,
+    /// Identifies the receiver.
+    pub id: u64,
+}
+
 struct PoolWork {
     order: RequestOrder,
     sink: EventSink,
+    attachment: u64,
     deadline: Time,
-    /// Position after the last token sent to the sink.
-    produced: u64,
-    placed: Option<(EngineKey, Arc<str>)>,
-    /// Grows when another task takes over the stream; the earlier task then stops.
-    reader: u64,
-    detached: Option<Time>,
 }
 
 /// The requests of the engines that this host owns.
 #[derive(Default)]
 pub struct EnginePool {
     scheduler: PoolScheduler,
+    streams: StreamTable,
+    orphans: OrphanTracker,
     works: BTreeMap<WorkKey, PoolWork>,
+    names: BTreeMap<RequestName, WorkKey>,
     owned: BTreeMap<EngineKey, Arc<str>>,
     next_work: u64,
+    next_attachment: u64,
+    last_tick: Time,
+    epoch: u64,
 }
 
 impl EnginePool {
@@ -80,125 +95,152 @@
 
     /// Whether there is no request.
     pub fn is_empty(&self) -> bool {
-        self.works.is_empty()
+        self.len() == 0
     }
 
-    fn insert(&mut self, order: RequestOrder, sink: EventSink, deadline: Time) -> WorkKey {
-        self.next_work += 1;
-        let work = WorkKey(self.next_work);
-        let produced = order.offset;
-        let entry =
-            PoolWork { order, sink, deadline, produced, placed: None, reader: 0, detached: None };
-        self.works.insert(work, entry);
-        work
-    }
-
-    fn find(&self, stream: &str) -> Option<WorkKey> {
-        let is_same =
-            |entry: &PoolWork| entry.placed.as_ref().is_some_and(|(_, placed)| **placed == *stream);
-        self.works.iter().find(|(_, entry)| is_same(entry)).map(|(work, _)| *work)
+    fn remove(&mut self, work: WorkKey) -> Option<PoolWork> {
+        let entry = self.works.remove(&work)?;
+        self.names.remove(&name_of(&entry.order));
+        Some(entry)
     }
 }
 
 /// Starts the timers of the pool.
 pub fn start(host: &HostRef) {
+    host.state.borrow_mut().pool.last_tick = host.now();
     host.spawn(tick_loop(host.clone()));
     host.spawn(assign::load_loop(host.clone()));
+    host.spawn(orphan::list_loop(host.clone()));
 }
 
 async fn tick_loop(host: HostRef) {
     loop {
         Timer::after(TICK).await;
-        cancel_detached(&host);
+        check_pause(&host);
+        stream::step(&host, StreamInput::Tick, None);
         step(&host, SchedulerInput::Tick);
     }
 }
 
-/// Queues a request.
-pub fn submit(host: &HostRef, order: RequestOrder, engine: &str, sink: EventSink) -> WorkKey {
-    sink.send(StreamEvent::Accepted);
-    let deadline = host.now() + order.time_left;
-    let (work, item) = {
-        let mut state = host.state.borrow_mut();
-        let work = state.pool.insert(order, sink, deadline);
-        let preferred = state.engines.get(engine).map(EngineKey);
-        (work, work_item(&mut state, work, preferred))
+/// Notices that this process was paused. Returns a number that changes with each pause; whatever
+/// was received on a connection opened before the change may be out of date.
+pub fn check_pause(host: &HostRef) -> u64 {
+    let now = host.now();
+    let (was_paused, epoch) = {
+        let pool = &mut host.state.borrow_mut().pool;
+        let was_paused = now.since(pool.last_tick) > PAUSE_LIMIT;
+        pool.last_tick = now;
+        pool.epoch += u64::from(was_paused);
+        (was_paused, pool.epoch)
     };
-    step(host, SchedulerInput::Submit(item));
-    work
+    if was_paused {
+        stream::step(host, StreamInput::Resumed, None);
+    }
+    epoch
 }
 
-/// Attaches to a stream that may be running on an engine, whoever started it.
-pub fn attach(
+/// Queues a request, or attaches to the stream on which it may be running, whoever started it.
+pub fn receive(
     host: &HostRef,
     order: RequestOrder,
     engine: &str,
-    stream: &Arc<str>,
+    stream: Option<Arc<str>>,
     sink: EventSink,
-) -> WorkKey {
+) -> Attachment {
     sink.send(StreamEvent::Accepted);
-    let deadline = host.now() + order.time_left;
-    let (work, reader, engine) = {
-        let mut state = host.state.borrow_mut();
-        let engine = EngineKey(state.engines.intern(engine));
-        let work = match state.pool.find(stream) {
-            Some(work) => {
-                let entry = state.pool.works.get_mut(&work).expect("found above");
-                entry.sink = sink;
-                entry.detached = None;
-                entry.produced = order.offset;
-                work
-            }
-            None => state.pool.insert(order, sink, deadline),
-        };
-        let entry = state.pool.works.get_mut(&work).expect("inserted above");
-        entry.placed = Some((engine, stream.clone()));
-        entry.reader += 1;
-        (work, entry.reader, engine)
+    let (known, id) = {
+        let pool = &mut host.state.borrow_mut().pool;
+        pool.next_attachment += 1;
+        (pool.names.get(&name_of(&order)).copied(), pool.next_attachment)
     };
-    let item = work_item(&mut host.state.borrow_mut(), work, Some(engine));
-    step(host, SchedulerInput::Adopt { item, engine });
-    host.spawn(stream::run(host.clone(), work, reader, stream::StartKind::Attach));
-    work
+    match known {
+        Some(work) => take_over(host, work, id, order, sink),
+        None => open(host, id, order, engine, stream, sink),
+    }
 }
 
-/// Cancels a request for its caller.
-pub fn cancel(host: &HostRef, work: WorkKey) {
-    step(host, SchedulerInput::Cancel(work));
-    host.state.borrow_mut().pool.works.retain(|key, entry| *key != work || entry.placed.is_some());
+fn take_over(
+    host: &HostRef,
+    work: WorkKey,
+    id: u64,
+    order: RequestOrder,
+    sink: EventSink,
+) -> Attachment {
+    let receiver = Receiver { attachment: id, entry: order.entry.clone(), resume: order.resume };
+    let input = StreamInput::Attach { work, receiver, offset: order.offset };
+    stream::step(host, input, Some(sink));
+    Attachment { work, id }
 }
 
-/// Notes that the receiver of a request's events is gone.
-pub fn detach(host: &HostRef, work: WorkKey) {
-    let now = host.now();
-    let queued = {
+fn open(
+    host: &HostRef,
+    id: u64,
+    order: RequestOrder,
+    engine: &str,
+    stream: Option<Arc<str>>,
+    sink: EventSink,
+) -> Attachment {
+    let deadline = host.now() + order.time_left;
+    let receiver = Receiver { attachment: id, entry: order.entry.clone(), resume: order.resume };
+    let (offset, attempt) = (order.offset, order.attempt);
+    let (work, key) = {
         let mut state = host.state.borrow_mut();
-        let Some(entry) = state.pool.works.get_mut(&work) else { return };
-        entry.detached.get_or_insert(now);
-        entry.placed.is_none()
+        let key = EngineKey(state.engines.intern(engine));
+        let pool = &mut state.pool;
+        pool.next_work += 1;
+        let work = WorkKey(pool.next_work);
+        pool.names.insert(name_of(&order), work);
+        pool.works.insert(work, PoolWork { order, sink, attachment: id, deadline });
+        (work, key)
     };
-    // The entry host or the caller submits queued work again; it must not stay here as well.
-    if queued {
-        cancel(host, work);
+    stream::step(host, StreamInput::Open { work, receiver, offset, attempt, deadline }, None);
+    let item = work_item(&mut host.state.borrow_mut(), work, Some(key));
+    match stream {
+        None => step(host, SchedulerInput::Submit(item)),
+        Some(stream) => {
+            step(host, SchedulerInput::Adopt { item, engine: key });
+            stream::place(host, work, key, stream, false, 0);
+        }
     }
+    Attachment { work, id }
 }
 
-fn cancel_detached(host: &HostRef) {
-    let now = host.now();
-    let expired: Vec<_> = {
-        let state = host.state.borrow();
-        let is_expired = |entry: &PoolWork| {
-            entry.detached.is_some_and(|since| now.since(since) >= DETACHED_LIMIT)
-        };
-        let works = state.pool.works.iter();
-        works.filter(|(_, entry)| is_expired(entry)).map(|(work, _)| *work).collect()
+fn name_of(order: &RequestOrder) -> RequestName {
+    RequestName { account: order.account.clone(), request: order.request.clone() }
+}
+
+/// Cancels a request for its caller, if the receiver still has it.
+pub fn cancel_attached(host: &HostRef, attachment: Attachment) {
+    let is_current = {
+        let works = &host.state.borrow().pool.works;
+        works.get(&attachment.work).is_some_and(|entry| entry.attachment == attachment.id)
     };
-    for work in expired {
-        cancel(host, work);
+    if is_current {
+        cancel(host, attachment.work);
     }
 }
 
+/// Cancels a request by its name. Returns whether it was there.
+pub fn cancel_named(host: &HostRef, name: &RequestName) -> bool {
+    let work = host.state.borrow().pool.names.get(name).copied();
+    work.map(|work| cancel(host, work)).is_some()
+}
+
+/// Cancels a request wherever it is, and tells its receiver.
+fn cancel(host: &HostRef, work: WorkKey) {
+    let refusal = Refusal::not_run(Reason::Cancelled, "cancelled by the caller");
+    end(host, work, StreamEvent::Refused(refusal));
+    step(host, SchedulerInput::Cancel(work));
+}
+
+/// Notes that a receiver of a request's events is gone.
+pub fn detach(host: &HostRef, attachment: Attachment) {
+    let Attachment { work, id } = attachment;
+    stream::step(host, StreamInput::Detach { work, attachment: id }, None);
+}
+
 fn work_item(state: &mut HostState, work: WorkKey, preferred: Option<EngineKey>) -> WorkItem {
+    let produced = state.pool.streams.produced(work);
     let entry = &state.pool.works[&work];
     let order = &entry.order;
     let rank = state.config.resources().ranks.get(&order.rank).map_or(u8::MAX, |rank| rank.level);
@@ -207,8 +249,8 @@
         account: AccountKey(state.accounts.intern(&order.account)),
         rank: RankKey(rank),
         model: ModelKey(state.models.intern(&order.model) as u16),
-        prompt_tokens: prompt_tokens(&order.prompt) + entry.produced,
-        max_tokens: order.max_tokens.saturating_sub(entry.produced),
+        prompt_tokens: prompt_tokens(&order.prompt) + produced,
+        max_tokens: order.max_tokens.saturating_sub(produced),
         prefixes: Vec::new(),
         preferred,
         deadline: entry.deadline,
@@ -228,18 +270,29 @@
             SchedulerOutput::Dispatch { work, engine, priority } => {
                 stream::dispatch(host, work, engine, priority);
             }
-            SchedulerOutput::Preempt { work, engine } => stream::preempt(host, work, engine),
-            SchedulerOutput::Abort { work, engine } => stream::abort(host, work, engine),
+            SchedulerOutput::Preempt { work, .. } => {
+                stream::step(host, StreamInput::Preempt(work), None);
+            }
+            SchedulerOutput::Abort { work, .. } => {
+                let detail = "not finished within the rank's time";
+                let refusal = Refusal::ran(Reason::DeadlineExceeded, detail);
+                end(host, work, StreamEvent::Refused(refusal));
+                // The stream is being cancelled; until then the engine refuses what has no room.
+                step(host, SchedulerInput::Finished(work));
+            }
             SchedulerOutput::Refuse { work, refusal } => {
-                finish(host, work, StreamEvent::Refused(refusal));
+                end(host, work, StreamEvent::Refused(refusal));
             }
-            SchedulerOutput::Move(work) => finish(host, work, StreamEvent::Moved),
+            SchedulerOutput::Move(work) => end(host, work, StreamEvent::Moved),
         }
     }
 }
 
-fn finish(host: &HostRef, work: WorkKey, event: StreamEvent) {
-    if let Some(entry) = host.state.borrow_mut().pool.works.remove(&work) {
+/// Ends a request with its last event; a stream that may still run is cancelled.
+fn end(host: &HostRef, work: WorkKey, event: StreamEvent) {
+    let entry = host.state.borrow_mut().pool.remove(work);
+    if let Some(entry) = entry {
         entry.sink.send(event);
     }
+    stream::step(host, StreamInput::Close(work), None);
 }
--- /dev/null
+++ b/crates/node/src/pool/orphan.rs
@@ -0,0 +1,46 @@
+//! Returns the memory of streams that nobody claims on the engines of this host.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use parsley_core::{
+    key::EngineKey,
+    request::{OrphanInput, OrphanOutput},
+};
+use slog::info;
+
+use super::stream::address;
+use crate::{adapter::engine, host::HostRef};
+
+/// Time between two lists of an engine's streams.
+const LIST_PERIOD: Duration = Duration::from_secs(2);
+
+pub(super) async fn list_loop(host: HostRef) {
+    loop {
+        Timer::after(LIST_PERIOD).await;
+        let owned: Vec<_> = host.state.borrow().pool.owned.keys().copied().collect();
+        for engine in owned {
+            host.spawn(check(host.clone(), engine));
+        }
+    }
+}
+
+async fn check(host: HostRef, engine: EngineKey) {
+    let Some(address) = address(&host, engine) else { return };
+    // An engine that does not answer is asked again in the next round.
+    let Ok(streams) = engine::list(&address).await else { return };
+    let outputs = {
+        let mut state = host.state.borrow_mut();
+        let pool = &state.pool;
+        let mine = pool.streams.claimed();
+        let live = state.members.live().skip(1).map(|member| member.name.clone()).collect();
+        let input = OrphanInput::Listed { engine, streams, live, mine };
+        state.pool.orphans.step(host.now(), input)
+    };
+    for OrphanOutput::Cancel { stream, owner, .. } in outputs {
+        info!(host.log, "orphaned stream cancelled"; "event" => "E1303", "stream" => &*stream,
+            "owner" => &*owner);
+        // A stream that stays is listed again.
+        let _ = engine::cancel(&address, &stream, &owner).await;
+    }
+}
--- a/crates/node/src/pool/stream.rs
+++ b/crates/node/src/pool/stream.rs
@@ -1,4 +1,4 @@
-//! Streams on engines: submits, follows, attaches again, and goes on with the next attempt.
+//! Streams on engines: submits, follows and cancels them as the stream table decides.
 
 use std::{sync::Arc, time::Duration};
 
@@ -6,239 +6,292 @@
 use parsley_core::{
     key::{EngineKey, WorkKey},
     refusal::{Reason, Refusal},
+    request::{EngineReply, StreamEvent, StreamInput, StreamOutput},
     scheduler::SchedulerInput,
 };
 use slog::info;
 
-use super::{assign::eject, finish, step, work_item};
+use super::{EventSink, assign::eject, check_pause, end, work_item};
 use crate::{
     adapter::engine::{self, EngineAnswer, EngineEvent, EngineOrder, EngineStream},
+    error::NodeError,
     host::HostRef,
-    peer::frame::{RequestOrder, StreamEvent},
 };
 
 /// Delay before work that an engine refused for lack of memory is offered again.
 const REJECTED_DELAY: Duration = Duration::from_millis(50);
-/// Attempts of one request.
-const MAX_ATTEMPTS: u32 = 4;
 
-/// How a task gets to a stream.
-pub(super) enum StartKind {
-    Submit { priority: u8 },
-    Attach,
+pub(super) fn dispatch(host: &HostRef, work: WorkKey, engine: EngineKey, priority: u8) {
+    let stream = {
+        let state = host.state.borrow();
+        let Some(entry) = state.pool.works.get(&work) else { return };
+        let attempt = state.pool.streams.attempt(work);
+        stream_id(&entry.order.account, &entry.order.request, attempt)
+    };
+    place(host, work, engine, stream, true, priority);
 }
 
-pub(super) fn dispatch(host: &HostRef, work: WorkKey, engine: EngineKey, priority: u8) {
-    let reader = {
+/// Puts a request on an engine.
+pub(super) fn place(
+    host: &HostRef,
+    work: WorkKey,
+    engine: EngineKey,
+    stream: Arc<str>,
+    submit: bool,
+    priority: u8,
+) {
+    let now = host.now();
+    let input = StreamInput::Place { work, engine, stream, submit };
+    let outputs = host.state.borrow_mut().pool.streams.step(now, input);
+    if submit {
+        send_started(host, work);
+    }
+    for output in outputs {
+        match output {
+            StreamOutput::Submit { work, reader } => {
+                host.spawn(submit_stream(host.clone(), work, reader, priority));
+            }
+            other => carry_out(host, other, &mut None, &mut None),
+        }
+    }
+}
+
+/// Advances the stream table and carries out what it asks for. `sink` is the receiver that an
+/// attachment brings.
+pub(super) fn step(host: &HostRef, input: StreamInput, sink: Option<EventSink>) {
+    let now = host.now();
+    let mut attaching = sink.map(|sink| (sink, receiver_of(&input)));
+    let outputs = host.state.borrow_mut().pool.streams.step(now, input);
+    let mut chunk = None;
+    for output in outputs {
+        carry_out(host, output, &mut chunk, &mut attaching);
+    }
+}
+
+fn receiver_of(input: &StreamInput) -> u64 {
+    match input {
+        StreamInput::Attach { receiver, .. } => receiver.attachment,
+        _ => 0,
+    }
+}
+
+fn carry_out(
+    host: &HostRef,
+    output: StreamOutput,
+    chunk: &mut Option<(u64, u64, String)>,
+    attaching: &mut Option<(EventSink, u64)>,
+) {
+    match output {
+        StreamOutput::Attached(work) => {
+            if let Some((sink, id)) = attaching.take() {
+                attached(host, work, sink, id);
+            }
+        }
+        StreamOutput::Denied(_) => {
+            if let Some((sink, _)) = attaching.take() {
+                sink.send(StreamEvent::Refused(resumed_elsewhere()));
+            }
+        }
+        // Submissions come from `place` alone, which knows the priority.
+        StreamOutput::Submit { work, reader } => {
+            host.spawn(submit_stream(host.clone(), work, reader, 0));
+        }
+        StreamOutput::Follow { work, reader } => {
+            host.spawn(follow_stream(host.clone(), work, reader));
+        }
+        StreamOutput::Relay(work) => {
+            if let Some((offset, tokens, text)) = chunk.take() {
+                relay(host, work, offset, tokens, text);
+            }
+        }
+        StreamOutput::Finish { work, end: position } => {
+            end(host, work, StreamEvent::Finished { end: position });
+            super::step(host, SchedulerInput::Finished(work));
+        }
+        StreamOutput::Fail { work, refusal } => {
+            end(host, work, StreamEvent::Refused(refusal));
+            super::step(host, SchedulerInput::Finished(work));
+        }
+        StreamOutput::Requeue(work) => requeue(host, work),
+        StreamOutput::Retry { work, attempt } => {
+            end(host, work, StreamEvent::Retry { attempt });
+            super::step(host, SchedulerInput::Finished(work));
+        }
+        StreamOutput::Rejected(work) => {
+            let host = host.clone();
+            host.clone().spawn(async move {
+                Timer::after(REJECTED_DELAY).await;
+                super::step(&host, SchedulerInput::Rejected(work));
+            });
+        }
+        StreamOutput::EngineFailed(engine) => eject(host, engine),
+        StreamOutput::Cancel { engine, stream } => {
+            host.spawn(cancel_stream(host.clone(), engine, stream));
+        }
+        StreamOutput::Expired(work) => {
+            let refusal = Refusal::ran(Reason::Cancelled, "nobody came back for the answer");
+            end(host, work, StreamEvent::Refused(refusal));
+            super::step(host, SchedulerInput::Cancel(work));
+        }
+    }
+}
+
+fn resumed_elsewhere() -> Refusal {
+    Refusal::ran(Reason::Conflict, "the request was resumed on another connection")
+}
+
+/// Gives a request to its new receiver.
+fn attached(host: &HostRef, work: WorkKey, sink: EventSink, id: u64) {
+    let old = {
         let mut state = host.state.borrow_mut();
-        let Some(name) = state.engines.name(engine.0).cloned() else { return };
         let Some(entry) = state.pool.works.get_mut(&work) else { return };
-        let stream = stream_id(&entry.order);
-        entry.placed = Some((engine, stream.clone()));
-        entry.reader += 1;
-        let attempt = entry.order.attempt;
-        entry.sink.send(StreamEvent::Started { engine: name, stream, attempt });
-        entry.reader
+        entry.attachment = id;
+        std::mem::replace(&mut entry.sink, sink)
     };
-    host.spawn(run(host.clone(), work, reader, StartKind::Submit { priority }));
+    old.send(StreamEvent::Refused(resumed_elsewhere()));
+    send_started(host, work);
+}
+
+fn send_started(host: &HostRef, work: WorkKey) {
+    let state = host.state.borrow();
+    let pool = &state.pool;
+    let Some((engine, stream)) = pool.streams.placed(work).cloned() else { return };
+    let Some(name) = state.engines.name(engine.0).cloned() else { return };
+    let Some(entry) = pool.works.get(&work) else { return };
+    let attempt = pool.streams.attempt(work);
+    entry.sink.send(StreamEvent::Started { engine: name, stream, attempt });
 }
 
 /// The stream id of a request's attempt. Two hosts that submit the same attempt get one stream.
-pub fn stream_id(order: &RequestOrder) -> Arc<str> {
+pub fn stream_id(account: &str, request: &str, attempt: u32) -> Arc<str> {
     let mut hasher = blake3::Hasher::new();
-    for part in [&order.account, &order.request] {
+    for part in [account, request] {
         hasher.update(&(part.len() as u64).to_le_bytes());
         hasher.update(part.as_bytes());
     }
-    hasher.update(&order.attempt.to_le_bytes());
+    hasher.update(&attempt.to_le_bytes());
     hasher.finalize().to_hex()[..32].into()
 }
 
-pub(super) async fn run(host: HostRef, work: WorkKey, reader: u64, kind: StartKind) {
-    let Some((address, order)) = engine_order(&host, work, &kind) else { return };
-    let answer = match kind {
-        StartKind::Submit { .. } => engine::submit(&address, &order).await,
-        StartKind::Attach => engine::attach(&address, &order.stream, order.offset).await,
+async fn submit_stream(host: HostRef, work: WorkKey, reader: u64, priority: u8) {
+    let Some((address, order)) = engine_order(&host, work, priority) else {
+        return step(&host, StreamInput::Reply { work, reader, reply: EngineReply::Unknown }, None);
     };
-    match answer {
-        Ok(EngineAnswer::Stream(stream)) => relay(&host, work, reader, &address, stream).await,
-        Ok(EngineAnswer::NoMemory) => {
-            Timer::after(REJECTED_DELAY).await;
-            if is_current(&host, work, reader) {
-                unplace(&host, work);
-                step(&host, SchedulerInput::Rejected(work));
-            }
-        }
-        Ok(EngineAnswer::Refused) | Err(_) => next_attempt(&host, work, reader),
-    }
+    let answer = engine::submit(&address, &order).await;
+    answered(&host, work, reader, answer).await;
 }
 
-fn engine_order(
-    host: &HostRef,
-    work: WorkKey,
-    kind: &StartKind,
-) -> Option<(Arc<str>, EngineOrder)> {
+async fn follow_stream(host: HostRef, work: WorkKey, reader: u64) {
+    let Some((address, order)) = engine_order(&host, work, 0) else {
+        return step(&host, StreamInput::Reply { work, reader, reply: EngineReply::Unknown }, None);
+    };
+    let answer = engine::attach(&address, &order.stream, order.offset, &order.owner).await;
+    answered(&host, work, reader, answer).await;
+}
+
+fn engine_order(host: &HostRef, work: WorkKey, priority: u8) -> Option<(Arc<str>, EngineOrder)> {
     let state = host.state.borrow();
     let entry = state.pool.works.get(&work)?;
-    let (engine, stream) = entry.placed.clone()?;
+    let (engine, stream) = state.pool.streams.placed(work)?.clone();
     let name = state.engines.name(engine.0)?;
     let address = state.config.resources().servers.get(name)?.address.clone();
-    let priority = match kind {
-        StartKind::Submit { priority } => *priority,
-        StartKind::Attach => 0,
-    };
     let order = EngineOrder {
         stream,
         model: entry.order.model.clone(),
         prompt: entry.order.prompt.clone(),
-        offset: entry.produced,
+        offset: state.pool.streams.produced(work),
         max_tokens: entry.order.max_tokens,
         priority,
+        owner: host.settings.name.clone(),
+        time_left: entry.deadline.since(host.now()),
     };
     Some((address, order))
 }
 
-async fn relay(
+async fn answered(
     host: &HostRef,
     work: WorkKey,
     reader: u64,
-    address: &str,
-    mut stream: Box<EngineStream>,
+    answer: Result<EngineAnswer, NodeError>,
 ) {
+    check_pause(host);
+    let reply = match answer {
+        Ok(EngineAnswer::Stream(stream)) => return read(host, work, reader, stream).await,
+        Ok(EngineAnswer::NoMemory) => EngineReply::NoMemory,
+        Ok(EngineAnswer::Refused) => EngineReply::Unknown,
+        Err(_) => EngineReply::Failed,
+    };
+    step(host, StreamInput::Reply { work, reader, reply }, None);
+}
+
+async fn read(host: &HostRef, work: WorkKey, reader: u64, mut stream: Box<EngineStream>) {
     loop {
         let event = stream.next().await;
-        if !is_current(host, work, reader) {
+        check_pause(host);
+        if !host.state.borrow().pool.streams.is_current(work, reader) {
             return;
         }
         match event {
             Ok(EngineEvent::KeepAlive) => {}
             Ok(EngineEvent::Chunk { offset, tokens, text }) => {
-                pass_on(host, work, offset, tokens, text);
+                let input = StreamInput::Chunk { work, reader, offset, tokens };
+                let now = host.now();
+                let outputs = host.state.borrow_mut().pool.streams.step(now, input);
+                let mut chunk = Some((offset, tokens, text));
+                for output in outputs {
+                    carry_out(host, output, &mut chunk, &mut None);
+                }
             }
-            Ok(EngineEvent::End { complete: true }) => {
-                finish(host, work, StreamEvent::Finished);
-                step(host, SchedulerInput::Finished(work));
-                return;
+            Ok(EngineEvent::End { complete }) => {
+                return step(host, StreamInput::Ended { work, reader, complete }, None);
             }
-            Ok(EngineEvent::End { complete: false }) => return next_attempt(host, work, reader),
-            Err(_) => match reattach(host, work, address).await {
-                Some(again) => stream = again,
-                None => return next_attempt(host, work, reader),
-            },
+            Err(_) => return step(host, StreamInput::Broken { work, reader }, None),
         }
     }
 }
 
-/// A new connection to the same stream, which may still run behind a connection gone silent.
-async fn reattach(host: &HostRef, work: WorkKey, address: &str) -> Option<Box<EngineStream>> {
-    let (stream, offset) = {
+fn relay(host: &HostRef, work: WorkKey, offset: u64, tokens: u64, text: String) {
+    let lost = {
         let state = host.state.borrow();
-        let entry = state.pool.works.get(&work)?;
-        (entry.placed.clone()?.1, entry.produced)
+        let Some(entry) = state.pool.works.get(&work) else { return };
+        let is_sent = entry.sink.send(StreamEvent::Chunk { offset, tokens, text });
+        (!is_sent).then_some(entry.attachment)
     };
-    match engine::attach(address, &stream, offset).await {
-        Ok(EngineAnswer::Stream(stream)) => Some(stream),
-        _ => None,
+    if let Some(attachment) = lost {
+        step(host, StreamInput::Detach { work, attachment }, None);
     }
+    super::step(host, SchedulerInput::Progress { work, tokens });
 }
 
-fn pass_on(host: &HostRef, work: WorkKey, offset: u64, tokens: u64, text: String) {
-    let now = host.now();
-    {
+fn requeue(host: &HostRef, work: WorkKey) {
+    let item = {
         let mut state = host.state.borrow_mut();
-        let Some(entry) = state.pool.works.get_mut(&work) else { return };
-        // A chunk at another position belongs to an earlier connection.
-        if offset != entry.produced {
+        if !state.pool.works.contains_key(&work) {
             return;
         }
-        entry.produced += tokens;
-        if !entry.sink.send(StreamEvent::Chunk { offset, tokens, text }) {
-            entry.detached.get_or_insert(now);
-        }
-    }
-    step(host, SchedulerInput::Progress { work, tokens });
-}
-
-/// The engine failed: queues the rest of the request for another engine, or fails it.
-fn next_attempt(host: &HostRef, work: WorkKey, reader: u64) {
-    if !is_current(host, work, reader) {
-        return;
-    }
-    let (engine, attempt) = {
-        let mut state = host.state.borrow_mut();
-        let Some(entry) = state.pool.works.get_mut(&work) else { return };
-        entry.reader += 1;
-        entry.order.attempt += 1;
-        (entry.placed.take().map(|placed| placed.0), entry.order.attempt)
+        work_item(&mut state, work, None)
     };
-    if let Some(engine) = engine {
-        eject(host, engine);
-    }
-    if attempt > MAX_ATTEMPTS {
-        let refusal = Refusal::ran(Reason::EngineFailed, "the engine failed on every attempt");
-        finish(host, work, StreamEvent::Refused(refusal));
-        return step(host, SchedulerInput::Finished(work));
-    }
-    let item = work_item(&mut host.state.borrow_mut(), work, None);
-    step(host, SchedulerInput::Requeue(item));
+    super::step(host, SchedulerInput::Requeue(item));
 }
 
-pub(super) fn preempt(host: &HostRef, work: WorkKey, engine: EngineKey) {
-    let stream = {
-        let mut state = host.state.borrow_mut();
-        let Some(entry) = state.pool.works.get_mut(&work) else { return };
-        entry.reader += 1;
-        entry.order.attempt += 1;
-        entry.placed.take().map(|placed| placed.1)
+/// Cancels a stream on an engine, if no other host took it over.
+async fn cancel_stream(host: HostRef, engine: EngineKey, stream: Arc<str>) {
+    let Some(address) = address(&host, engine) else {
+        // The engine left the configuration.
+        return step(&host, StreamInput::CancelDone { engine, stream }, None);
     };
-    let Some(stream) = stream else { return };
-    let host = host.clone();
-    host.clone().spawn(async move {
-        cancel_stream(&host, engine, &stream).await;
-        if !host.state.borrow().pool.works.contains_key(&work) {
-            return step(&host, SchedulerInput::Finished(work));
+    match engine::cancel(&address, &stream, &host.settings.name).await {
+        Ok(()) => step(&host, StreamInput::CancelDone { engine, stream }, None),
+        Err(err) => {
+            info!(host.log, "cancel failed"; "event" => "E1302", "stream" => &*stream,
+                "error" => %err);
         }
-        let item = work_item(&mut host.state.borrow_mut(), work, None);
-        step(&host, SchedulerInput::Requeue(item));
-    });
-}
-
-pub(super) fn abort(host: &HostRef, work: WorkKey, engine: EngineKey) {
-    let stream = {
-        let mut state = host.state.borrow_mut();
-        let Some(entry) = state.pool.works.get_mut(&work) else { return };
-        entry.reader += 1;
-        entry.placed.take().map(|placed| placed.1)
-    };
-    let Some(stream) = stream else { return };
-    let refusal = Refusal::ran(Reason::DeadlineExceeded, "not finished within the rank's time");
-    finish(host, work, StreamEvent::Refused(refusal));
-    let host = host.clone();
-    host.clone().spawn(async move {
-        cancel_stream(&host, engine, &stream).await;
-        step(&host, SchedulerInput::Finished(work));
-    });
-}
-
-async fn cancel_stream(host: &HostRef, engine: EngineKey, stream: &str) {
-    let address = {
-        let state = host.state.borrow();
-        let name = state.engines.name(engine.0);
-        name.and_then(|name| state.config.resources().servers.get(name))
-            .map(|server| server.address.clone())
-    };
-    let Some(address) = address else { return };
-    if let Err(err) = engine::cancel(&address, stream).await {
-        info!(host.log, "cancel failed"; "event" => "E1302", "stream" => stream, "error" => %err);
     }
 }
 
-fn unplace(host: &HostRef, work: WorkKey) {
-    if let Some(entry) = host.state.borrow_mut().pool.works.get_mut(&work) {
-        entry.placed = None;
-    }
-}
-
-fn is_current(host: &HostRef, work: WorkKey, reader: u64) -> bool {
-    host.state.borrow().pool.works.get(&work).is_some_and(|entry| entry.reader == reader)
+/// The address of an engine.
+pub(super) fn address(host: &HostRef, engine: EngineKey) -> Option<Arc<str>> {
+    let state = host.state.borrow();
+    let name = state.engines.name(engine.0)?;
+    Some(state.config.resources().servers.get(name)?.address.clone())
 }
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -10,6 +10,8 @@
 
 /// Time within which a host answers a request's head.
 const HEAD_LIMIT: Duration = Duration::from_secs(30);
+/// Time within which a host answers the head of a streamed completion; then the next one is asked.
+const FIRST_EVENT_LIMIT: Duration = Duration::from_secs(5);
 /// Silence after which a stream counts as broken; hosts send a comment every second.
 const SILENCE_LIMIT: Duration = Duration::from_secs(3);
 
@@ -58,6 +60,10 @@
     pub first_token: Option<Duration>,
     /// Times that the caller had to connect.
     pub connections: u32,
+    /// Streams that began and were cut off.
+    pub cuts: u32,
+    /// Time until the end.
+    pub elapsed: Duration,
 }
 
 /// Sends one request on a new connection.
@@ -92,6 +98,12 @@
 /// Sends a prompt and follows its stream; when a connection breaks, goes on at the next address.
 pub async fn ask(addresses: &[String], prompt: &Prompt) -> Answer {
     let started = std::time::Instant::now();
+    let mut answer = follow(addresses, prompt, started).await;
+    answer.elapsed = started.elapsed();
+    answer
+}
+
+async fn follow(addresses: &[String], prompt: &Prompt, started: std::time::Instant) -> Answer {
     let mut answer = Answer::default();
     let mut token: Option<String> = None;
     let mut position = 0;
@@ -102,7 +114,11 @@
             request.insert_header("parsley-continuation", token.as_str());
             request.insert_header("last-event-id", position.to_string());
         }
-        let Ok(mut response) = send(address, request).await else {
+        let late = async {
+            Timer::after(FIRST_EVENT_LIMIT).await;
+            Err("no event in time".to_owned())
+        };
+        let Ok(mut response) = send(address, request).or(late).await else {
             Timer::after(Duration::from_millis(100)).await;
             continue;
         };
@@ -117,6 +133,7 @@
         if reader.read(&mut response, started).await {
             return answer;
         }
+        answer.cuts += 1;
         Timer::after(Duration::from_millis(100)).await;
     }
     answer
@@ -193,3 +210,72 @@
         false
     }
 }
+
+/// A call to a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceCall {
+    /// Bearer token.
+    pub token: String,
+    /// Service.
+    pub service: String,
+    /// Idempotency key.
+    pub key: String,
+    /// Body.
+    pub body: String,
+    /// Whether the key was sent before.
+    pub is_retry: bool,
+    /// Time for the call.
+    pub limit: Duration,
+}
+
+/// How a call to a plain service ended.
+#[derive(Clone, Debug)]
+pub enum CallOutcome {
+    /// The service's answer.
+    Answered(Value),
+    /// Problem details.
+    Problem(Value),
+    /// No whole answer.
+    Broken(String),
+}
+
+impl CallOutcome {
+    /// The `outcome` of the problem details.
+    pub fn problem(&self, field: &str) -> Option<&str> {
+        match self {
+            CallOutcome::Problem(problem) => problem[field].as_str(),
+            _ => None,
+        }
+    }
+}
+
+/// Makes a call through one host.
+pub async fn call(address: &str, call: &ServiceCall) -> CallOutcome {
+    let path = format!("/v1/services/{}/issue", call.service);
+    let mut request = request(Method::Post, address, &path);
+    request.insert_header("authorization", format!("Bearer {}", call.token));
+    request.insert_header("idempotency-key", call.key.as_str());
+    request.insert_header("parsley-deadline-ms", call.limit.as_millis().to_string());
+    if call.is_retry {
+        request.insert_header("parsley-retry", "1");
+    }
+    request.set_body(call.body.as_str());
+    let exchange = async {
+        let mut response = send(address, request).await?;
+        let is_success = response.status().is_success();
+        let body: Value = response.body_json().await.map_err(|err| err.to_string())?;
+        Ok::<_, String>((is_success, body))
+    };
+    match exchange.await {
+        Ok((true, body)) => CallOutcome::Answered(body),
+        Ok((false, body)) => CallOutcome::Problem(body),
+        Err(err) => CallOutcome::Broken(err),
+    }
+}
+
+/// Cancels a request. Returns the status of the answer.
+pub async fn cancel(address: &str, token: &str, id: &str) -> Result<u16, String> {
+    let mut request = request(Method::Delete, address, &format!("/v1/requests/{id}"));
+    request.insert_header("authorization", format!("Bearer {token}"));
+    Ok(send(address, request).await?.status().into())
+}
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -3,9 +3,10 @@
 //! | request | meaning |
 //! |---|---|
 //! | `POST /streams` | submit a stream, or attach to it if the id is known; lines of JSON follow |
-//! | `GET /streams/<id>?offset=N` | attach to a stream at a position |
-//! | `DELETE /streams/<id>` | cancel a stream and return its memory |
-//! | `GET /streams` | list streams |
+//! | `GET /streams/<id>?offset=N&owner=H` | attach to a stream at a position, for an owner; 416 before its start |
+//! | `DELETE /streams/<id>?owner=H` | cancel a stream and return its memory; 409 if it has another owner |
+//! | `GET /streams` | list streams with owner, and whether they are overdue or followed; `open=1` leaves out finished ones |
+//! | `GET /held` | memory held now, for tests |
 //! | `GET /load` | load report, as it was one lag ago |
 //! | `GET /runs` | every stream id that was ever taken, for tests |
 //!
@@ -15,7 +16,11 @@
     cell::RefCell,
     collections::{BTreeMap, VecDeque},
     rc::Rc,
-    time::Duration,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
 use async_channel::{Receiver, Sender};
@@ -32,6 +37,8 @@
 const KEEP_ALIVE: Duration = Duration::from_millis(500);
 /// Lag of the load report.
 const LOAD_LAG: Duration = Duration::from_millis(300);
+/// Time between two looks of a request at a frozen engine.
+const FROZEN_PERIOD: Duration = Duration::from_millis(20);
 /// Prompt lengths, in tokens, whose hashes form the prefix chain.
 const PREFIX_TOKENS: [u64; 4] = [1_000, 4_000, 16_000, 64_000];
 
@@ -44,12 +51,58 @@
     pub shape: EngineShape,
     /// Time of one step.
     pub step: Duration,
+    /// Faults that the engine shows.
+    pub faults: Arc<EngineFaults>,
+}
+
+/// Faults of an engine, switched while it runs.
+#[derive(Debug, Default)]
+pub struct EngineFaults {
+    frozen: AtomicBool,
+    refusing: AtomicBool,
+    silent_streams: AtomicU64,
+    runs: Mutex<Vec<String>>,
+}
+
+impl EngineFaults {
+    /// Stops or resumes the engine as if its process were paused.
+    pub fn freeze(&self, on: bool) {
+        self.frozen.store(on, Ordering::Relaxed);
+    }
+
+    /// Every stream id that the engine ever took, restarts included.
+    pub fn runs(&self) -> Vec<String> {
+        self.runs.lock().expect("no holder panics").clone()
+    }
+
+    /// Refuses new streams without running them.
+    pub fn refuse(&self, on: bool) {
+        self.refusing.store(on, Ordering::Relaxed);
+    }
+
+    /// Makes every open connection to a stream silent; streams go on and new connections work.
+    pub fn silence_streams(&self) {
+        self.silent_streams.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn is_frozen(&self) -> bool {
+        self.frozen.load(Ordering::Relaxed)
+    }
+}
+
+struct Claim {
+    owner: String,
+    deadline: Instant,
 }
 
 struct Engine {
+    faults: Arc<EngineFaults>,
+    silenced: u64,
+    /// Connections that went silent; they stay open.
+    silent: Vec<Sender<Vec<u8>>>,
+    claims: BTreeMap<String, Claim>,
     model: EngineModel,
     listeners: BTreeMap<String, Vec<Sender<Vec<u8>>>>,
-    runs: Vec<String>,
     reports: VecDeque<serde_json::Value>,
 }
 
@@ -59,9 +112,12 @@
 pub fn start(config: EngineConfig) -> std::io::Result<ServerHandle> {
     server::start(config.port, move |executor| {
         let engine = Rc::new(RefCell::new(Engine {
+            faults: config.faults.clone(),
+            silenced: 0,
+            silent: Vec::new(),
+            claims: BTreeMap::new(),
             model: EngineModel::new(config.shape.clone()),
             listeners: BTreeMap::new(),
-            runs: Vec::new(),
             reports: VecDeque::new(),
         }));
         executor.spawn(run_steps(engine.clone(), config.step)).detach();
@@ -75,6 +131,10 @@
     loop {
         Timer::after(step).await;
         let mut engine = engine.borrow_mut();
+        if engine.faults.is_frozen() {
+            continue;
+        }
+        engine.silence();
         for id in engine.model.advance() {
             engine.publish(&id);
         }
@@ -84,6 +144,9 @@
 async fn send_keep_alives(engine: EngineRef) {
     loop {
         Timer::after(KEEP_ALIVE).await;
+        if engine.borrow().faults.is_frozen() {
+            continue;
+        }
         for senders in engine.borrow_mut().listeners.values_mut() {
             senders.retain(|sender| sender.try_send(b"{}\n".to_vec()).is_ok());
         }
@@ -106,6 +169,9 @@
 }
 
 async fn answer(engine: EngineRef, mut request: Request) -> Response {
+    while engine.borrow().faults.is_frozen() {
+        Timer::after(FROZEN_PERIOD).await;
+    }
     let (path, query) = server::route(&request);
     let path: Vec<_> = path.iter().map(String::as_str).collect();
     match (request.method(), path.as_slice()) {
@@ -117,21 +183,24 @@
         }
         (Method::Get, ["streams", id]) => {
             let offset = query.get("offset").and_then(|text| text.parse().ok()).unwrap_or(0);
-            if !engine.borrow().model.streams().contains_key(*id) {
-                return server::json(404, &json!({"reason": "unknown-stream"}));
-            }
-            server::streamed(engine.borrow_mut().attach(id, offset))
+            let owner = query.get("owner").map(String::as_str);
+            engine.borrow_mut().attach_at(id, offset, owner)
         }
         (Method::Delete, ["streams", id]) => {
-            let known = engine.borrow_mut().cancel(id);
-            server::json(if known { 200 } else { 404 }, &json!({}))
+            let owner = query.get("owner").map(String::as_str);
+            server::json(engine.borrow_mut().cancel(id, owner), &json!({}))
+        }
+        (Method::Get, ["streams"]) => {
+            server::json(200, &engine.borrow().list(query.contains_key("open")))
+        }
+        (Method::Get, ["held"]) => {
+            server::json(200, &json!({"held": engine.borrow().model.held()}))
         }
-        (Method::Get, ["streams"]) => server::json(200, &engine.borrow().list()),
         (Method::Get, ["load"]) => {
             let report = engine.borrow().reports.front().cloned().unwrap_or_default();
             server::json(200, &report)
         }
-        (Method::Get, ["runs"]) => server::json(200, &json!(engine.borrow().runs)),
+        (Method::Get, ["runs"]) => server::json(200, &json!(engine.borrow().faults.runs())),
         _ => server::json(404, &json!({"reason": "no-route"})),
     }
 }
@@ -141,13 +210,20 @@
         return server::json(400, &json!({"reason": "bad-order"}));
     };
     let mut engine = engine.borrow_mut();
+    if engine.faults.refusing.load(Ordering::Relaxed) {
+        return server::json(503, &json!({"reason": "refusing"}));
+    }
     let offset = order.offset;
     let known = engine.model.streams().contains_key(&id);
     match engine.model.submit(&id, order) {
         Ok(()) => {
             if !known {
-                engine.runs.push(id.clone());
+                engine.faults.runs.lock().expect("no holder panics").push(id.clone());
             }
+            let owner = body["owner"].as_str().unwrap_or_default().to_owned();
+            let left = body["time_left_ms"].as_u64().unwrap_or(u64::from(u32::MAX));
+            let deadline = Instant::now() + Duration::from_millis(left);
+            engine.claims.insert(id.clone(), Claim { owner, deadline });
             server::streamed(engine.attach(&id, offset))
         }
         Err(StreamRefusal::Memory) => server::json(409, &json!({"reason": "memory"})),
@@ -190,6 +266,28 @@
 }
 
 impl Engine {
+    fn attach_at(&mut self, id: &str, offset: u64, owner: Option<&str>) -> Response {
+        let Some(stream) = self.model.streams().get(id) else {
+            return server::json(404, &json!({"reason": "unknown-stream"}));
+        };
+        if offset < stream.order.offset {
+            return server::json(416, &json!({"reason": "before-start"}));
+        }
+        if let (Some(claim), Some(owner)) = (self.claims.get_mut(id), owner) {
+            owner.clone_into(&mut claim.owner);
+        }
+        server::streamed(self.attach(id, offset))
+    }
+
+    /// Moves open connections aside if they are to go silent.
+    fn silence(&mut self) {
+        let wanted = self.faults.silent_streams.load(Ordering::Relaxed);
+        if self.silenced != wanted {
+            self.silenced = wanted;
+            self.silent.extend(std::mem::take(&mut self.listeners).into_values().flatten());
+        }
+    }
+
     /// Subscribes to a stream, starting with everything it produced from `offset` on.
     fn attach(&mut self, id: &str, offset: u64) -> Receiver<Vec<u8>> {
         let (sender, receiver) = async_channel::unbounded();
@@ -225,11 +323,18 @@
         }
     }
 
-    fn cancel(&mut self, id: &str) -> bool {
+    /// Cancels a stream if it has the owner, whatever the owner if none is given. Returns the
+    /// status of the answer.
+    fn cancel(&mut self, id: &str, owner: Option<&str>) -> u16 {
+        let claim = self.claims.get(id);
+        if owner.is_some_and(|owner| claim.is_some_and(|claim| claim.owner != owner)) {
+            return 409;
+        }
         for sender in self.listeners.remove(id).unwrap_or_default() {
             send(&sender, &json!({"end": "cancelled"}));
         }
-        self.model.cancel(id)
+        self.claims.remove(id);
+        if self.model.cancel(id) { 200 } else { 404 }
     }
 
     fn report(&self) -> serde_json::Value {
@@ -241,12 +346,20 @@
         })
     }
 
-    fn list(&self) -> serde_json::Value {
+    fn list(&self, open_only: bool) -> serde_json::Value {
         let streams = self.model.streams().iter().map(|(id, stream)| {
-            let finished = stream.state == StreamState::Finished;
-            json!({"stream": id, "finished": finished, "produced": stream.produced})
+            let claim = self.claims.get(id);
+            let listeners = self.listeners.get(id);
+            json!({
+                "stream": id, "finished": stream.state == StreamState::Finished,
+                "produced": stream.produced,
+                "owner": claim.map_or("", |claim| claim.owner.as_str()),
+                "overdue": claim.is_some_and(|claim| claim.deadline <= Instant::now()),
+                "followed": listeners.is_some_and(|all| all.iter().any(|one| !one.is_closed())),
+            })
         });
-        json!({"streams": streams.collect::<Vec<_>>()})
+        let wanted = streams.filter(|stream| !open_only || stream["finished"] == false);
+        json!({"streams": wanted.collect::<Vec<_>>()})
     }
 }
 
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::Arc,
@@ -12,13 +12,17 @@
 use http_types::Method;
 use serde_json::{Value, json};
 
+mod inspect;
+
 use crate::{
     caller,
-    engine::{self, EngineConfig},
+    engine::{self, EngineConfig, EngineFaults},
     engine_model::EngineShape,
     hostlist,
+    relay::{self, RelayHandle},
     server::ServerHandle,
-    service, store,
+    service::{self, ServiceLog},
+    store::{self, StoreFaults},
 };
 
 /// Secret that the hosts of a stand-in fleet share.
@@ -26,6 +30,11 @@
 /// Time within which a started fleet answers.
 const START_LIMIT: Duration = Duration::from_secs(15);
 
+/// Ports from here to [`LAST_PORT`] are not given to clients by the system.
+const FIRST_PORT: u16 = 10_000;
+const LAST_PORT: u16 = 32_000;
+const PORT_TRIES: usize = 50;
+
 /// Describes a fleet.
 #[derive(Clone, Debug)]
 pub struct FleetBuilder {
@@ -38,6 +47,7 @@
     step: Duration,
     services: bool,
     quiet: bool,
+    relayed: bool,
 }
 
 impl FleetBuilder {
@@ -58,6 +68,7 @@
             step: Duration::from_millis(5),
             services: true,
             quiet: true,
+            relayed: false,
         }
     }
 
@@ -103,15 +114,27 @@
         self
     }
 
+    /// Whether every connection passes a relay that can make it silent.
+    pub fn relayed(mut self, relayed: bool) -> FleetBuilder {
+        self.relayed = relayed;
+        self
+    }
+
     /// Starts everything and waits until each host has the configuration.
     pub fn start(self) -> io::Result<Fleet> {
-        let store = store::start(0)?;
+        let store_faults = Arc::<StoreFaults>::default();
+        let store = store::start(0, store_faults.clone())?;
         let host_list = hostlist::start(0, json!([]))?;
         let mut fleet = Fleet {
             builder: self,
+            store_faults,
+            engine_faults: Vec::new(),
+            service_log: Arc::default(),
+            relays: Vec::new(),
             store: Some(store),
             host_list: Some(host_list),
             engines: Vec::new(),
+            engine_ports: Vec::new(),
             services: Vec::new(),
             hosts: Vec::new(),
         };
@@ -126,6 +149,19 @@
     }
 }
 
+/// What a relay of the fleet stands between.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RelayRoute {
+    /// Hosts and an engine.
+    Engine(usize),
+    /// Hosts and the key-value service.
+    Store,
+    /// Hosts and a host.
+    Peer(usize),
+    /// Callers and a host.
+    Caller(usize),
+}
+
 /// One host of the fleet.
 pub struct FleetHost {
     /// Name.
@@ -141,9 +177,14 @@
 /// A running fleet.
 pub struct Fleet {
     builder: FleetBuilder,
+    store_faults: Arc<StoreFaults>,
+    engine_faults: Vec<Arc<EngineFaults>>,
+    service_log: Arc<ServiceLog>,
+    relays: Vec<(RelayRoute, RelayHandle)>,
     store: Option<ServerHandle>,
     host_list: Option<ServerHandle>,
     engines: Vec<Option<ServerHandle>>,
+    engine_ports: Vec<u16>,
     services: Vec<ServerHandle>,
     hosts: Vec<FleetHost>,
 }
@@ -169,6 +210,40 @@
         self.services.iter().map(ServerHandle::address).collect()
     }
 
+    fn add_relay(&mut self, route: RelayRoute, target: SocketAddr) -> io::Result<SocketAddr> {
+        if !self.builder.relayed {
+            return Ok(target);
+        }
+        let relay = relay::start(target)?;
+        let address = relay.address();
+        self.relays.push((route, relay));
+        Ok(address)
+    }
+
+    /// Starts an engine that was killed again at its address; it remembers nothing.
+    pub fn restart_engine(&mut self, index: usize) -> io::Result<()> {
+        let config = self.engine_config(index, self.engine_ports[index]);
+        self.engines[index] = Some(engine::start(config)?);
+        Ok(())
+    }
+
+    /// Starts an engine on a port that no client gets while the engine is down.
+    fn start_engine(&self, index: usize) -> io::Result<ServerHandle> {
+        let tries = (0..PORT_TRIES).map(|_| fastrand::u16(FIRST_PORT..LAST_PORT));
+        let mut start = tries.map(|port| engine::start(self.engine_config(index, port)));
+        let free = || io::Error::other("no free port");
+        start.find_map(Result::ok).ok_or_else(free)
+    }
+
+    fn engine_config(&self, index: usize, port: u16) -> EngineConfig {
+        EngineConfig {
+            port,
+            shape: self.builder.shape.clone(),
+            step: self.builder.step,
+            faults: self.engine_faults[index].clone(),
+        }
+    }
+
     /// Kills a host's process.
     pub fn kill_host(&mut self, index: usize) {
         if let Some(mut child) = self.hosts[index].child.take() {
@@ -234,6 +309,9 @@
         if let Some(host_list) = self.host_list.take() {
             host_list.close();
         }
+        for (_, relay) in self.relays.drain(..) {
+            relay.close();
+        }
     }
 
     fn stop(&mut self) {
@@ -244,21 +322,24 @@
     }
 
     fn start_servers(&mut self) -> io::Result<()> {
-        for _ in 0..self.builder.engines {
-            let config = EngineConfig {
-                port: 0,
-                shape: self.builder.shape.clone(),
-                step: self.builder.step,
-            };
-            self.engines.push(Some(engine::start(config)?));
+        for index in 0..self.builder.engines {
+            self.engine_faults.push(Arc::default());
+            let engine = self.start_engine(index)?;
+            self.engine_ports.push(engine.address().port());
+            self.engines.push(Some(engine));
         }
         if self.builder.services {
-            self.services.push(service::start(0, Duration::from_millis(20))?);
+            let delay = Duration::from_millis(20);
+            self.services.push(service::start(0, delay, self.service_log.clone())?);
         }
         Ok(())
     }
 
-    fn declare(&self) -> io::Result<()> {
+    fn declare(&mut self) -> io::Result<()> {
+        let mut engines = Vec::new();
+        for (index, address) in self.engine_addresses().into_iter().enumerate() {
+            engines.push(self.add_relay(RelayRoute::Engine(index), address)?);
+        }
         let put = |kind: &str, name: &str, spec: Value| self.put(kind, name, &spec);
         put("ranks", "urgent", rank(0, 1_000, 30_000, 30))?;
         put("ranks", "standard", rank(1, 5_000, 120_000, 40))?;
@@ -271,7 +352,7 @@
             });
             put("clientaccounts", name, spec)?;
         }
-        for (index, address) in self.engine_addresses().iter().enumerate() {
+        for (index, address) in engines.iter().enumerate() {
             let shape = &self.builder.shape;
             let role = json!({
                 "type": "engine", "models": ["inspector"],
@@ -280,12 +361,11 @@
             put("backendservers", &format!("engine-{index}"), self.server(index, *address, &role))?;
         }
         for (index, address) in self.service_addresses().iter().enumerate() {
-            let role = json!({"type": "service", "service": "registry", "repeatable": false});
-            put(
-                "backendservers",
-                &format!("registry-{index}"),
-                self.server(index, *address, &role),
-            )?;
+            for (service, repeatable) in [("registry", false), ("lookup", true)] {
+                let role = json!({"type": "service", "service": service, "repeatable": repeatable});
+                let name = format!("{service}-{index}");
+                put("backendservers", &name, self.server(index, *address, &role))?;
+            }
         }
         Ok(())
     }
@@ -314,21 +394,35 @@
     }
 
     fn plan_hosts(&mut self) -> io::Result<()> {
-        let addresses: Vec<_> =
-            (0..self.builder.hosts * 2).map(|_| free_address()).collect::<io::Result<_>>()?;
-        let addresses: Vec<_> = addresses.iter().map(|(address, _)| *address).collect();
-        let seeds: Vec<_> = addresses.iter().skip(1).step_by(2).take(3).collect();
+        // Each fleet has a loopback address of its own and ports below those that the system gives
+        // to clients, so that fleets do not disturb each other even while a host is down.
+        let ip = Ipv4Addr::new(127, fastrand::u8(1..), fastrand::u8(..), fastrand::u8(1..255));
+        let ports = (FIRST_PORT..).take(self.builder.hosts * 2);
+        let addresses: Vec<_> = ports.map(|port| SocketAddr::from((ip, port))).collect();
+        let mut peers = Vec::new();
+        for (index, pair) in addresses.chunks(2).enumerate() {
+            self.add_relay(RelayRoute::Caller(index), pair[0])?;
+            peers.push(self.add_relay(RelayRoute::Peer(index), pair[1])?);
+        }
+        let store = match self.store_address() {
+            Some(address) => self.add_relay(RelayRoute::Store, address)?,
+            None => return Err(io::Error::other("no key-value service")),
+        };
+        let seeds: Vec<_> = peers.iter().take(3).collect();
         let run = fastrand::u64(..);
         for index in 0..self.builder.hosts {
             let name = format!("host-{index}");
             let (address, peer_address) = (addresses[index * 2], addresses[index * 2 + 1]);
-            let settings = json!({
+            let mut settings = json!({
                 "name": name, "region": "region-0",
                 "failure_domain": format!("domain-{}", index % self.builder.domains),
                 "listen": address, "peer_listen": peer_address, "peer_key": PEER_KEY,
-                "store": [self.store_address()], "host_list": self.host_list.as_ref().map(ServerHandle::address),
+                "store": [store], "host_list": self.host_list.as_ref().map(ServerHandle::address),
                 "seeds": seeds,
             });
+            if self.builder.relayed {
+                settings["peer_advertise"] = json!(peers[index]);
+            }
             let path = std::env::temp_dir().join(format!("parsley-{run:016x}-{name}.json"));
             std::fs::write(&path, settings.to_string())?;
             let host = FleetHost { name, address, peer_address, settings: path, child: None };
@@ -338,14 +432,18 @@
     }
 
     fn wait_ready(&self) -> io::Result<()> {
+        (0..self.hosts.len()).try_for_each(|index| self.wait_started(index))
+    }
+
+    /// Waits until a started host knows the configuration and the other hosts.
+    pub fn wait_started(&self, index: usize) -> io::Result<()> {
         let end = Instant::now() + START_LIMIT;
-        for host in &self.hosts {
-            while !self.is_ready(host) {
-                if Instant::now() >= end {
-                    return Err(io::Error::other(format!("{} did not become ready", host.name)));
-                }
-                std::thread::sleep(Duration::from_millis(50));
+        let host = &self.hosts[index];
+        while !self.is_ready(host) {
+            if Instant::now() >= end {
+                return Err(io::Error::other(format!("{} did not become ready", host.name)));
             }
+            std::thread::sleep(Duration::from_millis(50));
         }
         Ok(())
     }
@@ -376,9 +474,3 @@
         "guaranteed_percent": guaranteed_percent,
     })
 }
-
-/// A loopback address that nothing listens on, with the listener that reserved it.
-fn free_address() -> io::Result<(SocketAddr, Arc<TcpListener>)> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-    Ok((listener.local_addr()?, Arc::new(listener)))
-}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,9 @@
 pub mod engine_model;
 pub mod fleet;
 pub mod hostlist;
+pub mod relay;
 pub mod server;
 pub mod service;
+
 pub mod store;
+pub mod tally;
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -14,6 +14,10 @@
     cell::RefCell,
     collections::BTreeMap,
     rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -37,8 +41,40 @@
     expires: Instant,
 }
 
+/// Faults of the store, switched while it runs.
+#[derive(Default)]
+pub struct StoreFaults {
+    out: AtomicBool,
+    slow_ms: AtomicU64,
+    lost_percent: AtomicU64,
+    expire_leases: AtomicBool,
+}
+
+impl StoreFaults {
+    /// Leaves every call without effect and without an answer.
+    pub fn out(&self, on: bool) {
+        self.out.store(on, Ordering::Relaxed);
+    }
+
+    /// Delays every call before it takes effect.
+    pub fn slow(&self, delay: Duration) {
+        self.slow_ms.store(delay.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Gives no answer to a share of the writes, in hundredths, after they took effect.
+    pub fn lose_answers(&self, percent: u64) {
+        self.lost_percent.store(percent, Ordering::Relaxed);
+    }
+
+    /// Lets every lease that is granted now expire at once.
+    pub fn expire_leases(&self) {
+        self.expire_leases.store(true, Ordering::Relaxed);
+    }
+}
+
 #[derive(Default)]
 struct Store {
+    faults: Arc<StoreFaults>,
     revision: u64,
     entries: BTreeMap<String, Entry>,
     leases: BTreeMap<u64, Lease>,
@@ -49,9 +85,9 @@
 type StoreRef = Rc<RefCell<Store>>;
 
 /// Starts a store on a loopback port, 0 for any.
-pub fn start(port: u16) -> std::io::Result<ServerHandle> {
+pub fn start(port: u16, faults: Arc<StoreFaults>) -> std::io::Result<ServerHandle> {
     server::start(port, move |executor| {
-        let store = StoreRef::default();
+        let store = Rc::new(RefCell::new(Store { faults, ..Store::default() }));
         executor.spawn(expire_leases(store.clone())).detach();
         move |request| -> AnswerFuture { Box::pin(answer(store.clone(), request)) }
     })
@@ -60,11 +96,33 @@
 async fn expire_leases(store: StoreRef) {
     loop {
         Timer::after(Duration::from_millis(50)).await;
-        store.borrow_mut().expire(Instant::now());
+        let mut store = store.borrow_mut();
+        let early = store.faults.expire_leases.swap(false, Ordering::Relaxed);
+        let now = Instant::now();
+        let all = store.leases.values().map(|lease| lease.expires).max();
+        store.expire(if early { all.unwrap_or(now) } else { now });
+    }
+}
+
+async fn answer(store: StoreRef, request: Request) -> Response {
+    let faults = store.borrow().faults.clone();
+    if faults.out.load(Ordering::Relaxed) {
+        return futures_lite::future::pending().await;
+    }
+    let slow = faults.slow_ms.load(Ordering::Relaxed);
+    if slow > 0 {
+        Timer::after(Duration::from_millis(slow)).await;
+    }
+    let is_write = matches!(request.method(), Method::Put | Method::Delete);
+    let response = serve(store, request).await;
+    let lost = faults.lost_percent.load(Ordering::Relaxed);
+    if is_write && fastrand::u64(0..100) < lost {
+        return futures_lite::future::pending().await;
     }
+    response
 }
 
-async fn answer(store: StoreRef, mut request: Request) -> Response {
+async fn serve(store: StoreRef, mut request: Request) -> Response {
     let (path, query) = server::route(&request);
     let number = |name: &str| query.get(name).and_then(|text| text.parse().ok()).unwrap_or(0);
     let Some((first, rest)) = path.split_first() else { return server::json(404, &json!({})) };
