--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod server;
 pub mod service;
 
+pub mod soak;
 pub mod store;
 pub mod tally;
