--- a/crates/core/src/record/tests.rs
+++ b/crates/core/src/record/tests.rs
@@ -1,5 +1,8 @@
 use super::*;
-use crate::member::{MemberInput, MemberMessage, MemberState};
+use crate::{
+    config::Revision,
+    member::{MemberInput, MemberKind, MemberMessage, MemberState},
+};
 
 fn record(body: u8, resume: u32) -> RequestRecord {
     RequestRecord {
@@ -60,11 +63,11 @@
         incarnation: 1,
         state: MemberState::Alive,
     };
-    let mut table = MemberTable::new(host("h0", "d0"), Vec::new());
+    let mut table = MemberTable::new(host("h0", "d0"), Vec::new(), fastrand::Rng::with_seed(1));
     for (name, domain) in [("h1", "d0"), ("h2", "d0"), ("h3", "d1")] {
-        let records = vec![host(name, domain)];
-        let revision = crate::config::Revision(0);
-        let message = MemberMessage { from: name.into(), revision, probe: false, records };
+        let (from, records) = (host(name, domain), Vec::new());
+        let (revision, kind) = (Revision(0), MemberKind::Gossip);
+        let message = MemberMessage { from, revision, kind, records };
         table.step(Time(0), MemberInput::Received(message));
     }
     arbtest::arbtest(|u| {
--- a/crates/node/src/adapter/mod.rs
+++ b/crates/node/src/adapter/mod.rs
@@ -5,3 +5,4 @@
 pub mod hostlist;
 pub mod service;
 pub mod store;
+pub mod weights;
--- a/crates/node/src/api/chat.rs
+++ b/crates/node/src/api/chat.rs
@@ -15,11 +15,12 @@
 use serde::Deserialize;
 use serde_json::json;
 
-use super::problem::problem_body;
+use super::{access, gate, problem::problem_body};
 use crate::{
     carrier::{self, CarriedRequest},
     host::{HostRef, RequestGuard},
     http::ChannelReader,
+    metrics::FirstTokenMeter,
     peer::{frame::RequestOrder, link::unix_ms},
     pool::stream::stream_id,
     records,
@@ -50,14 +51,15 @@
 
 /// Answers a request for a completion.
 pub async fn complete(host: &HostRef, mut request: Request) -> Result<Response, Refusal> {
-    let account = authenticate(host, &request)?;
+    let account = access::account(host, &request)?;
     let body: ChatBody = request.body_json().await.map_err(|err| bad_request(&err.to_string()))?;
     let order = order(host, &request, account, &body)?;
     let token = continuation(host, &request, &order)?;
     let guard = host.open_request();
+    let meter = FirstTokenMeter::start(&order.rank, order.prompt.len());
     let (order, placed, is_running) = record(host, order, token).await?;
     let carried = carrier::carry(host, order.clone(), placed, is_running);
-    let call = ChatCall { host: host.clone(), order, guard };
+    let call = ChatCall { host: host.clone(), order, guard, meter };
     match next_event(&carried).await? {
         StreamEvent::Refused(refusal) => Err(refusal),
         _ if body.stream => Ok(call.stream(carried)),
@@ -117,18 +119,6 @@
     Ok((order, record.placed, true))
 }
 
-pub(super) fn authenticate(host: &HostRef, request: &Request) -> Result<Arc<str>, Refusal> {
-    let denied = || Refusal::not_run(Reason::Unauthenticated, "no valid bearer token");
-    let header = request.header("authorization").map(|values| values.as_str());
-    let token = header.and_then(|value| value.strip_prefix("Bearer ")).ok_or_else(denied)?;
-    let digest = blake3::hash(token.as_bytes()).to_hex();
-    let state = host.state.borrow();
-    let mut accounts = state.config.resources().accounts.iter();
-    let found = accounts
-        .find(|(_, account)| account.credential_digests.iter().any(|known| **known == *digest));
-    found.map(|(name, _)| name.clone()).ok_or_else(denied)
-}
-
 fn order(
     host: &HostRef,
     request: &Request,
@@ -203,6 +193,7 @@
     host: HostRef,
     order: RequestOrder,
     guard: RequestGuard,
+    meter: FirstTokenMeter,
 }
 
 impl ChatCall {
@@ -210,7 +201,10 @@
         let mut answer = String::new();
         loop {
             match next_event(&carried).await? {
-                StreamEvent::Chunk { text, .. } => answer.push_str(&text),
+                StreamEvent::Chunk { text, .. } => {
+                    self.meter.chunk(&self.host.metrics);
+                    answer.push_str(&text);
+                }
                 StreamEvent::Refused(refusal) => return Err(refusal),
                 StreamEvent::Finished { .. } => break,
                 _ => {}
@@ -232,14 +226,14 @@
     }
 
     fn stream(self, carried: CarriedRequest) -> Response {
-        let ChatCall { host, order, guard } = self;
+        let ChatCall { host, order, guard, meter } = self;
         let (blocks, reader) = async_channel::bounded(64);
         let mut response = Response::new(StatusCode::Ok);
         response.insert_header("request-id", &*order.request);
         response.set_body(Body::from_reader(ChannelReader::new(reader, guard), None));
         response.insert_header("content-type", "text/event-stream");
         response.insert_header("cache-control", "no-store");
-        let stream = ChatStream { host: host.clone(), order };
+        let stream = ChatStream { host: host.clone(), order, meter };
         host.spawn(stream.write_events(carried, blocks));
         response
     }
@@ -249,6 +243,7 @@
 struct ChatStream {
     host: HostRef,
     order: RequestOrder,
+    meter: FirstTokenMeter,
 }
 
 impl ChatStream {
@@ -282,6 +277,7 @@
                 format!("event: continuation\ndata: {token}\n\n")
             }
             StreamEvent::Chunk { offset, tokens, text } => {
+                self.meter.chunk(&self.host.metrics);
                 let delta = json!({
                     "id": self.order.request, "object": "chat.completion.chunk",
                     "model": self.order.model,
@@ -291,6 +287,8 @@
             }
             StreamEvent::Finished { .. } => "data: [DONE]\n\n".to_owned(),
             StreamEvent::Refused(refusal) => {
+                // The head of the answer is gone, so the refusal was not recorded with it.
+                gate::record(&self.host, gate::CHAT, &refusal);
                 format!("event: error\ndata: {}\n\n", problem_body(&refusal))
             }
         }
--- a/crates/node/src/api/requests.rs
+++ b/crates/node/src/api/requests.rs
@@ -3,12 +3,9 @@
 use std::sync::Arc;
 
 use http_types::{Request, Response, StatusCode};
-use parsley_core::{
-    placement::engine_owner,
-    refusal::{Reason, Refusal},
-};
+use parsley_core::refusal::{Reason, Refusal};
 
-use super::chat::authenticate;
+use super::access;
 use crate::{
     host::HostRef,
     peer::{frame::PeerFrame, link},
@@ -19,15 +16,14 @@
 /// account's request is not found.
 pub async fn cancel(host: &HostRef, id: &str, request: &Request) -> Result<Response, Refusal> {
     let not_found = || Refusal::not_run(Reason::NotFound, "no such request is open");
-    let account = authenticate(host, request)?;
+    let account = access::account(host, request)?;
     let name = records::name(&account, &Arc::from(id));
     let record = records::find(host, &name).await.ok_or_else(not_found)?;
     let owner = {
         let state = host.state.borrow();
-        let server = state.config.resources().servers.get(&record.placed.engine);
-        let owner =
-            server.and_then(|server| engine_owner(&state.members, &record.placed.engine, server));
-        owner.cloned().ok_or_else(not_found)?
+        let owner = state.picker.owners().owner(&record.placed.engine).cloned();
+        let owner = owner.and_then(|name| state.members.get(&name).cloned());
+        owner.ok_or_else(not_found)?
     };
     let found = if owner.name == host.settings.name {
         pool::cancel_named(host, &name)
--- a/crates/node/src/api/services.rs
+++ b/crates/node/src/api/services.rs
@@ -20,7 +20,7 @@
     time::Time,
 };
 
-use super::chat::{authenticate, bad_request};
+use super::{access, chat::bad_request};
 use crate::{
     adapter::{
         service::{self, ServiceOrder},
@@ -91,7 +91,7 @@
     path: &str,
     mut request: Request,
 ) -> Result<Response, Refusal> {
-    let account = authenticate(host, &request)?;
+    let account = access::account(host, &request)?;
     let guard = host.open_request();
     let body = request.body_bytes().await.map_err(|err| bad_request(&err.to_string()))?;
     let header = |name: &str| request.header(name).map(|values| values.as_str());
--- a/crates/node/src/carrier.rs
+++ b/crates/node/src/carrier.rs
@@ -10,7 +10,7 @@
 use async_io::Timer;
 use parsley_core::{
     member::MemberRecord,
-    placement::{engine_owner, serves},
+    placement::{PickQuery, PickedEngine, prefix_hashes, serves},
     request::{
         LegKey, PlacedStream, RequestInput, RequestKey, RequestOutput, RequestTable, StreamEvent,
     },
@@ -269,9 +269,15 @@
 
 /// An engine for a new request.
 pub fn pick_engine(host: &HostRef, order: &RequestOrder) -> Option<Arc<str>> {
-    let mut state = host.state.borrow_mut();
-    let state = &mut *state;
-    state.picker.pick(state.config.resources(), &order.model, &mut state.rng)
+    let query = PickQuery {
+        model: &order.model,
+        prompt_tokens: pool::prompt_tokens(&order.prompt),
+        max_tokens: order.max_tokens,
+        prefixes: &prefix_hashes(&order.prompt),
+    };
+    let now = host.now();
+    let PickedEngine { engine, .. } = host.state.borrow_mut().picker.pick(now, &query)?;
+    Some(engine)
 }
 
 /// An engine other than the one that failed, if there is one.
@@ -290,10 +296,8 @@
 
 fn choose(host: &HostRef, order: &RequestOrder, known: Option<Arc<str>>) -> Option<ChosenEngine> {
     let engine = known.or_else(|| pick_engine(host, order))?;
-    let mut state = host.state.borrow_mut();
-    let state = &mut *state;
-    let server = state.config.resources().servers.get(&engine)?;
-    let owner = engine_owner(&state.members, &engine, server)?.clone();
-    state.picker.sent(&engine, pool::prompt_tokens(&order.prompt) + order.max_tokens);
+    let state = host.state.borrow();
+    let owner = state.picker.owners().owner(&engine)?.clone();
+    let owner = state.members.get(&owner)?.clone();
     Some(ChosenEngine { engine, owner })
 }
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -17,8 +17,10 @@
 use parsley_core::{
     arena::NameTable,
     call::CallKeeper,
-    config::ConfigStore,
+    config::{ConfigStore, Revision},
+    health::HealthTracker,
     member::{MemberRecord, MemberState, MemberTable},
+    order::{OrderKeeper, ShardKey},
     placement::EnginePicker,
     record::RecordKeeper,
     settings::HostSettings,
@@ -28,7 +30,11 @@
 use slog::Logger;
 
 use crate::{
-    api::services::CallTable, carrier::CarrierTable, peer::link::PeerLink, pool::EnginePool,
+    api::services::CallTable,
+    carrier::CarrierTable,
+    metrics::HostMetrics,
+    peer::{datagram::DatagramSealer, link::PeerLink},
+    pool::{EnginePool, assign::EngineNotes},
 };
 
 /// A host. No borrow of [`Host::state`] may be held across an await.
@@ -45,11 +51,14 @@
     pub incarnation: u64,
     /// Closed when callers' connections are accepted no more.
     pub accepting: Receiver<()>,
+    /// Counters and histograms.
+    pub metrics: HostMetrics,
     /// Mutable state.
     pub state: RefCell<HostState>,
     started: Instant,
     open_requests: Arc<AtomicUsize>,
     accept_end: Sender<()>,
+    stop: (Sender<Arc<str>>, Receiver<Arc<str>>),
 }
 
 /// A shared host.
@@ -71,6 +80,16 @@
     pub records: RecordKeeper,
     /// Calls to plain services.
     pub calls: CallTable,
+    /// Health of the engines that this host owns.
+    pub health: HealthTracker,
+    /// Notes on the engines that this host owns.
+    pub notes: EngineNotes,
+    /// Orders to engines.
+    pub orders: OrderKeeper,
+    /// Leases of order shards in the key-value service.
+    pub shard_leases: BTreeMap<ShardKey, u64>,
+    /// Seals and opens datagrams.
+    pub datagrams: DatagramSealer,
     /// Keys of client accounts.
     pub accounts: NameTable,
     /// Keys of models.
@@ -84,6 +103,13 @@
     draining: bool,
 }
 
+impl HostState {
+    /// Whether the host is draining.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+}
+
 impl Host {
     /// A host that has not started.
     pub fn new(
@@ -91,14 +117,19 @@
         executor: Rc<LocalExecutor<'static>>,
         log: Logger,
     ) -> HostRef {
+        let mut rng = fastrand::Rng::new();
         let me = member_record(&settings);
         let incarnation = me.incarnation;
-        let mut rng = fastrand::Rng::new();
         let keeper = CallKeeper::new(settings.name.clone(), incarnation, rng.fork());
         let state = HostState {
-            members: MemberTable::new(me, settings.seeds.clone()),
-            config: ConfigStore::default(),
-            picker: EnginePicker::default(),
+            picker: EnginePicker::new(&me, rng.fork()),
+            members: MemberTable::new(me, settings.seeds.clone(), rng.fork()),
+            config: ConfigStore::new(rng.fork()),
+            health: HealthTracker::default(),
+            notes: EngineNotes::default(),
+            orders: OrderKeeper::default(),
+            shard_leases: BTreeMap::new(),
+            datagrams: DatagramSealer::new(&settings.peer_key),
             pool: EnginePool::default(),
             carriers: CarrierTable::default(),
             records: RecordKeeper::default(),
@@ -112,16 +143,18 @@
         };
         let (accept_end, accepting) = async_channel::bounded(1);
         Rc::new(Host {
+            incarnation,
             accepting,
             accept_end,
+            open_requests: Arc::default(),
             signer: TokenSigner::new(&settings.peer_key),
-            incarnation,
             settings,
             executor,
             log,
+            metrics: HostMetrics::new(),
             state: RefCell::new(state),
             started: Instant::now(),
-            open_requests: Arc::default(),
+            stop: async_channel::bounded(1),
         })
     }
 
@@ -140,6 +173,23 @@
         self.state.borrow_mut().draining = true;
     }
 
+    /// Asks the host to drain and stop, on behalf of `by`. A second call has no effect.
+    pub fn request_stop(&self, by: &str) {
+        // The channel is full when the host was asked before.
+        let _ = self.stop.0.try_send(by.into());
+    }
+
+    /// Waits until somebody asks the host to stop, and tells who.
+    pub async fn stop_requested(&self) -> Arc<str> {
+        self.stop.1.recv().await.unwrap_or_else(|_| "host".into())
+    }
+
+    /// Whether this host holds a configuration, so that it can serve callers.
+    pub fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        !state.draining && state.config.complete() > Revision(0)
+    }
+
     /// Ends the acceptance of callers' connections.
     pub fn stop_accepting(&self) {
         self.accept_end.close();
@@ -150,11 +200,6 @@
         self.state.borrow().draining
     }
 
-    /// Whether the host is draining, for a caller that holds the state.
-    pub fn is_draining_in(&self, state: &HostState) -> bool {
-        state.draining
-    }
-
     /// Requests that are open to callers or peers.
     pub fn open_requests(&self) -> usize {
         let state = self.state.borrow();
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -7,12 +7,12 @@
 use async_net::TcpStream;
 use futures_lite::{FutureExt, io::BufReader};
 use parsley_core::request::StreamEvent;
-use slog::info;
 
 use super::frame::{PeerFrame, hello_tag, read_frame, write_frame};
 use crate::{
     config_sync,
     error::NodeError,
+    event,
     host::{Host, HostRef},
     http::within,
     pool,
@@ -92,8 +92,7 @@
 ) {
     let result = exchange(&host, &address, &link, outgoing).await;
     if let Err(err) = result {
-        info!(host.log, "peer connection ended"; "event" => "E1101", "peer" => &*name,
-            "error" => %err);
+        event!(host.log, PEER_LINK_ENDED, "peer" => &*name, "error" => %err);
     }
     // Closing the channels tells every open request that it must attach elsewhere.
     link.frames.close();
--- a/crates/node/src/peer/serve.rs
+++ b/crates/node/src/peer/serve.rs
@@ -7,14 +7,14 @@
 use async_net::TcpStream;
 use futures_lite::{FutureExt, io::BufReader};
 use parsley_core::record::RecordOutput;
-use slog::info;
 
 use super::{
-    frame::{PeerFrame, hello_tag, read_frame, write_frame},
+    frame::{PeerFrame, hello_tag, read_frame, read_hello, write_frame},
     link::{SILENCE_LIMIT, next_or_ping, unix_ms},
 };
 use crate::{
     error::NodeError,
+    event,
     host::HostRef,
     http::within,
     pool::{self, Attachment, EventSink},
@@ -48,7 +48,7 @@
     let result = write_loop(stream, outgoing).or(reading).await;
     frames.close();
     if let Err(err) = result {
-        info!(host.log, "connection from peer ended"; "event" => "E1102", "error" => %err);
+        event!(host.log, PEER_SERVING_ENDED, "error" => %err);
     }
     for attachment in channels.into_values() {
         pool::detach(&host, attachment);
@@ -68,7 +68,7 @@
     frames: &Sender<PeerFrame>,
     channels: &mut BTreeMap<u64, Attachment>,
 ) -> Result<(), NodeError> {
-    let hello = within(SILENCE_LIMIT, read_frame(&mut reader)).await?;
+    let hello = within(SILENCE_LIMIT, read_hello(&mut reader)).await?;
     check_hello(host, &hello)?;
     let epoch = pool::check_pause(host);
     loop {
--- a/crates/node/src/pool/mod.rs
+++ b/crates/node/src/pool/mod.rs
@@ -13,7 +13,7 @@
     record::RequestName,
     refusal::{Reason, Refusal},
     request::{OrphanTracker, Receiver, StreamEvent, StreamInput, StreamTable},
-    scheduler::{PoolScheduler, SchedulerInput, SchedulerOutput, WorkItem},
+    scheduler::{PoolScheduler, SchedulerInput, SchedulerOutput, WorkItem, cost::PREFIX_TOKENS},
     time::Time,
 };
 
@@ -26,6 +26,8 @@
 pub mod orphan;
 pub mod stream;
 
+/// Bytes of a prompt counted as one token.
+const BYTES_PER_TOKEN: usize = 4;
 const TICK: Duration = Duration::from_millis(50);
 /// Time without a tick after which this host counts as having been paused.
 const PAUSE_LIMIT: Duration = Duration::from_secs(1);
@@ -70,6 +72,8 @@
     sink: EventSink,
     attachment: u64,
     deadline: Time,
+    /// Hashes of the prompt's leading parts.
+    prefixes: Vec<u64>,
 }
 
 /// The requests of the engines that this host owns.
@@ -109,7 +113,7 @@
 pub fn start(host: &HostRef) {
     host.state.borrow_mut().pool.last_tick = host.now();
     host.spawn(tick_loop(host.clone()));
-    host.spawn(assign::load_loop(host.clone()));
+    assign::start(host);
     host.spawn(orphan::list_loop(host.clone()));
 }
 
@@ -190,7 +194,8 @@
         pool.next_work += 1;
         let work = WorkKey(pool.next_work);
         pool.names.insert(name_of(&order), work);
-        pool.works.insert(work, PoolWork { order, sink, attachment: id, deadline });
+        let prefixes = prefix_hashes(&order.prompt);
+        pool.works.insert(work, PoolWork { order, sink, attachment: id, deadline, prefixes });
         (work, key)
     };
     stream::step(host, StreamInput::Open { work, receiver, offset, attempt, deadline }, None);
@@ -251,7 +256,7 @@
         model: ModelKey(state.models.intern(&order.model) as u16),
         prompt_tokens: prompt_tokens(&order.prompt) + produced,
         max_tokens: order.max_tokens.saturating_sub(produced),
-        prefixes: Vec::new(),
+        prefixes: entry.prefixes.clone(),
         preferred,
         deadline: entry.deadline,
     }
@@ -259,7 +264,24 @@
 
 /// Tokens of a prompt: four bytes a token.
 pub fn prompt_tokens(prompt: &str) -> u64 {
-    (prompt.len() as u64).div_ceil(4)
+    prompt.len().div_ceil(BYTES_PER_TOKEN) as u64
+}
+
+/// Hashes of the prompt's first 1k, 4k, 16k and 64k tokens, as far as it reaches.
+fn prefix_hashes(prompt: &str) -> Vec<u64> {
+    let mut hasher = blake3::Hasher::new();
+    let mut hashes = Vec::new();
+    let mut done = 0;
+    for tokens in PREFIX_TOKENS {
+        let end = tokens as usize * BYTES_PER_TOKEN;
+        let Some(part) = prompt.as_bytes().get(done..end) else { break };
+        hasher.update(part);
+        done = end;
+        let mut head = [0; 8];
+        head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        hashes.push(u64::from_le_bytes(head));
+    }
+    hashes
 }
 
 /// Advances the scheduler and carries out what it asks for.
@@ -283,11 +305,21 @@
             SchedulerOutput::Refuse { work, refusal } => {
                 end(host, work, StreamEvent::Refused(refusal));
             }
+            SchedulerOutput::Group(work) => refuse_group(host, work),
+            SchedulerOutput::AbortGroup(_) => {}
             SchedulerOutput::Move(work) => end(host, work, StreamEvent::Moved),
         }
     }
 }
 
+/// Without group reservation a prompt beyond one engine cannot be served.
+fn refuse_group(host: &HostRef, work: WorkKey) {
+    let text = "the prompt needs more memory than one engine has";
+    let refusal = Refusal::not_run(Reason::PromptExceedsFleet, text);
+    end(host, work, StreamEvent::Refused(refusal));
+    step(host, SchedulerInput::Finished(work));
+}
+
 /// Ends a request with its last event; a stream that may still run is cancelled.
 fn end(host: &HostRef, work: WorkKey, event: StreamEvent) {
     let entry = host.state.borrow_mut().pool.remove(work);
--- a/crates/node/src/pool/orphan.rs
+++ b/crates/node/src/pool/orphan.rs
@@ -7,10 +7,9 @@
     key::EngineKey,
     request::{OrphanInput, OrphanOutput},
 };
-use slog::info;
 
 use super::stream::address;
-use crate::{adapter::engine, host::HostRef};
+use crate::{adapter::engine, event, host::HostRef};
 
 /// Time between two lists of an engine's streams.
 const LIST_PERIOD: Duration = Duration::from_secs(2);
@@ -38,8 +37,7 @@
         state.pool.orphans.step(host.now(), input)
     };
     for OrphanOutput::Cancel { stream, owner, .. } in outputs {
-        info!(host.log, "orphaned stream cancelled"; "event" => "E1303", "stream" => &*stream,
-            "owner" => &*owner);
+        event!(host.log, ORPHAN_CANCELLED, "stream" => &*stream, "owner" => &*owner);
         // A stream that stays is listed again.
         let _ = engine::cancel(&address, &stream, &owner).await;
     }
--- a/crates/node/src/pool/stream.rs
+++ b/crates/node/src/pool/stream.rs
@@ -9,12 +9,12 @@
     request::{EngineReply, StreamEvent, StreamInput, StreamOutput},
     scheduler::SchedulerInput,
 };
-use slog::info;
 
 use super::{EventSink, assign::eject, check_pause, end, work_item};
 use crate::{
     adapter::engine::{self, EngineAnswer, EngineEvent, EngineOrder, EngineStream},
     error::NodeError,
+    event,
     host::HostRef,
 };
 
@@ -243,6 +243,9 @@
                 }
             }
             Ok(EngineEvent::End { complete }) => {
+                if complete {
+                    super::assign::succeeded(host, work);
+                }
                 return step(host, StreamInput::Ended { work, reader, complete }, None);
             }
             Err(_) => return step(host, StreamInput::Broken { work, reader }, None),
@@ -283,8 +286,7 @@
     match engine::cancel(&address, &stream, &host.settings.name).await {
         Ok(()) => step(&host, StreamInput::CancelDone { engine, stream }, None),
         Err(err) => {
-            info!(host.log, "cancel failed"; "event" => "E1302", "stream" => &*stream,
-                "error" => %err);
+            event!(host.log, CANCEL_FAILED, "stream" => &*stream, "error" => %err);
         }
     }
 }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::{Ipv4Addr, SocketAddr},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::Arc,
@@ -23,10 +23,13 @@
     server::ServerHandle,
     service::{self, ServiceLog},
     store::{self, StoreFaults},
+    weights,
 };
 
 /// Secret that the hosts of a stand-in fleet share.
 const PEER_KEY: &str = "stand-in fleet";
+/// Rate of the weight store.
+const LOADS_PER_SECOND: f64 = 40.0;
 /// Time within which a started fleet answers.
 const START_LIMIT: Duration = Duration::from_secs(15);
 
@@ -48,6 +51,8 @@
     services: bool,
     quiet: bool,
     relayed: bool,
+    replicas: Option<u32>,
+    checks_fencing: bool,
 }
 
 impl FleetBuilder {
@@ -69,6 +74,8 @@
             services: true,
             quiet: true,
             relayed: false,
+            replicas: None,
+            checks_fencing: true,
         }
     }
 
@@ -108,6 +115,18 @@
         self
     }
 
+    /// Number of engines that are to have the model loaded. Engines then start without it.
+    pub fn replicas(mut self, replicas: u32) -> FleetBuilder {
+        self.replicas = Some(replicas);
+        self
+    }
+
+    /// Whether engines refuse orders with an old fencing number.
+    pub fn checks_fencing(mut self, checks_fencing: bool) -> FleetBuilder {
+        self.checks_fencing = checks_fencing;
+        self
+    }
+
     /// Whether the hosts' logs are dropped.
     pub fn quiet(mut self, quiet: bool) -> FleetBuilder {
         self.quiet = quiet;
@@ -125,6 +144,7 @@
         let store_faults = Arc::<StoreFaults>::default();
         let store = store::start(0, store_faults.clone())?;
         let host_list = hostlist::start(0, json!([]))?;
+        let weights = weights::start(0, LOADS_PER_SECOND)?;
         let mut fleet = Fleet {
             builder: self,
             store_faults,
@@ -133,6 +153,7 @@
             relays: Vec::new(),
             store: Some(store),
             host_list: Some(host_list),
+            weights: Some(weights),
             engines: Vec::new(),
             engine_ports: Vec::new(),
             services: Vec::new(),
@@ -183,6 +204,7 @@
     relays: Vec<(RelayRoute, RelayHandle)>,
     store: Option<ServerHandle>,
     host_list: Option<ServerHandle>,
+    weights: Option<ServerHandle>,
     engines: Vec<Option<ServerHandle>>,
     engine_ports: Vec<u16>,
     services: Vec<ServerHandle>,
@@ -240,6 +262,12 @@
             port,
             shape: self.builder.shape.clone(),
             step: self.builder.step,
+            models: match self.builder.replicas {
+                Some(_) => Vec::new(),
+                None => vec!["inspector".to_owned()],
+            },
+            checks_fencing: self.builder.checks_fencing,
+            weights: self.weights.as_ref().map(|weights| weights.address().to_string()),
             faults: self.engine_faults[index].clone(),
         }
     }
@@ -309,6 +337,9 @@
         if let Some(host_list) = self.host_list.take() {
             host_list.close();
         }
+        if let Some(weights) = self.weights.take() {
+            weights.close();
+        }
         for (_, relay) in self.relays.drain(..) {
             relay.close();
         }
@@ -344,7 +375,8 @@
         put("ranks", "urgent", rank(0, 1_000, 30_000, 30))?;
         put("ranks", "standard", rank(1, 5_000, 120_000, 40))?;
         put("ranks", "batch", rank(2, 60_000, 300_000, 10))?;
-        put("models", "inspector", json!({"context_tokens": 1_200_000}))?;
+        let replicas = self.builder.replicas;
+        put("models", "inspector", json!({"context_tokens": 1_200_000, "replicas": replicas}))?;
         for name in &self.builder.accounts {
             let digest = blake3::hash(format!("token-{name}").as_bytes()).to_hex().to_string();
             let spec = json!({
@@ -374,12 +406,12 @@
         let domain = format!("domain-{}", index % self.builder.domains);
         json!({
             "address": address.to_string(), "region": "region-0", "failure_domain": domain,
-            "role": role,
+            "role": role, "checks_fencing": self.builder.checks_fencing,
         })
     }
 
     /// Writes a resource into the key-value service, past the administration API.
-    fn put(&self, kind: &str, name: &str, spec: &Value) -> io::Result<()> {
+    pub fn put(&self, kind: &str, name: &str, spec: &Value) -> io::Result<()> {
         let Some(address) = self.store_address() else { return Ok(()) };
         let address = address.to_string();
         let path = format!("/kv/config/{kind}/{name}");
@@ -418,6 +450,7 @@
                 "failure_domain": format!("domain-{}", index % self.builder.domains),
                 "listen": address, "peer_listen": peer_address, "peer_key": PEER_KEY,
                 "store": [store], "host_list": self.host_list.as_ref().map(ServerHandle::address),
+                "weight_store": self.weights.as_ref().map(ServerHandle::address),
                 "seeds": seeds,
             });
             if self.builder.relayed {
@@ -452,7 +485,10 @@
         let Ok(entries) = async_io::block_on(caller::entries(host.address)) else { return false };
         let address = host.address.to_string();
         let models = async_io::block_on(async {
-            let request = caller::request(Method::Get, &address, "/v1/models");
+            let mut request = caller::request(Method::Get, &address, "/v1/models");
+            if let Some(account) = self.builder.accounts.first() {
+                request.insert_header("authorization", format!("Bearer token-{account}"));
+            }
             let mut response = caller::send(&address, request).await?;
             response.body_json::<Value>().await.map_err(|err| err.to_string())
         });
@@ -474,3 +510,13 @@
         "guaranteed_percent": guaranteed_percent,
     })
 }
+
+/// A loopback address that nothing listens on, with the listener that reserved it.
+///
+/// The IP address is random within 127.0.0.0/8: on 127.0.0.1 a port that was just released is often
+/// given to a stand-in of another test before the host binds it.
+pub(crate) fn free_address() -> io::Result<(SocketAddr, Arc<TcpListener>)> {
+    let [a, b, c] = std::array::from_fn(|_| fastrand::u8(1..255));
+    let listener = TcpListener::bind((Ipv4Addr::new(127, a, b, c), 0))?;
+    Ok((listener.local_addr()?, Arc::new(listener)))
+}
--- a/crates/standins/src/fleet/inspect.rs
+++ b/crates/standins/src/fleet/inspect.rs
@@ -1,6 +1,6 @@
 //! Faults of a fleet's stand-ins, and what its engines and services did.
 
-use std::net::SocketAddr;
+use std::{io, net::SocketAddr, time::Duration};
 
 use http_types::Method;
 use serde_json::Value;
@@ -8,6 +8,9 @@
 use super::{Fleet, RelayRoute};
 use crate::{caller, engine::EngineFaults, service::ServiceLog, store::StoreFaults};
 
+/// Unit of processor time in `/proc`, in milliseconds.
+const TICK_MS: u64 = 10;
+
 impl Fleet {
     /// Faults of the key-value service.
     pub fn store_faults(&self) -> &StoreFaults {
@@ -76,4 +79,22 @@
         };
         self.engine_addresses().into_iter().map(ask).collect()
     }
+
+    /// Address of the host list, if it runs.
+    pub fn host_list_address(&self) -> Option<SocketAddr> {
+        self.host_list.as_ref().map(crate::server::ServerHandle::address)
+    }
+
+    /// Processor time that a host's process has used.
+    pub fn host_cpu(&self, index: usize) -> io::Result<Duration> {
+        let Some(child) = &self.hosts[index].child else { return Ok(Duration::ZERO) };
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", child.id()))?;
+        // The command's name may contain spaces; the fields after its closing bracket do not.
+        let fields = stat.rsplit(')').next().unwrap_or_default();
+        let ticks = |index: usize| {
+            fields.split_whitespace().nth(index).and_then(|text| text.parse().ok()).unwrap_or(0)
+        };
+        let ticks: u64 = ticks(11) + ticks(12);
+        Ok(Duration::from_millis(ticks * TICK_MS))
+    }
 }
