--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -96,6 +96,11 @@
         self.items.get(key)
     }
 
+    /// Every item in the order of keys, tombstones included.
+    pub fn items(&self) -> impl Iterator<Item = &ConfigItem> {
+        self.items.values()
+    }
+
     /// Every change after a revision, or a snapshot if some of them are no longer remembered.
     pub fn delta(&self, after: Revision) -> ConfigDelta {
         let after = if after < self.horizon { Revision(0) } else { after };
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -36,7 +36,9 @@
     let listen: SocketAddr = parse(&host.settings.peer_listen)?;
     // Datagrams are sealed for the address that other hosts use.
     let me = parse(&host.state.borrow().members.me().peer_address)?;
-    let socket = Rc::new(Async::<UdpSocket>::try_from(UdpSocket::bind(listen)?)?);
+    let socket = UdpSocket::bind(listen).and_then(Async::<UdpSocket>::try_from);
+    let listen = &host.settings.peer_listen;
+    let socket = Rc::new(socket.map_err(|err| NodeError::Listen(listen.clone(), err))?);
     SOCKET.with_borrow_mut(|slot| *slot = Some(socket.clone()));
     host.spawn(receive_loop(host.clone(), socket, me));
     host.spawn(tick_loop(host.clone()));
--- a/crates/node/src/peer/serve.rs
+++ b/crates/node/src/peer/serve.rs
@@ -16,7 +16,7 @@
     error::NodeError,
     event,
     host::HostRef,
-    http::within,
+    http::{self, within},
     pool::{self, Attachment, EventSink},
     records,
 };
@@ -26,7 +26,7 @@
 
 /// Starts to accept connections of other hosts.
 pub fn start(host: &HostRef) -> Result<(), NodeError> {
-    let listener = Async::<TcpListener>::try_from(TcpListener::bind(&*host.settings.peer_listen)?)?;
+    let listener = http::listen(&host.settings.peer_listen)?;
     host.spawn(accept_loop(host.clone(), listener));
     Ok(())
 }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -12,12 +12,14 @@
 use http_types::Method;
 use serde_json::{Value, json};
 
+mod builder;
 mod inspect;
 
+pub use builder::FleetBuilder;
+
 use crate::{
     caller,
     engine::{self, EngineConfig, EngineFaults},
-    engine_model::EngineShape,
     hostlist,
     relay::{self, RelayHandle},
     server::ServerHandle,
@@ -38,107 +40,7 @@
 const LAST_PORT: u16 = 32_000;
 const PORT_TRIES: usize = 50;
 
-/// Describes a fleet.
-#[derive(Clone, Debug)]
-pub struct FleetBuilder {
-    command: PathBuf,
-    hosts: usize,
-    domains: usize,
-    engines: usize,
-    accounts: Vec<String>,
-    shape: EngineShape,
-    step: Duration,
-    services: bool,
-    quiet: bool,
-    relayed: bool,
-    replicas: Option<u32>,
-    checks_fencing: bool,
-}
-
 impl FleetBuilder {
-    /// A fleet whose host processes run `command serve --settings FILE`.
-    pub fn new(command: impl Into<PathBuf>) -> FleetBuilder {
-        FleetBuilder {
-            command: command.into(),
-            hosts: 3,
-            domains: 3,
-            engines: 3,
-            accounts: vec!["inspection".to_owned(), "archive".to_owned()],
-            shape: EngineShape {
-                memory_tokens: 600_000,
-                batch: 32,
-                prefill_tokens: 20_000,
-                cached_prefixes: 64,
-            },
-            step: Duration::from_millis(5),
-            services: true,
-            quiet: true,
-            relayed: false,
-            replicas: None,
-            checks_fencing: true,
-        }
-    }
-
-    /// Number of hosts.
-    pub fn hosts(mut self, hosts: usize) -> FleetBuilder {
-        self.hosts = hosts;
-        self
-    }
-
-    /// Number of failure domains.
-    pub fn domains(mut self, domains: usize) -> FleetBuilder {
-        self.domains = domains;
-        self
-    }
-
-    /// Number of engines.
-    pub fn engines(mut self, engines: usize) -> FleetBuilder {
-        self.engines = engines;
-        self
-    }
-
-    /// Names of client accounts; each one's bearer token is `token-<name>`.
-    pub fn accounts(mut self, accounts: Vec<String>) -> FleetBuilder {
-        self.accounts = accounts;
-        self
-    }
-
-    /// Size and pace of each engine.
-    pub fn shape(mut self, shape: EngineShape) -> FleetBuilder {
-        self.shape = shape;
-        self
-    }
-
-    /// Time of one engine step.
-    pub fn step(mut self, step: Duration) -> FleetBuilder {
-        self.step = step;
-        self
-    }
-
-    /// Number of engines that are to have the model loaded. Engines then start without it.
-    pub fn replicas(mut self, replicas: u32) -> FleetBuilder {
-        self.replicas = Some(replicas);
-        self
-    }
-
-    /// Whether engines refuse orders with an old fencing number.
-    pub fn checks_fencing(mut self, checks_fencing: bool) -> FleetBuilder {
-        self.checks_fencing = checks_fencing;
-        self
-    }
-
-    /// Whether the hosts' logs are dropped.
-    pub fn quiet(mut self, quiet: bool) -> FleetBuilder {
-        self.quiet = quiet;
-        self
-    }
-
-    /// Whether every connection passes a relay that can make it silent.
-    pub fn relayed(mut self, relayed: bool) -> FleetBuilder {
-        self.relayed = relayed;
-        self
-    }
-
     /// Starts everything and waits until each host has the configuration.
     pub fn start(self) -> io::Result<Fleet> {
         let store_faults = Arc::<StoreFaults>::default();
@@ -515,7 +417,7 @@
 ///
 /// The IP address is random within 127.0.0.0/8: on 127.0.0.1 a port that was just released is often
 /// given to a stand-in of another test before the host binds it.
-pub(crate) fn free_address() -> io::Result<(SocketAddr, Arc<TcpListener>)> {
+pub fn free_address() -> io::Result<(SocketAddr, Arc<TcpListener>)> {
     let [a, b, c] = std::array::from_fn(|_| fastrand::u8(1..255));
     let listener = TcpListener::bind((Ipv4Addr::new(127, a, b, c), 0))?;
     Ok((listener.local_addr()?, Arc::new(listener)))
