--- a/crates/node/src/adapter/mod.rs
+++ b/crates/node/src/adapter/mod.rs
@@ -3,5 +3,6 @@
 
 pub mod engine;
 pub mod hostlist;
+pub mod service;
 pub mod store;
 pub mod weights;
--- a/crates/node/src/api/gate.rs
+++ b/crates/node/src/api/gate.rs
@@ -5,9 +5,13 @@
     time::{Duration, Instant},
 };
 
+use async_io::Timer;
 use futures_lite::AsyncReadExt;
 use http_types::{Body, Method, Request, Response};
-use parsley_core::refusal::{Reason, Refusal};
+use parsley_core::{
+    config::Revision,
+    refusal::{Reason, Refusal},
+};
 
 use super::{
     access::{self, Role},
@@ -23,6 +27,10 @@
 /// Refusals logged in one second; a flood of them must not flood the log.
 const LOGGED_REFUSALS: u32 = 50;
 
+/// Time for which a request waits at a host that just started until it holds a configuration.
+const CONFIGURATION_LIMIT: Duration = Duration::from_secs(3);
+const CONFIGURATION_PERIOD: Duration = Duration::from_millis(20);
+
 /// A group of routes with one role.
 #[derive(Clone, Copy, Debug)]
 pub struct RouteGroup {
@@ -67,6 +75,9 @@
         let detail = format!("the head has more than {head_limit} bytes");
         return Err(Refusal::not_run(Reason::HeadTooLarge, &detail));
     }
+    if group.role == Role::Caller && request.header("authorization").is_some() {
+        await_configuration(host).await?;
+    }
     access::check(host, group.role, request)?;
     if !has_body(request) {
         return Ok(());
@@ -86,6 +97,21 @@
     Ok(())
 }
 
+/// Waits until this host holds a configuration. A host that just started cannot tell an unknown
+/// account from one that it has not heard of.
+async fn await_configuration(host: &HostRef) -> Result<(), Refusal> {
+    let end = host.now() + CONFIGURATION_LIMIT;
+    while host.state.borrow().config.complete() == Revision(0) {
+        if host.now() >= end {
+            let detail = "no configuration is held yet";
+            return Err(Refusal::not_run(Reason::StoreUnavailable, detail)
+                .retry_after(Duration::from_secs(1)));
+        }
+        Timer::after(CONFIGURATION_PERIOD).await;
+    }
+    Ok(())
+}
+
 /// Size of a request's head; the HTTP library keeps no more than 8 KiB of it.
 fn head_bytes(request: &Request) -> u64 {
     let line = request.url().as_str().len();
--- a/crates/node/src/api/mod.rs
+++ b/crates/node/src/api/mod.rs
@@ -4,6 +4,7 @@
 
 use async_io::Async;
 use async_net::TcpStream;
+use futures_lite::FutureExt;
 use http_types::{Method, Request, Response, StatusCode};
 use parsley_core::{
     entry::pick_entries,
@@ -21,6 +22,8 @@
 mod connection;
 pub mod gate;
 mod problem;
+mod requests;
+pub mod services;
 mod stream;
 mod tls;
 
@@ -41,7 +44,14 @@
     acceptor: Option<tls::AcceptorCell>,
 ) {
     loop {
-        let Ok((stream, from)) = listener.accept().await else { continue };
+        let accept = async { Some(listener.accept().await) };
+        let closed = async {
+            // The channel carries nothing; it is closed.
+            let _ = host.accepting.recv().await;
+            None
+        };
+        let Some(accepted) = accept.or(closed).await else { return };
+        let Ok((stream, from)) = accepted else { continue };
         let _ = stream.get_ref().set_nodelay(true);
         let acceptor = acceptor.as_ref().map(|cell| cell.borrow().clone());
         host.spawn(connection::serve(host.clone(), TcpStream::from(stream), acceptor, from));
@@ -55,6 +65,10 @@
         (Method::Get, ["v1", "entry"]) => Ok(entry(host, &request)),
         (Method::Get, ["v1", "models"]) => Ok(models(host)),
         (Method::Post, ["v1", "chat", "completions"]) => chat::complete(host, request).await,
+        (Method::Post, ["v1", "services", service, path @ ..]) => {
+            services::call(host, service, &path.join("/"), request).await
+        }
+        (Method::Delete, ["v1", "requests", id]) => requests::cancel(host, id, &request).await,
         (_, ["admin", "v1", parts @ ..]) => admin::answer(host, parts, request).await,
         (Method::Get, ["metrics"]) => Ok(metrics(host)),
         (Method::Get, ["healthz"]) => Ok(json_answer(&json!({"status": "ok"}))),
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -1,16 +1,28 @@
 //! The state of one host, shared by all its tasks.
 
-use std::{cell::RefCell, collections::BTreeMap, future::Future, rc::Rc, sync::Arc, time::Instant};
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    future::Future,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Instant,
+};
 
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use parsley_core::{
     arena::NameTable,
+    call::CallKeeper,
     config::{ConfigStore, Revision},
     health::HealthTracker,
     member::{MemberRecord, MemberState, MemberTable},
     order::{OrderKeeper, ShardKey},
     placement::EnginePicker,
+    record::RecordKeeper,
     settings::HostSettings,
     time::Time,
     token::TokenSigner,
@@ -19,6 +31,8 @@
 use slog::Logger;
 
 use crate::{
+    api::services::CallTable,
+    carrier::CarrierTable,
     metrics::HostMetrics,
     peer::{datagram::DatagramSealer, link::PeerLink},
     pool::{EnginePool, assign::EngineNotes},
@@ -34,11 +48,17 @@
     pub log: Logger,
     /// Signs continuation tokens.
     pub signer: TokenSigner,
+    /// Incarnation with which the host started.
+    pub incarnation: u64,
+    /// Closed when callers' connections are accepted no more.
+    pub accepting: Receiver<()>,
     /// Counters and histograms.
     pub metrics: HostMetrics,
     /// Mutable state.
     pub state: RefCell<HostState>,
     started: Instant,
+    open_requests: Arc<AtomicUsize>,
+    accept_end: Sender<()>,
     stop: (Sender<Arc<str>>, Receiver<Arc<str>>),
 }
 
@@ -55,6 +75,12 @@
     pub picker: EnginePicker,
     /// Work on the engines that this host owns.
     pub pool: EnginePool,
+    /// Requests of callers at this host.
+    pub carriers: CarrierTable,
+    /// Request records kept for peers.
+    pub records: RecordKeeper,
+    /// Calls to plain services.
+    pub calls: CallTable,
     /// Health of the engines that this host owns.
     pub health: HealthTracker,
     /// Notes on the engines that this host owns.
@@ -78,7 +104,6 @@
     /// Randomness.
     pub rng: fastrand::Rng,
     draining: bool,
-    open_requests: usize,
 }
 
 impl HostState {
@@ -97,6 +122,8 @@
     ) -> HostRef {
         let mut rng = fastrand::Rng::new();
         let me = member_record(&settings);
+        let incarnation = me.incarnation;
+        let keeper = CallKeeper::new(settings.name.clone(), incarnation, rng.fork());
         let state = HostState {
             picker: EnginePicker::new(&me, rng.fork()),
             members: MemberTable::new(me, settings.seeds.clone(), rng.fork()),
@@ -108,15 +135,22 @@
             datagrams: DatagramSealer::new(&settings.peer_key),
             pool: EnginePool::default(),
             usage: UsageLedger::new(settings.name.clone()),
+            carriers: CarrierTable::default(),
+            records: RecordKeeper::default(),
+            calls: CallTable::new(keeper),
             accounts: NameTable::default(),
             models: NameTable::default(),
             engines: NameTable::default(),
             links: BTreeMap::new(),
             rng,
             draining: false,
-            open_requests: 0,
         };
+        let (accept_end, accepting) = async_channel::bounded(1);
         Rc::new(Host {
+            incarnation,
+            accepting,
+            accept_end,
+            open_requests: Arc::default(),
             signer: TokenSigner::new(&settings.peer_key),
             settings,
             executor,
@@ -160,6 +194,11 @@
         !state.draining && state.config.complete() > Revision(0)
     }
 
+    /// Ends the acceptance of callers' connections.
+    pub fn stop_accepting(&self) {
+        self.accept_end.close();
+    }
+
     /// Whether the host is draining.
     pub fn is_draining(&self) -> bool {
         self.state.borrow().draining
@@ -168,24 +207,25 @@
     /// Requests that are open to callers or peers.
     pub fn open_requests(&self) -> usize {
         let state = self.state.borrow();
-        state.open_requests + state.pool.len()
+        let open = self.open_requests.load(Ordering::Relaxed);
+        open + state.pool.len() + state.calls.len()
     }
 
     /// Counts a request as open until the guard is dropped.
-    pub fn open_request(self: &Rc<Host>) -> RequestGuard {
-        self.state.borrow_mut().open_requests += 1;
-        RequestGuard { host: self.clone() }
+    pub fn open_request(&self) -> RequestGuard {
+        self.open_requests.fetch_add(1, Ordering::Relaxed);
+        RequestGuard { open_requests: self.open_requests.clone() }
     }
 }
 
-/// Counts an open request.
+/// Counts an open request. Bodies of answers hold one and must be `Send`.
 pub struct RequestGuard {
-    host: HostRef,
+    open_requests: Arc<AtomicUsize>,
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.host.state.borrow_mut().open_requests -= 1;
+        self.open_requests.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -196,7 +236,7 @@
         region: settings.region.clone(),
         failure_domain: settings.failure_domain.clone(),
         address: settings.listen.clone(),
-        peer_address: settings.peer_listen.clone(),
+        peer_address: settings.peer_advertise.as_ref().unwrap_or(&settings.peer_listen).clone(),
         capacity: settings.capacity,
         // A restarted host must outrank its earlier self, and it keeps nothing; wall time grows.
         incarnation: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod order_sync;
 pub mod peer;
 pub mod pool;
+pub mod records;
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -8,18 +8,21 @@
     time::{Duration, Instant},
 };
 
-use super::frame::{PeerFrame, StreamEvent, hello_tag, read_frame, write_frame};
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use async_net::TcpStream;
+use futures_lite::{FutureExt, io::BufReader};
+use parsley_core::request::StreamEvent;
+
+use super::frame::{PeerFrame, hello_tag, read_frame, write_frame};
 use crate::{
     config_sync,
     error::NodeError,
     event,
     host::{Host, HostRef},
     http::within,
+    pool,
 };
-use async_channel::{Receiver, Sender};
-use async_io::Timer;
-use async_net::TcpStream;
-use futures_lite::{FutureExt, io::BufReader};
 
 /// Time between two pings.
 pub const PING_PERIOD: Duration = Duration::from_millis(500);
@@ -31,6 +34,7 @@
 const IDLE_LIMIT: Duration = Duration::from_secs(3);
 
 type Channels = Rc<RefCell<BTreeMap<u64, Sender<StreamEvent>>>>;
+type Questions = Rc<RefCell<BTreeMap<u64, Sender<PeerFrame>>>>;
 
 /// A connection to another host. Clones share it.
 #[derive(Clone)]
@@ -38,6 +42,7 @@
     frames: Sender<PeerFrame>,
     channels: Channels,
     used: Rc<Cell<Instant>>,
+    questions: Questions,
 }
 
 impl PeerLink {
@@ -58,6 +63,19 @@
         receiver
     }
 
+    /// Sends a frame that is answered on a channel, and waits for the answer.
+    pub async fn ask(&self, channel: u64, frame: PeerFrame) -> Result<PeerFrame, NodeError> {
+        let (sender, receiver) = async_channel::bounded(1);
+        self.questions.borrow_mut().insert(channel, sender);
+        self.send(frame);
+        if self.frames.is_closed() {
+            self.questions.borrow_mut().clear();
+        }
+        let answer = within(SILENCE_LIMIT, async { Ok(receiver.recv().await.ok()) }).await;
+        self.questions.borrow_mut().remove(&channel);
+        answer?.ok_or(NodeError::Protocol("connection to peer broke"))
+    }
+
     /// Closes a channel.
     pub fn close_channel(&self, channel: u64) {
         self.channels.borrow_mut().remove(&channel);
@@ -73,7 +91,8 @@
     }
     let (frames, outgoing) = async_channel::unbounded();
     let used = Rc::new(Cell::new(Instant::now()));
-    let link = PeerLink { frames, channels: Channels::default(), used };
+    let (channels, questions) = (Channels::default(), Questions::default());
+    let link = PeerLink { frames, channels, used, questions };
     host.state.borrow_mut().links.insert(name.clone(), link.clone());
     host.spawn(run(host.clone(), name.clone(), address.clone(), link.clone(), outgoing));
     link
@@ -88,12 +107,12 @@
 ) {
     let result = exchange(&host, &address, &link, outgoing).await;
     if let Err(err) = result {
-        event!(host.log, PEER_LINK_ENDED, "peer" => &*name,
-            "error" => %err);
+        event!(host.log, PEER_LINK_ENDED, "peer" => &*name, "error" => %err);
     }
     // Closing the channels tells every open request that it must attach elsewhere.
     link.frames.close();
     link.channels.borrow_mut().clear();
+    link.questions.borrow_mut().clear();
 }
 
 async fn exchange(
@@ -107,7 +126,8 @@
     stream.set_nodelay(true)?;
     let reader = BufReader::with_capacity(64 << 10, stream.clone());
     let writer = stream;
-    let exchange = write_loop(host, writer, outgoing).or(read_loop(host, reader, link));
+    let epoch = pool::check_pause(host);
+    let exchange = write_loop(host, writer, outgoing).or(read_loop(host, reader, link, epoch));
     exchange.or(wait_idle(link)).await
 }
 
@@ -152,9 +172,15 @@
     host: &HostRef,
     mut reader: BufReader<TcpStream>,
     link: &PeerLink,
+    epoch: u64,
 ) -> Result<(), NodeError> {
     loop {
-        match within(SILENCE_LIMIT, read_frame(&mut reader)).await? {
+        let frame = within(SILENCE_LIMIT, read_frame(&mut reader)).await?;
+        // What was sent to this host before a pause may be long out of date.
+        if pool::check_pause(host) != epoch {
+            return Err(NodeError::Protocol("this host was paused"));
+        }
+        match frame {
             PeerFrame::Event { channel, event } => {
                 let sender = link.channels.borrow().get(&channel).cloned();
                 let delivered = sender.is_some_and(|sender| sender.try_send(event).is_ok());
@@ -163,6 +189,13 @@
                 }
             }
             PeerFrame::ConfigDelta(delta) => config_sync::apply(host, delta),
+            PeerFrame::RecordAck { channel, .. }
+            | PeerFrame::RecordAnswer { channel, .. }
+            | PeerFrame::CancelAnswer { channel, .. } => {
+                if let Some(sender) = link.questions.borrow_mut().remove(&channel) {
+                    let _ = sender.try_send(frame);
+                }
+            }
             PeerFrame::Ping => link.send(PeerFrame::Pong),
             PeerFrame::Pong => {}
             _ => return Err(NodeError::Protocol("unexpected frame")),
--- a/crates/node/src/pool/group.rs
+++ b/crates/node/src/pool/group.rs
@@ -9,17 +9,18 @@
     key::{EngineKey, WorkKey},
     placement::{engine_owner, serves},
     refusal::{Reason, Refusal},
+    request::{EngineReply, StreamEvent, StreamInput},
     resource::{BackendRole, BackendServer},
     scheduler::SchedulerInput,
 };
 
-use super::{finish, step, stream};
+use super::{step, stream};
 use crate::{
     adapter::engine::{self, EngineAnswer, EngineEvent, EngineOrder, EngineStream, GroupPart},
     error::NodeError,
     event,
     host::{HostRef, HostState},
-    peer::{self, datagram::PeerDatagram, frame::StreamEvent},
+    peer::{self, datagram::PeerDatagram},
 };
 
 /// Attempts to give a reservation back; its term ends it otherwise.
@@ -80,7 +81,7 @@
 
 fn end(host: &HostRef, work: WorkKey, event: StreamEvent) {
     group_step(host, GroupInput::Ended(work));
-    finish(host, work, event);
+    super::end(host, work, event);
     step(host, SchedulerInput::Finished(work));
 }
 
@@ -203,60 +204,91 @@
 /// Runs a prompt on reserved members and relays the answer.
 async fn run(host: HostRef, work: WorkKey, members: Vec<GroupMember>) {
     match run_segments(&host, work, &members).await {
-        Ok(Some((address, stream, reader))) => {
-            stream::relay(&host, work, reader, &address, stream).await;
+        Ok(Some((stream, reader))) => {
+            stream::answered(&host, work, reader, Ok(EngineAnswer::Stream(stream))).await;
         }
         Ok(None) => {}
-        Err(err) => {
+        Err((member, err)) => {
             event!(host.log, GROUP_FAILED, "work" => work.0, "error" => %err);
-            let reader = host.state.borrow().pool.works.get(&work).map(|entry| entry.reader);
-            if let Some(reader) = reader {
-                stream::next_attempt(&host, work, reader);
-            }
+            failed(&host, work, member);
         }
     }
     // The next tick ends the group if the request has ended.
 }
 
-type LastStream = (Arc<str>, Box<EngineStream>, u64);
+/// A member failed: the request goes on with its next attempt, and the member's health is judged.
+fn failed(host: &HostRef, work: WorkKey, member: &GroupMember) {
+    let Some(stream) = stream_of(host, work) else { return };
+    let Some(reader) = place(host, work, member, stream) else { return };
+    let reply = EngineReply::Failed;
+    stream::step(host, StreamInput::Reply { work, reader, reply }, None);
+}
+
+type LastStream = (Box<EngineStream>, u64);
 
-/// Processes all segments; `None` if the request ended meanwhile.
-async fn run_segments(
+/// Processes all segments; `None` if the request ended meanwhile. An error names the member.
+async fn run_segments<'a>(
     host: &HostRef,
     work: WorkKey,
-    members: &[GroupMember],
-) -> Result<Option<LastStream>, NodeError> {
-    let group = group_id(host, work);
+    members: &'a [GroupMember],
+) -> Result<Option<LastStream>, (&'a GroupMember, NodeError)> {
     let mut import: Option<String> = None;
     let mut start = 0;
     for (index, member) in members.iter().enumerate() {
         let is_last = index + 1 == members.len();
-        let address = address(host, &member.engine).ok_or(NodeError::Protocol("engine is gone"))?;
         let Some((order, end)) = part_order(host, work, member, index, start, is_last) else {
             return Ok(None);
         };
         start = end;
-        let reader = if is_last { place(host, work, member, &order) } else { 0 };
-        let part = GroupPart { group: &group, import: import.as_deref() };
-        let answer = engine::submit_part(&address, &order, &part).await?;
-        let EngineAnswer::Stream(mut stream) = answer else {
-            return Err(NodeError::Protocol("engine refused a reserved segment"));
+        let reader = match is_last {
+            true => place(host, work, member, order.stream.clone()),
+            false => None,
         };
+        let stream = submit_part(host, work, member, &order, import.as_deref());
+        let stream = stream.await.map_err(|err| (member, err))?;
         if is_last {
-            return Ok(Some((address, stream, reader)));
-        }
-        loop {
-            match stream.next().await? {
-                EngineEvent::End { complete: true } => break,
-                EngineEvent::End { .. } => return Err(NodeError::Protocol("segment cancelled")),
-                _ => {}
-            }
+            return Ok(reader.map(|reader| (stream, reader)));
         }
-        import = Some(engine::export(&address, &order.stream).await?);
+        let state = segment_state(host, member, &order, stream);
+        import = Some(state.await.map_err(|err| (member, err))?);
     }
     Ok(None)
 }
 
+async fn submit_part(
+    host: &HostRef,
+    work: WorkKey,
+    member: &GroupMember,
+    order: &EngineOrder,
+    import: Option<&str>,
+) -> Result<Box<EngineStream>, NodeError> {
+    let group = group_id(host, work);
+    let address = address(host, &member.engine).ok_or(NodeError::Protocol("engine is gone"))?;
+    let part = GroupPart { group: &group, import };
+    match engine::submit_part(&address, order, &part).await? {
+        EngineAnswer::Stream(stream) => Ok(stream),
+        _ => Err(NodeError::Protocol("engine refused a reserved segment")),
+    }
+}
+
+/// Waits for the end of a segment and exports its state.
+async fn segment_state(
+    host: &HostRef,
+    member: &GroupMember,
+    order: &EngineOrder,
+    mut stream: Box<EngineStream>,
+) -> Result<String, NodeError> {
+    loop {
+        match stream.next().await? {
+            EngineEvent::End { complete: true } => break,
+            EngineEvent::End { .. } => return Err(NodeError::Protocol("segment cancelled")),
+            _ => {}
+        }
+    }
+    let address = address(host, &member.engine).ok_or(NodeError::Protocol("engine is gone"))?;
+    engine::export(&address, &order.stream).await
+}
+
 /// The order for a member's part of the prompt, and where the part ends, in bytes.
 fn part_order(
     host: &HostRef,
@@ -271,27 +303,30 @@
     let prompt = &entry.order.prompt;
     let wanted = start + member.tokens as usize * BYTES_PER_TOKEN;
     let end = if is_last { prompt.len() } else { prompt.floor_char_boundary(wanted) };
-    let stream = stream::stream_id(&entry.order);
+    let stream = stream_of(host, work)?;
     let order = EngineOrder {
         stream: if is_last { stream } else { format!("{stream}-{index}").into() },
         model: entry.order.model.clone(),
         prompt: prompt[start..end].into(),
-        offset: if is_last { entry.produced } else { 0 },
+        offset: if is_last { state.pool.streams.produced(work) } else { 0 },
         max_tokens: if is_last { entry.order.max_tokens } else { 0 },
         priority: PRIORITY,
+        owner: host.settings.name.clone(),
+        time_left: entry.deadline.since(host.now()),
     };
     Some((order, end))
 }
 
+/// The stream id of the request's present attempt.
+fn stream_of(host: &HostRef, work: WorkKey) -> Option<Arc<str>> {
+    let state = host.state.borrow();
+    let order = &state.pool.works.get(&work)?.order;
+    let attempt = state.pool.streams.attempt(work);
+    Some(stream::stream_id(&order.account, &order.request, attempt))
+}
+
 /// Notes where the answer comes from.
-fn place(host: &HostRef, work: WorkKey, member: &GroupMember, order: &EngineOrder) -> u64 {
-    let mut state = host.state.borrow_mut();
-    let engine = EngineKey(state.engines.intern(&member.engine));
-    let Some(entry) = state.pool.works.get_mut(&work) else { return 0 };
-    entry.placed = Some((engine, order.stream.clone()));
-    entry.reader += 1;
-    let (stream, attempt) = (order.stream.clone(), entry.order.attempt);
-    let started = StreamEvent::Started { engine: member.engine.clone(), stream, attempt };
-    entry.sink.send(started);
-    entry.reader
+fn place(host: &HostRef, work: WorkKey, member: &GroupMember, stream: Arc<str>) -> Option<u64> {
+    let engine = EngineKey(host.state.borrow_mut().engines.intern(&member.engine));
+    stream::place_reader(host, work, engine, stream)
 }
--- a/crates/standins/src/solo.rs
+++ b/crates/standins/src/solo.rs
@@ -5,6 +5,7 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -70,7 +71,7 @@
 
     /// Starts the host and waits until it answers.
     pub fn start(mut self) -> io::Result<SoloHost> {
-        let store = store::start(0)?;
+        let store = store::start(0, Arc::default())?;
         let relay = if self.lost_answers { Some(lossy_relay(store.address())?) } else { None };
         let address = match self.address {
             Some(address) => address,
