Wait for the host's own start event in tests

Cause: the fixture took any accepted connection for the host's. A process that another test forks holds the listener that reserved the address until it executes its program, so the connection could reach that listener while the host ended with "address in use". Ruled out: the host: its log held no event, only that error. Change: the fixture waits for E1001 and starts again when an address is in use, at most 5 times.

--- a/crates/standins/src/solo.rs
+++ b/crates/standins/src/solo.rs
@@ -20,14 +20,17 @@
 
 /// Token of the operator of a solo host.
 pub const OPERATOR_TOKEN: &str = "operator-token";
-/// Time within which a started host answers.
+/// Starts of a host whose address is in use.
+const START_TRIES: u32 = 5;
+/// Time within which a host has started.
 const START_LIMIT: Duration = Duration::from_secs(10);
 /// Environment variable with the path of the settings, for a program that is not `parsleystage`.
 pub const SETTINGS_VARIABLE: &str = "PARSLEY_TEST_SETTINGS";
 
 /// Describes a solo host.
 pub struct SoloBuilder {
-    command: Command,
+    program: PathBuf,
+    arguments: Vec<String>,
     settings: Value,
     lost_answers: bool,
     address: Option<SocketAddr>,
@@ -36,17 +39,20 @@
 impl SoloBuilder {
     /// A host that runs `program serve --settings FILE`.
     pub fn new(program: &str) -> SoloBuilder {
-        let mut command = Command::new(program);
-        command.args(["serve", "--settings"]);
-        SoloBuilder { command, settings: json!({}), lost_answers: false, address: None }
+        SoloBuilder::with_arguments(program.into(), &["serve", "--settings"])
     }
 
     /// A host that runs this very test program with a filter that selects `test`, which must serve
     /// with the settings named in [`SETTINGS_VARIABLE`].
     pub fn this_program(test: &str) -> io::Result<SoloBuilder> {
-        let mut command = Command::new(std::env::current_exe()?);
-        command.args(["--exact", test, "--nocapture", "--skip"]);
-        Ok(SoloBuilder { command, settings: json!({}), lost_answers: false, address: None })
+        let program = std::env::current_exe()?;
+        Ok(SoloBuilder::with_arguments(program, &["--exact", test, "--nocapture", "--skip"]))
+    }
+
+    fn with_arguments(program: PathBuf, arguments: &[&str]) -> SoloBuilder {
+        let arguments = arguments.iter().map(|one| (*one).to_owned()).collect();
+        let settings = json!({});
+        SoloBuilder { program, arguments, settings, lost_answers: false, address: None }
     }
 
     /// Sets a field of the settings.
@@ -68,31 +74,49 @@
         self
     }
 
-    /// Starts the host and waits until it answers.
-    pub fn start(mut self) -> io::Result<SoloHost> {
+    /// Starts the host and waits until it has started.
+    ///
+    /// A start that finds an address in use is tried again: a process that another test forks
+    /// holds the listener that reserved the address until it executes its program.
+    pub fn start(self) -> io::Result<SoloHost> {
         let store = store::start(0)?;
         let relay = if self.lost_answers { Some(lossy_relay(store.address())?) } else { None };
+        let store_address = relay.as_ref().unwrap_or(&store).address();
+        let mut launched = self.launch(store_address);
+        for _ in 1..START_TRIES {
+            match &launched {
+                Err(err) if err.to_string().contains("in use") => {
+                    launched = self.launch(store_address);
+                }
+                _ => break,
+            }
+        }
+        let mut host = launched?;
+        (host.store, host.relay) = (Some(store), relay);
+        Ok(host)
+    }
+
+    fn launch(&self, store: SocketAddr) -> io::Result<SoloHost> {
         let address = match self.address {
             Some(address) => address,
             None => free_address()?.0,
         };
         let (peer_address, _) = free_address()?;
-        let own = json!({
+        let mut settings = json!({
             "name": "solo", "region": "region-0", "failure_domain": "domain-0",
             "listen": address, "peer_listen": peer_address, "peer_key": "stand-in fleet",
-            "store": [relay.as_ref().unwrap_or(&store).address()],
+            "store": [store],
             "operator_digests": [blake3::hash(OPERATOR_TOKEN.as_bytes()).to_hex().to_string()],
         });
-        let Value::Object(mut settings) = own else { unreachable!("an object was written above") };
-        if let Value::Object(changed) = self.settings.take() {
-            settings.extend(changed);
+        for (name, value) in self.settings.as_object().into_iter().flatten() {
+            settings[name] = value.clone();
         }
         let base = std::env::temp_dir().join(format!("parsley-solo-{:016x}", fastrand::u64(..)));
         let path = base.with_extension("json");
         let log = base.with_extension("log");
-        std::fs::write(&path, Value::Object(settings).to_string())?;
-        let child = self
-            .command
+        std::fs::write(&path, settings.to_string())?;
+        let child = Command::new(&self.program)
+            .args(&self.arguments)
             .arg(&path)
             .env(SETTINGS_VARIABLE, &path)
             .stdin(Stdio::null())
@@ -102,13 +126,13 @@
         let mut host = SoloHost {
             address,
             peer_address,
-            store: Some(store),
-            relay,
+            store: None,
+            relay: None,
             child,
             settings: path,
             log,
         };
-        host.wait_answer()?;
+        host.wait_started()?;
         Ok(host)
     }
 }
@@ -206,10 +230,11 @@
         Command::new("kill").args([&format!("-{signal}"), &pid]).status().map(drop)
     }
 
-    fn wait_answer(&mut self) -> io::Result<()> {
+    /// Waits for the event that the host writes once it listens. A connection alone would not tell
+    /// this host from a listener that reserved the address.
+    fn wait_started(&mut self) -> io::Result<()> {
         let end = Instant::now() + START_LIMIT;
-        // A connection shows that the host listens, with TLS or without.
-        while std::net::TcpStream::connect(self.address).is_err() {
+        while !self.log()?.iter().any(|line| line["event"] == "E1001") {
             if Instant::now() >= end || !self.is_running()? {
                 let log = std::fs::read_to_string(&self.log)?;
                 return Err(io::Error::other(format!("the host did not start: {log}")));
