--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -1,6 +1,7 @@
 //! Several host processes that behave as one.
 
 use std::{
+    net::SocketAddr,
     thread,
     time::{Duration, Instant},
 };
@@ -61,6 +62,32 @@
     fleet.close();
 }
 
+/// Connections that are open at the hosts' peer ports.
+fn peer_connections(fleet: &Fleet) -> usize {
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let hex = |address: SocketAddr| {
+        let SocketAddr::V4(address) = address else { unreachable!("hosts listen on IPv4") };
+        format!("{:08X}:{:04X}", u32::from_le_bytes(address.ip().octets()), address.port())
+    };
+    let addresses: Vec<_> = fleet.hosts().iter().map(|host| hex(host.peer_address)).collect();
+    let is_open = |line: &&str| {
+        let fields: Vec<_> = line.split_whitespace().collect();
+        fields[3] == "01" && addresses.iter().any(|address| fields[1] == address)
+    };
+    table.lines().skip(1).filter(is_open).count()
+}
+
+/// Guards against connections that stay open after a pull of configuration: pulls go to random
+/// hosts, so in time each host would send pings to all others.
+#[test]
+fn connection_without_requests_is_closed() {
+    let fleet = fixture::fleet().hosts(6).start().unwrap();
+    fleet.put("models", "second", &json!({"context_tokens": 1000})).unwrap();
+    wait_for("a pull", || peer_connections(&fleet) > 0);
+    wait_for("no open connection", || peer_connections(&fleet) == 0);
+    fleet.close();
+}
+
 /// Guards against engines that never get the models that the configuration wants, with and without
 /// a check of the fencing number, and against more loads than wanted.
 #[test]
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::Arc,
@@ -435,12 +435,17 @@
     })
 }
 
-/// A loopback address that nothing listens on, with the listener that reserved it.
+/// A loopback address on which nothing listens over TCP or UDP, with the listener that reserved it.
 ///
 /// The IP address is random within 127.0.0.0/8: on 127.0.0.1 a port that was just released is often
 /// given to a stand-in of another test before the host binds it.
 pub fn free_address() -> io::Result<(SocketAddr, Arc<TcpListener>)> {
     let [a, b, c] = std::array::from_fn(|_| fastrand::u8(1..255));
-    let listener = TcpListener::bind((Ipv4Addr::new(127, a, b, c), 0))?;
-    Ok((listener.local_addr()?, Arc::new(listener)))
+    loop {
+        let listener = TcpListener::bind((Ipv4Addr::new(127, a, b, c), 0))?;
+        let address = listener.local_addr()?;
+        if UdpSocket::bind(address).is_ok() {
+            return Ok((address, Arc::new(listener)));
+        }
+    }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod fleet;
 pub mod hostlist;
 pub mod load;
+pub mod sampling;
+pub mod scale_world;
 pub mod server;
 pub mod service;
 pub mod solo;
