--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -141,7 +141,10 @@
             SchedulerInput::Requeue(item) => self.requeue(now, item, &mut outputs),
             SchedulerInput::Retry(item) => self.retry(now, item, &mut outputs),
             SchedulerInput::Adopt { item, engine } => self.adopt(now, item, engine),
-            SchedulerInput::Cancel(work) => self.cancel(now, work, &mut outputs),
+            SchedulerInput::Cancel(work) => {
+                freed = !self.queued.contains_key(&work);
+                self.cancel(now, work, &mut outputs);
+            }
             SchedulerInput::Progress { work, tokens } => freed = self.progress(now, work, tokens),
             SchedulerInput::Finished(work) => self.close(now, work),
             SchedulerInput::Rejected(work) => {
