Count service as prefill actually done

Cause: the driver counted cached prompt tokens as service, which the scheduler does not charge. Change: service in the driver is the prefill that the engine had to do.

--- a/crates/standins/src/decision/run.rs
+++ b/crates/standins/src/decision/run.rs
@@ -84,6 +84,8 @@
     /// Times it was preempted.
     pub preempted: u32,
     produced: u64,
+    /// Prompt tokens that the engine has to process, after what it has cached.
+    prefill: u64,
 }
 
 impl Outcome {
@@ -97,8 +99,8 @@
 pub struct RunReport {
     /// Outcomes in order of arrival.
     pub outcomes: Vec<Outcome>,
-    /// Cost spent in each second by account and rank: prompt tokens at the first token, and four
-    /// for each generated token.
+    /// Cost spent in each second by account and rank: prefill at the first token, and four for
+    /// each generated token.
     pub service: BTreeMap<(u64, u32, u8), u64>,
     /// Prompt and generated tokens in each second.
     pub tokens: BTreeMap<u64, u64>,
@@ -123,6 +125,7 @@
         finished: None,
         preempted: 0,
         produced: 0,
+        prefill: 0,
     };
     let outcomes: Vec<_> = arrivals.into_iter().map(outcome).collect();
     let report = RunReport { outcomes, service: BTreeMap::new(), tokens: BTreeMap::new() };
@@ -240,6 +243,8 @@
                 if self.engines[index].submit(&id, order).is_err() {
                     return Some(SchedulerInput::Rejected(work));
                 }
+                let prefill = self.engines[index].streams()[&id].prefill_left;
+                self.report.outcomes[work.0 as usize].prefill = prefill;
                 self.placed.insert(work, (index, id));
                 None
             }
@@ -285,8 +290,9 @@
         let second = self.now.0 / 1_000_000;
         let is_first = outcome.first_token.is_none();
         let prompt = if is_first { arrival.prompt_tokens } else { 0 };
+        let prefill = if is_first { outcome.prefill } else { 0 };
         let slot = (second, arrival.account, arrival.rank);
-        *self.report.service.entry(slot).or_default() += prompt + DECODE_COST;
+        *self.report.service.entry(slot).or_default() += prefill + DECODE_COST;
         *self.report.tokens.entry(second).or_default() += prompt + 1;
         outcome.first_token.get_or_insert(self.now);
         outcome.produced += 1;
