Let long prompts age and drain for them by rank

Cause: an account's longer prompts waited as long as it had shorter ones (test longer_prompts_age was red); a drain held by lower-ranked work, or one that others filled up again to the margin of the long class, never ended. Change: requests of one account are ordered by arrival plus a delay of 0 to 8 s by class; the drain goes to the highest rank and keeps the class's margin free; the subset of long prompts and the place kept for accounts within their share ignore lower ranks.

--- a/crates/core/src/scheduler/dispatch.rs
+++ b/crates/core/src/scheduler/dispatch.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::{
-    PoolScheduler, SchedulerOutput, Site, WorkItem,
+    PoolScheduler, RankState, SchedulerOutput, Site, WorkItem,
     cost::{CLASSES, memory_tokens, size_class},
     engine::{EngineBook, Headroom, Placement},
     forecast::RECENT_SPAN,
@@ -111,7 +111,11 @@
         }
         let item = &self.ranks[&rank].queue.get(head.work)?.item;
         let priority = self.priority(now, item, pick == Pick::Owed);
-        let within_share = self.is_within_share(now, rank, head.account);
+        // The place kept for accounts within their share must not go to lower-ranked work, or work
+        // above that may not use it would never see enough free places.
+        let is_passed = || self.ranks.range(..rank).any(|(_, state)| !state.queue.is_empty());
+        let may_pass = pick == Pick::Owed || !is_passed();
+        let within_share = may_pass && self.is_within_share(now, rank, head.account);
         let place = Placement::new(item, priority, entitled, within_share);
         let engine = self.find_engine(now, item, &place)?;
         Some(Choice { work: head.work, engine, place })
@@ -197,10 +201,15 @@
         if serving.len() < SUBSET_ENGINES {
             return None;
         }
-        // What waits counts too: a class that is held back must be able to grow its subset.
+        // What waits counts too: a class that is held back must be able to grow its subset. Lower
+        // ranks do not count, as a flood of theirs must not narrow the room of those above.
         let demand = |class: usize| {
-            let queued: u64 = self.ranks.values().map(|state| state.queue.class_cost(class)).sum();
-            self.class_recent[class].get(now, RECENT_SPAN) + queued as f64
+            let ranks = self.ranks.range(..=item.rank).map(|(_, state)| state);
+            let of_rank = |state: &RankState| {
+                let recent = state.class_recent[class].get(now, RECENT_SPAN);
+                recent + state.queue.class_cost(class) as f64
+            };
+            ranks.map(of_rank).sum::<f64>()
         };
         let total: f64 = (0..CLASSES).map(demand).sum();
         let share = demand(last) / total.max(1.0);
@@ -219,7 +228,8 @@
         let prefill = book.take(now, &item, &place);
         let class = place.class;
         self.class_pace[class].spend(waiting.cost);
-        self.class_recent[class].add(now, RECENT_SPAN, waiting.cost as f64);
+        let recent = &mut self.rank(rank).class_recent[class];
+        recent.add(now, RECENT_SPAN, waiting.cost as f64);
         self.start(now, item, Site::Engine(engine), prefill);
         outputs.push(SchedulerOutput::Dispatch { work, engine, priority: place.priority });
     }
@@ -325,12 +335,21 @@
                 chosen.push((*rank, waiting.item.clone()));
             }
         }
-        for (_, item) in chosen {
+        for (rank, item) in chosen {
             let need = memory_tokens(&item);
             let model = item.model;
-            let is_served =
-                |book: &EngineBook| book.spec.models.contains(&model) && book.drain_for.is_some();
-            if self.engines.values().any(is_served) {
+            let serving = self.engines.values_mut().filter(|b| b.spec.models.contains(&model));
+            let mut is_kept = false;
+            for book in serving {
+                // Work of a lower rank can wait for other reasons than memory, and must not keep
+                // the drain from work above it.
+                let drained = book.drain_for.and_then(|(work, _)| self.queued.get(&work));
+                match drained {
+                    Some(drained) if *drained <= rank => is_kept = true,
+                    _ => book.drain_for = None,
+                }
+            }
+            if is_kept {
                 continue;
             }
             let last = self.long_subset(now, &item);
@@ -341,7 +360,8 @@
                     && last.is_none_or(|last| **engine <= last)
             });
             if let Some((_, book)) = open.max_by_key(|(_, book)| book.free(now)) {
-                book.drain_for = Some((item.work, need));
+                book.drain_for =
+                    Some((item.work, book.room_for(size_class(item.prompt_tokens), need)));
             }
         }
     }
--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -218,8 +218,8 @@
         let held = self.held + self.reserved + foreign_held;
         // A prompt that only fits without headroom may use an engine that holds nothing.
         let alone = held == 0 && drained == 0;
-        let shorter = (1.0 - CLASS_MEMORY[place.class]) * self.spec.memory_tokens as f64;
-        let kept = if alone || place.entitled { 0 } else { kept.tokens.max(shorter as u64) };
+        let shorter = self.room_for(place.class, 0);
+        let kept = if alone || place.entitled { 0 } else { kept.tokens.max(shorter) };
         held + place.need + kept + drained <= self.spec.memory_tokens
     }
 
@@ -233,6 +233,12 @@
         self.prefills.values().any(|prefill| prefill.class >= from)
     }
 
+    /// Free memory that a request needs, with what its class must leave to shorter prompts.
+    pub fn room_for(&self, class: usize, need: u64) -> u64 {
+        let left = (1.0 - CLASS_MEMORY[class]) * self.spec.memory_tokens as f64;
+        (need + left as u64).min(self.spec.memory_tokens)
+    }
+
     /// Whether the request would reach the prefill soon and leaves long prompts their share.
     fn has_pace(&self, place: &Placement, pool_rate: f64) -> bool {
         if place.entitled || !self.may_start(place.class) {
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -50,6 +50,8 @@
     credit: f64,
     /// Actual service received lately.
     recent: FadingSum,
+    /// Cost sent lately, by size class.
+    class_recent: [FadingSum; CLASSES],
     /// Average generated tokens of a request; 0 until known.
     typical_output: f64,
     /// Typical memory of a request, in tokens.
@@ -104,8 +106,6 @@
     /// Average seconds a request of a size class holds memory, and seconds a token takes.
     typical_seconds: [f64; CLASSES],
     token_seconds: f64,
-    /// Recent cost of each size class.
-    class_recent: [FadingSum; CLASSES],
     /// Urgent requests that wait for preempted work to leave an engine, and since when.
     preempting: BTreeMap<WorkKey, Time>,
     usage: BTreeMap<(AccountKey, RankKey), (u64, u64)>,
@@ -444,6 +444,7 @@
             queue: RankQueue::default(),
             credit: 0.0,
             recent: FadingSum::default(),
+            class_recent: [FadingSum::default(); CLASSES],
             typical_output: 0.0,
             typical_need: 0.0,
         }
--- a/crates/core/src/scheduler/queue.rs
+++ b/crates/core/src/scheduler/queue.rs
@@ -24,6 +24,11 @@
 /// Resolution of tags: tag units for one unit of cost at weight 1.
 const TAG_UNITS: f64 = 1_000.0;
 
+/// Time by which a longer prompt of an account is put behind its shorter ones. It is finite, so that
+/// long prompts age and short ones that keep coming do not hold them back for good.
+const CLASS_DELAY: [Duration; CLASSES] =
+    [Duration::ZERO, Duration::from_millis(500), Duration::from_secs(2), Duration::from_secs(8)];
+
 /// A lane: model and size class.
 pub(super) type LaneKey = (ModelKey, usize);
 
@@ -40,6 +45,8 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Head {
     pub place: Place,
+    /// Orders the requests of one account: when it came, and later the longer it is.
+    pub due: Time,
     pub class: usize,
     pub account: AccountKey,
     pub work: WorkKey,
@@ -180,7 +187,8 @@
         let lane = self.lanes.get(&key)?;
         let (place, account) = *lane.heads.first()?;
         let (_, work) = lane.works[&account].first_key_value()?;
-        Some(Head { place, class: key.1, account, work: *work })
+        let due = self.waiting[work].since + CLASS_DELAY[key.1];
+        Some(Head { place, due, class: key.1, account, work: *work })
     }
 
     /// Counts a request of the account that was not queued as open.
--- a/crates/core/src/scheduler/tests.rs
+++ b/crates/core/src/scheduler/tests.rs
@@ -162,6 +162,22 @@
     assert!(order.contains(&100), "{order:?}");
 }
 
+/// Guards against a longer prompt that waits for as long as its account has shorter ones.
+#[test]
+fn longer_prompts_age() {
+    let mut pool = pool(1, 4);
+    let mut now = Time(1);
+    (0..30).for_each(|work| drop(submit(&mut pool, now, item(work, 1, LOW, 500))));
+    submit(&mut pool, now, item(100, 1, LOW, 5_000));
+    let mut order = Vec::new();
+    for work in 0..30 {
+        now = now + Duration::from_millis(200);
+        submit(&mut pool, now, item(200 + work, 1, LOW, 500));
+        order.extend(dispatched(&finish(&mut pool, now, work)));
+    }
+    assert!(order.contains(&100), "{order:?}");
+}
+
 /// Guards against an account that gets more service the more it asks for.
 #[test]
 fn backlogged_accounts_get_equal_service() {
