Drain for a waiting long prompt after 100 ms

Cause: a long prompt waited 1 s before an engine began to make room for it. Change: the drain begins after 100 ms.

--- a/crates/core/src/scheduler/dispatch.rs
+++ b/crates/core/src/scheduler/dispatch.rs
@@ -23,7 +23,7 @@
 /// Time after which more work is preempted for a request that still waits.
 const PREEMPT_REPEAT: Duration = Duration::from_secs(1);
 /// Wait after which an engine is drained for a long prompt that finds no memory.
-const DRAIN_AFTER: Duration = Duration::from_secs(1);
+const DRAIN_AFTER: Duration = Duration::from_millis(100);
 /// First size class that engines are drained for; shorter prompts find memory soon.
 const DRAIN_CLASS: usize = 2;
 /// Smallest pool in which long prompts are kept to a subset of the engines.
