--- a/crates/core/src/resource/mod.rs
+++ b/crates/core/src/resource/mod.rs
@@ -6,7 +6,18 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use parsley_macros::{key, message};
-use serde::Deserialize;
+
+use crate::document::Finding;
+
+mod read;
+mod status;
+mod stored;
+#[cfg(test)]
+mod tests;
+
+pub use read::{ResourceSpec, read_spec};
+pub use status::{Condition, brief_conditions, conditions, users};
+pub use stored::StoredResource;
 
 /// Kinds of resources.
 #[key]
@@ -41,6 +52,16 @@
         }
     }
 
+    /// The name of the kind in files and messages.
+    pub fn name(self) -> &'static str {
+        match self {
+            ResourceKind::ClientAccount => "ClientAccount",
+            ResourceKind::Rank => "Rank",
+            ResourceKind::Model => "Model",
+            ResourceKind::BackendServer => "BackendServer",
+        }
+    }
+
     /// The kind with the given segment.
     pub fn from_segment(segment: &str) -> Option<ResourceKind> {
         ResourceKind::ALL.into_iter().find(|kind| kind.segment() == segment)
@@ -148,24 +169,53 @@
     pub models: BTreeMap<Arc<str>, Model>,
     /// Backend servers by name.
     pub servers: BTreeMap<Arc<str>, BackendServer>,
+    /// Names of client accounts by the digest of a token.
+    pub digests: BTreeMap<Arc<str>, Arc<str>>,
 }
 
 impl ResourceSet {
-    /// Puts one resource in force from its JSON `spec`. Returns what is wrong with a bad one,
-    /// which leaves the set as it was.
-    pub fn put(&mut self, kind: ResourceKind, name: &str, spec: &str) -> Result<(), Arc<str>> {
+    /// Puts one resource in force from its value in the key-value service. Returns what is wrong
+    /// with a bad one, which leaves the set as it was.
+    ///
+    /// References are not checked: a resource may arrive before the one it refers to.
+    pub fn put(&mut self, kind: ResourceKind, name: &str, value: &str) -> Result<(), Arc<str>> {
+        let stored = StoredResource::decode(value)?;
+        let spec = read_spec(kind, name, &stored.spec.to_string(), None)
+            .map_err(|findings| summary(&findings))?;
+        let name: Arc<str> = name.into();
+        match spec {
+            ResourceSpec::ClientAccount(spec) => {
+                self.remove(kind, &name);
+                for digest in &spec.credential_digests {
+                    // Two accounts can get one token by a race; all hosts must choose the same.
+                    let owner = self.digests.entry(digest.clone()).or_insert_with(|| name.clone());
+                    if name < *owner {
+                        *owner = name.clone();
+                    }
+                }
+                self.accounts.insert(name, spec);
+            }
+            ResourceSpec::Rank(spec) => drop(self.ranks.insert(name, spec)),
+            ResourceSpec::Model(spec) => drop(self.models.insert(name, spec)),
+            ResourceSpec::BackendServer(spec) => drop(self.servers.insert(name, spec)),
+        }
+        Ok(())
+    }
+
+    /// Whether the set has a resource.
+    pub fn contains(&self, kind: ResourceKind, name: &str) -> bool {
         match kind {
-            ResourceKind::ClientAccount => insert(&mut self.accounts, name, spec),
-            ResourceKind::Rank => insert(&mut self.ranks, name, spec),
-            ResourceKind::Model => insert(&mut self.models, name, spec),
-            ResourceKind::BackendServer => insert(&mut self.servers, name, spec),
+            ResourceKind::ClientAccount => self.accounts.contains_key(name),
+            ResourceKind::Rank => self.ranks.contains_key(name),
+            ResourceKind::Model => self.models.contains_key(name),
+            ResourceKind::BackendServer => self.servers.contains_key(name),
         }
     }
 
     /// Removes one resource.
     pub fn remove(&mut self, kind: ResourceKind, name: &str) {
         match kind {
-            ResourceKind::ClientAccount => drop(self.accounts.remove(name)),
+            ResourceKind::ClientAccount => self.remove_account(name),
             ResourceKind::Rank => drop(self.ranks.remove(name)),
             ResourceKind::Model => drop(self.models.remove(name)),
             ResourceKind::BackendServer => drop(self.servers.remove(name)),
@@ -173,14 +223,24 @@
     }
 }
 
-fn insert<T: for<'de> Deserialize<'de>>(
-    map: &mut BTreeMap<Arc<str>, T>,
-    name: &str,
-    spec: &str,
-) -> Result<(), Arc<str>> {
-    let resource = serde_json::from_str(spec).map_err(|err| Arc::<str>::from(err.to_string()))?;
-    map.insert(name.into(), resource);
-    Ok(())
+impl ResourceSet {
+    fn remove_account(&mut self, name: &str) {
+        let Some(removed) = self.accounts.remove(name) else { return };
+        for digest in removed.credential_digests {
+            if self.digests.get(&digest).is_none_or(|owner| **owner != *name) {
+                continue;
+            }
+            self.digests.remove(&digest);
+            let has = |one: &ClientAccount| one.credential_digests.contains(&digest);
+            if let Some((other, _)) = self.accounts.iter().find(|(_, account)| has(account)) {
+                self.digests.insert(digest, other.clone());
+            }
+        }
+    }
+}
+
+fn summary(findings: &[Finding]) -> Arc<str> {
+    findings.iter().map(Finding::to_string).collect::<Vec<_>>().join("; ").into()
 }
 
 fn one() -> u32 {
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -2,11 +2,14 @@
 
 use std::{cell::RefCell, collections::BTreeMap, future::Future, rc::Rc, sync::Arc, time::Instant};
 
+use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use parsley_core::{
     arena::NameTable,
-    config::ConfigStore,
+    config::{ConfigStore, Revision},
+    health::HealthTracker,
     member::{MemberRecord, MemberState, MemberTable},
+    order::{OrderKeeper, ShardKey},
     placement::EnginePicker,
     settings::HostSettings,
     time::Time,
@@ -15,7 +18,11 @@
 };
 use slog::Logger;
 
-use crate::{peer::link::PeerLink, pool::EnginePool};
+use crate::{
+    metrics::HostMetrics,
+    peer::{datagram::DatagramSealer, link::PeerLink},
+    pool::{EnginePool, assign::EngineNotes},
+};
 
 /// A host. No borrow of [`Host::state`] may be held across an await.
 pub struct Host {
@@ -27,9 +34,12 @@
     pub log: Logger,
     /// Signs continuation tokens.
     pub signer: TokenSigner,
+    /// Counters and histograms.
+    pub metrics: HostMetrics,
     /// Mutable state.
     pub state: RefCell<HostState>,
     started: Instant,
+    stop: (Sender<Arc<str>>, Receiver<Arc<str>>),
 }
 
 /// A shared host.
@@ -45,6 +55,16 @@
     pub picker: EnginePicker,
     /// Work on the engines that this host owns.
     pub pool: EnginePool,
+    /// Health of the engines that this host owns.
+    pub health: HealthTracker,
+    /// Notes on the engines that this host owns.
+    pub notes: EngineNotes,
+    /// Orders to engines.
+    pub orders: OrderKeeper,
+    /// Leases of order shards in the key-value service.
+    pub shard_leases: BTreeMap<ShardKey, u64>,
+    /// Seals and opens datagrams.
+    pub datagrams: DatagramSealer,
     /// Use of accounts over all hosts.
     pub usage: UsageLedger,
     /// Keys of client accounts.
@@ -61,6 +81,13 @@
     open_requests: usize,
 }
 
+impl HostState {
+    /// Whether the host is draining.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+}
+
 impl Host {
     /// A host that has not started.
     pub fn new(
@@ -68,17 +95,24 @@
         executor: Rc<LocalExecutor<'static>>,
         log: Logger,
     ) -> HostRef {
+        let mut rng = fastrand::Rng::new();
+        let me = member_record(&settings);
         let state = HostState {
-            members: MemberTable::new(member_record(&settings), settings.seeds.clone()),
-            config: ConfigStore::default(),
-            picker: EnginePicker::default(),
+            picker: EnginePicker::new(&me, rng.fork()),
+            members: MemberTable::new(me, settings.seeds.clone(), rng.fork()),
+            config: ConfigStore::new(rng.fork()),
+            health: HealthTracker::default(),
+            notes: EngineNotes::default(),
+            orders: OrderKeeper::default(),
+            shard_leases: BTreeMap::new(),
+            datagrams: DatagramSealer::new(&settings.peer_key),
             pool: EnginePool::default(),
             usage: UsageLedger::new(settings.name.clone()),
             accounts: NameTable::default(),
             models: NameTable::default(),
             engines: NameTable::default(),
             links: BTreeMap::new(),
-            rng: fastrand::Rng::new(),
+            rng,
             draining: false,
             open_requests: 0,
         };
@@ -87,8 +121,10 @@
             settings,
             executor,
             log,
+            metrics: HostMetrics::new(),
             state: RefCell::new(state),
             started: Instant::now(),
+            stop: async_channel::bounded(1),
         })
     }
 
@@ -107,16 +143,28 @@
         self.state.borrow_mut().draining = true;
     }
 
+    /// Asks the host to drain and stop, on behalf of `by`. A second call has no effect.
+    pub fn request_stop(&self, by: &str) {
+        // The channel is full when the host was asked before.
+        let _ = self.stop.0.try_send(by.into());
+    }
+
+    /// Waits until somebody asks the host to stop, and tells who.
+    pub async fn stop_requested(&self) -> Arc<str> {
+        self.stop.1.recv().await.unwrap_or_else(|_| "host".into())
+    }
+
+    /// Whether this host holds a configuration, so that it can serve callers.
+    pub fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        !state.draining && state.config.complete() > Revision(0)
+    }
+
     /// Whether the host is draining.
     pub fn is_draining(&self) -> bool {
         self.state.borrow().draining
     }
 
-    /// Whether the host is draining, for a caller that holds the state.
-    pub fn is_draining_in(&self, state: &HostState) -> bool {
-        state.draining
-    }
-
     /// Requests that are open to callers or peers.
     pub fn open_requests(&self) -> usize {
         let state = self.state.borrow();
--- a/crates/node/src/pool/group.rs
+++ b/crates/node/src/pool/group.rs
@@ -12,14 +12,14 @@
     resource::{BackendRole, BackendServer},
     scheduler::SchedulerInput,
 };
-use slog::info;
 
 use super::{finish, step, stream};
 use crate::{
     adapter::engine::{self, EngineAnswer, EngineEvent, EngineOrder, EngineStream, GroupPart},
     error::NodeError,
+    event,
     host::{HostRef, HostState},
-    peer::{self, PeerDatagram, frame::StreamEvent},
+    peer::{self, datagram::PeerDatagram, frame::StreamEvent},
 };
 
 /// Attempts to give a reservation back; its term ends it otherwise.
@@ -154,7 +154,7 @@
         match engine::release(&address, &id).await {
             Ok(()) => return,
             Err(err) => {
-                info!(host.log, "release failed"; "event" => "E1303", "group" => &id, "error" => %err);
+                event!(host.log, RELEASE_FAILED, "group" => &id, "error" => %err);
             }
         }
         Timer::after(RELEASE_DELAY).await;
@@ -188,7 +188,7 @@
     };
     match owner {
         Some(owner) if owner.name == host.settings.name => drain_owned(host, engine),
-        Some(owner) => peer::send(host, &owner.peer_address, &PeerDatagram::Drain(engine.clone())),
+        Some(owner) => peer::send(host, &owner.peer_address, PeerDatagram::Drain(engine.clone())),
         None => {}
     }
 }
@@ -208,7 +208,7 @@
         }
         Ok(None) => {}
         Err(err) => {
-            info!(host.log, "group failed"; "event" => "E1304", "work" => work.0, "error" => %err);
+            event!(host.log, GROUP_FAILED, "work" => work.0, "error" => %err);
             let reader = host.state.borrow().pool.works.get(&work).map(|entry| entry.reader);
             if let Some(reader) = reader {
                 stream::next_attempt(&host, work, reader);
--- a/crates/node/src/pool/mod.rs
+++ b/crates/node/src/pool/mod.rs
@@ -127,9 +127,8 @@
 /// Starts the timers of the pool.
 pub fn start(host: &HostRef) {
     host.spawn(tick_loop(host.clone()));
-    host.spawn(assign::load_loop(host.clone()));
+    assign::start(host);
     host.spawn(report::usage_loop(host.clone()));
-    host.spawn(report::engine_loop(host.clone()));
 }
 
 async fn tick_loop(host: HostRef) {
--- a/crates/node/src/pool/report.rs
+++ b/crates/node/src/pool/report.rs
@@ -1,10 +1,10 @@
-//! What hosts tell each other about the use of accounts, and what engines tell about their load.
+//! What hosts tell each other about the use of accounts.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use async_io::Timer;
 use parsley_core::{
-    key::{AccountKey, EngineKey, RankKey},
+    key::{AccountKey, RankKey},
     resource::ResourceSet,
     scheduler::{AccountUsage, SchedulerInput},
     usage::{REPORT_PERIOD, UsageAmount, UsageInput, UsageKey, UsageOutput},
@@ -12,14 +12,10 @@
 
 use super::step;
 use crate::{
-    adapter::engine,
     host::{HostRef, HostState},
-    peer::{self, PeerDatagram},
+    peer::{self, datagram::PeerDatagram},
 };
 
-/// Time between two load reports of an engine.
-const ENGINE_PERIOD: Duration = Duration::from_millis(200);
-
 pub(super) async fn usage_loop(host: HostRef) {
     loop {
         Timer::after(REPORT_PERIOD).await;
@@ -59,7 +55,7 @@
                     state.members.get(&to).map(|member| member.peer_address.clone())
                 };
                 if let Some(address) = address {
-                    peer::send(host, &address, &PeerDatagram::Usage(message));
+                    peer::send(host, &address, PeerDatagram::Usage(message));
                 }
             }
             UsageOutput::Remote(key, amount) => remote_usage(host, &key, amount),
@@ -78,27 +74,3 @@
     };
     step(host, input);
 }
-
-pub(super) async fn engine_loop(host: HostRef) {
-    loop {
-        Timer::after(ENGINE_PERIOD).await;
-        let engines: Vec<_> = {
-            let state = host.state.borrow();
-            let servers = &state.config.resources().servers;
-            let owned = state.pool.owned.iter();
-            let address = |(engine, name): (&EngineKey, &Arc<str>)| {
-                servers.get(name).map(|server| (*engine, server.address.clone()))
-            };
-            owned.filter_map(address).collect()
-        };
-        for (engine, address) in engines {
-            host.spawn(engine_report(host.clone(), engine, address));
-        }
-    }
-}
-
-async fn engine_report(host: HostRef, engine: EngineKey, address: Arc<str>) {
-    // Without a report the scheduler's own account is used.
-    let Ok(report) = engine::load(&address).await else { return };
-    step(&host, SchedulerInput::Report { engine, report });
-}
