--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod arena;
+pub mod call;
 pub mod config;
 pub mod document;
 pub mod entry;
@@ -15,7 +16,9 @@
 pub mod member;
 pub mod order;
 pub mod placement;
+pub mod record;
 pub mod refusal;
+pub mod request;
 pub mod resource;
 pub mod scheduler;
 pub mod settings;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -66,19 +66,25 @@
     NoEngine,
     /// The key-value service cannot be reached.
     StoreUnavailable,
+    /// No connection to the service came about.
+    ServiceUnavailable,
+    /// The service failed on every allowed try.
+    ServiceFailed,
     /// The engine failed and no retry is allowed.
     EngineFailed,
     /// The host is shutting down.
     Draining,
     /// The caller cancelled the request.
     Cancelled,
+    /// An at-most-once call with the same key is in progress.
+    InProgress,
     /// The outcome of an at-most-once call cannot be determined.
     OutcomeUnknown,
 }
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Reason; 22] = [
+    pub const ALL: [Reason; 25] = [
         Reason::BadRequest,
         Reason::Unauthenticated,
         Reason::Forbidden,
@@ -97,9 +103,12 @@
         Reason::Overloaded,
         Reason::NoEngine,
         Reason::StoreUnavailable,
+        Reason::ServiceUnavailable,
+        Reason::ServiceFailed,
         Reason::EngineFailed,
         Reason::Draining,
         Reason::Cancelled,
+        Reason::InProgress,
         Reason::OutcomeUnknown,
     ];
 
@@ -124,9 +133,12 @@
             Reason::Overloaded => "overloaded",
             Reason::NoEngine => "no-engine",
             Reason::StoreUnavailable => "store-unavailable",
+            Reason::ServiceUnavailable => "service-unavailable",
+            Reason::ServiceFailed => "service-failed",
             Reason::EngineFailed => "engine-failed",
             Reason::Draining => "draining",
             Reason::Cancelled => "cancelled",
+            Reason::InProgress => "in-progress",
             Reason::OutcomeUnknown => "outcome-unknown",
         }
     }
@@ -141,6 +153,7 @@
             Reason::DeadlineExceeded | Reason::ReceiveTimeout => 408,
             Reason::Conflict
             | Reason::Cancelled
+            | Reason::InProgress
             | Reason::OutcomeUnknown
             | Reason::RevisionConflict
             | Reason::InUse => 409,
@@ -150,6 +163,8 @@
             | Reason::TooManyConnections
             | Reason::NoEngine
             | Reason::StoreUnavailable
+            | Reason::ServiceUnavailable
+            | Reason::ServiceFailed
             | Reason::EngineFailed
             | Reason::Draining => 503,
         }
--- a/crates/core/src/settings/builder.rs
+++ b/crates/core/src/settings/builder.rs
@@ -20,6 +20,7 @@
             failure_domain: empty.clone(),
             listen: empty.clone(),
             peer_listen: empty.clone(),
+            peer_advertise: None,
             peer_key: empty,
             operator_digests: Vec::new(),
             store: Vec::new(),
@@ -47,6 +48,12 @@
         self
     }
 
+    /// Address that other hosts use instead of the one for peers.
+    pub fn peer_advertise(mut self, address: &str) -> SettingsBuilder {
+        self.settings.peer_advertise = Some(address.into());
+        self
+    }
+
     /// Secret shared by all hosts.
     pub fn peer_key(mut self, key: &str) -> SettingsBuilder {
         self.settings.peer_key = key.into();
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -37,6 +37,8 @@
     pub listen: Arc<str>,
     /// Address for other hosts, TCP and UDP, as `ip:port`.
     pub peer_listen: Arc<str>,
+    /// Address that other hosts use instead of `peer_listen`, as `ip:port`.
+    pub peer_advertise: Option<Arc<str>>,
     /// Secret shared by all hosts.
     pub peer_key: Arc<str>,
     /// BLAKE3 hex digests of the operators' bearer tokens; anyone may administer if empty.
@@ -138,6 +140,7 @@
     if peer_listen.is_some() && peer_listen == listen {
         peer_field.report("the same address as listen", "use another port");
     }
+    let peer_advertise = reader.field("peer_advertise").address();
     let peer_key = read_peer_key(&reader.field("peer_key").required("\"a long shared secret\""));
     let operator_digests = reader.field("operator_digests").list(LIST_LIMIT, Field::digest);
     let store = reader.field("store").required("[\"10.0.0.9:2379\"]");
@@ -154,6 +157,7 @@
         failure_domain: failure_domain?,
         listen: listen?,
         peer_listen: peer_listen?,
+        peer_advertise,
         peer_key: peer_key?,
         operator_digests: operator_digests.unwrap_or_default(),
         store: store?,
--- a/crates/node/src/adapter/engine.rs
+++ b/crates/node/src/adapter/engine.rs
@@ -7,6 +7,7 @@
 use parsley_core::{
     order::{OrderAction, OrderResult, RoleOrder},
     placement::CacheEvent,
+    request::ListedStream,
 };
 use serde::Deserialize;
 use serde_json::json;
@@ -36,6 +37,10 @@
     pub max_tokens: u64,
     /// Lower is more urgent.
     pub priority: u8,
+    /// Host that answers for the stream.
+    pub owner: Arc<str>,
+    /// Time left until the final answer is due.
+    pub time_left: Duration,
 }
 
 /// How an engine answers a submission or an attachment.
@@ -88,15 +93,19 @@
 
 /// Submits a stream; a repeated submission of the same stream id attaches to it.
 pub async fn submit(address: &str, order: &EngineOrder) -> Result<EngineAnswer, NodeError> {
-    let body = json!({
-        "stream": order.stream, "model": order.model, "prompt": order.prompt,
-        "offset": order.offset, "max_tokens": order.max_tokens, "priority": order.priority,
-    });
-    let body = Some(body.to_string());
+    let body = Some(order_body(order).to_string());
     let response = http::send(address, Method::Post, "/streams", body, HEAD_LIMIT).await?;
     Ok(answer(response))
 }
 
+fn order_body(order: &EngineOrder) -> serde_json::Value {
+    json!({
+        "stream": order.stream, "model": order.model, "prompt": order.prompt,
+        "offset": order.offset, "max_tokens": order.max_tokens, "priority": order.priority,
+        "owner": order.owner, "time_left_ms": order.time_left.as_millis() as u64,
+    })
+}
+
 /// A part of a prompt that a member of a group processes.
 pub struct GroupPart<'a> {
     /// Group, whose reservation holds the memory.
@@ -111,11 +120,9 @@
     order: &EngineOrder,
     part: &GroupPart<'_>,
 ) -> Result<EngineAnswer, NodeError> {
-    let body = json!({
-        "stream": order.stream, "model": order.model, "prompt": order.prompt,
-        "offset": order.offset, "max_tokens": order.max_tokens, "priority": order.priority,
-        "group": part.group, "import": part.import,
-    });
+    let mut body = order_body(order);
+    body["group"] = json!(part.group);
+    body["import"] = json!(part.import);
     let body = Some(body.to_string());
     let response = http::send(address, Method::Post, "/streams", body, HEAD_LIMIT).await?;
     Ok(answer(response))
@@ -152,20 +159,59 @@
     Ok(())
 }
 
-/// Attaches to a stream at a position.
-pub async fn attach(address: &str, stream: &str, offset: u64) -> Result<EngineAnswer, NodeError> {
-    let path = format!("/streams/{stream}?offset={offset}");
+/// Attaches to a stream at a position. The owner answers for the stream from now on.
+pub async fn attach(
+    address: &str,
+    stream: &str,
+    offset: u64,
+    owner: &str,
+) -> Result<EngineAnswer, NodeError> {
+    let path = format!("/streams/{stream}?offset={offset}&owner={owner}");
     let response = http::send(address, Method::Get, &path, None, HEAD_LIMIT).await?;
     Ok(answer(response))
 }
 
-/// Cancels a stream. An unknown stream counts as cancelled.
-pub async fn cancel(address: &str, stream: &str) -> Result<(), NodeError> {
-    let path = format!("/streams/{stream}");
+/// Cancels a stream if the owner still answers for it. An unknown stream, or one that another
+/// host took over, counts as cancelled.
+pub async fn cancel(address: &str, stream: &str, owner: &str) -> Result<(), NodeError> {
+    let path = format!("/streams/{stream}?owner={owner}");
     http::send(address, Method::Delete, &path, None, HEAD_LIMIT).await?;
     Ok(())
 }
 
+#[derive(Deserialize)]
+struct StreamList {
+    streams: Vec<ListLine>,
+}
+
+#[derive(Deserialize)]
+struct ListLine {
+    stream: Arc<str>,
+    finished: bool,
+    owner: Arc<str>,
+    overdue: bool,
+    followed: bool,
+}
+
+/// The streams that hold memory on an engine.
+pub async fn list(address: &str) -> Result<Vec<ListedStream>, NodeError> {
+    let list = async {
+        let mut response =
+            http::send(address, Method::Get, "/streams?open=1", None, HEAD_LIMIT).await?;
+        Ok(response.body_json::<StreamList>().await?)
+    };
+    let list = within(HEAD_LIMIT, list).await?;
+    let open = list.streams.into_iter().filter(|line| !line.finished);
+    Ok(open
+        .map(|line| ListedStream {
+            stream: line.stream,
+            owner: line.owner,
+            overdue: line.overdue,
+            followed: line.followed,
+        })
+        .collect())
+}
+
 fn answer(response: Response) -> EngineAnswer {
     match response.status() {
         StatusCode::Ok => {
--- a/crates/node/src/command/serve.rs
+++ b/crates/node/src/command/serve.rs
@@ -3,13 +3,13 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use crate::{
-    api,
+    api, carrier,
     command::SettingsArgs,
     config_sync,
     error::NodeError,
     event,
     host::{Host, HostRef},
-    host_watch, log, order_sync, peer, pool,
+    host_watch, log, order_sync, peer, pool, records,
 };
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -24,6 +24,9 @@
     parsleystage serve --settings FILE
 ";
 
+/// Time in which the last accepted connections send their request.
+const LAST_REQUEST: Duration = Duration::from_millis(500);
+
 /// Runs the command.
 pub fn run(parser: lexopt::Parser) -> Result<(), NodeError> {
     let Some(args) = SettingsArgs::parse(parser, USAGE)? else { return Ok(()) };
@@ -45,6 +48,9 @@
     peer::start(&host)?;
     api::start(&host)?;
     pool::start(&host);
+    carrier::start(&host);
+    records::start(&host);
+    api::services::start(&host);
     config_sync::start(&host);
     host_watch::start(&host);
     order_sync::start(&host);
@@ -69,6 +75,9 @@
     peer::member_step(host, MemberInput::Drain);
     pool::assign::hand_back(host);
     Timer::after(ENTRY_LIFETIME).await;
+    host.stop_accepting();
+    // Connections that were accepted last have sent their request by then.
+    Timer::after(LAST_REQUEST).await;
     while host.open_requests() > 0 {
         Timer::after(Duration::from_millis(50)).await;
     }
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -61,6 +61,7 @@
     ORDER_SENT: "E1304" Info "order sent" ["engine", "action", "model", "fencing", "result"];
     RELEASE_FAILED: "E1305" Warning "release of a group failed" ["group", "error"];
     GROUP_FAILED: "E1306" Warning "group failed" ["work", "error"];
+    ORPHAN_CANCELLED: "E1307" Warning "orphaned stream cancelled" ["stream", "owner"];
     RESOURCE_APPLIED: "E1401" Info "resource applied"
         ["operator", "resource", "revision", "write_id"];
     RESOURCE_DELETED: "E1402" Info "resource deleted"
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -31,11 +31,15 @@
 
 /// Starts to listen for other hosts.
 pub fn start(host: &HostRef) -> Result<(), NodeError> {
-    let address = &host.settings.peer_listen;
-    let me: SocketAddr =
-        address.parse().map_err(|_| NodeError::Protocol("peer_listen is not an IP address"))?;
-    let socket = UdpSocket::bind(me).and_then(Async::<UdpSocket>::try_from);
-    let socket = Rc::new(socket.map_err(|err| NodeError::Listen(address.clone(), err))?);
+    let parse = |address: &str| {
+        address.parse().map_err(|_| NodeError::Protocol("a peer address is not an IP address"))
+    };
+    let listen: SocketAddr = parse(&host.settings.peer_listen)?;
+    // Datagrams are sealed for the address that other hosts use.
+    let me = parse(&host.state.borrow().members.me().peer_address)?;
+    let socket = UdpSocket::bind(listen).and_then(Async::<UdpSocket>::try_from);
+    let listen = &host.settings.peer_listen;
+    let socket = Rc::new(socket.map_err(|err| NodeError::Listen(listen.clone(), err))?);
     SOCKET.with_borrow_mut(|slot| *slot = Some(socket.clone()));
     host.spawn(receive_loop(host.clone(), socket, me));
     host.spawn(tick_loop(host.clone()));
--- a/crates/node/src/pool/assign.rs
+++ b/crates/node/src/pool/assign.rs
@@ -11,17 +11,18 @@
         EngineLoad, LoadPush, PlacementInput, PlacementOutput, SAMPLE_TICK, SUBSCRIPTION,
         engine_id, prefix_hashes, serves,
     },
+    request::{OrphanInput, StreamEvent},
     resource::{BackendRole, ClientAccount, Rank},
     scheduler::{AccountSpec, EngineReport, EngineSpec, RankSpec, SchedulerInput},
     time::Time,
 };
 
-use super::{PoolWork, finish, step};
+use super::{PoolWork, end, step};
 use crate::{
     adapter::engine::{self, EngineAnswer, EngineEvent, EngineOrder},
     event,
     host::{HostRef, HostState},
-    peer::{self, datagram::PeerDatagram, frame::StreamEvent},
+    peer::{self, datagram::PeerDatagram},
 };
 
 const LOAD_PERIOD: Duration = Duration::from_millis(200);
@@ -82,15 +83,14 @@
         let set = state.config.resources();
         let usable = state.pool.owned.iter().filter(|(key, _)| state.health.is_usable(**key));
         let servers: Vec<_> = usable.filter_map(|(_, name)| set.servers.get(name)).collect();
-        let is_unservable = |entry: &PoolWork| {
-            entry.placed.is_none()
+        let is_unservable = |(work, entry): &(&WorkKey, &PoolWork)| {
+            state.pool.streams.placed(**work).is_none()
                 && !servers.iter().any(|server| serves(server, &entry.order.model))
         };
-        let works = state.pool.works.iter();
-        works.filter(|(_, entry)| is_unservable(entry)).map(|(work, _)| *work).collect()
+        state.pool.works.iter().filter(is_unservable).map(|(work, _)| *work).collect()
     };
     for work in unservable {
-        finish(host, work, StreamEvent::Moved);
+        end(host, work, StreamEvent::Moved);
         step(host, SchedulerInput::Cancel(work));
     }
 }
@@ -261,6 +261,7 @@
         inputs.push(SchedulerInput::EngineRemoved(*engine));
         health.extend(state.health.step(now, HealthInput::Disowned(*engine)));
         state.notes.events.remove(engine);
+        state.pool.orphans.step(now, OrphanInput::Gone(*engine));
     }
     state.pool.owned = owned;
     (inputs, health)
@@ -271,11 +272,12 @@
     assign(host);
     let queued: Vec<_> = {
         let state = host.state.borrow();
-        let works = state.pool.works.iter();
-        works.filter(|(_, entry)| entry.placed.is_none()).map(|(work, _)| *work).collect()
+        let pool = &state.pool;
+        let works = pool.works.keys().copied();
+        works.filter(|work| pool.streams.placed(*work).is_none()).collect()
     };
     for work in queued {
-        finish(host, work, StreamEvent::Moved);
+        end(host, work, StreamEvent::Moved);
         step(host, SchedulerInput::Cancel(work));
     }
 }
@@ -308,7 +310,8 @@
     let placed = {
         let state = host.state.borrow();
         let entry = state.pool.works.get(&work);
-        entry.and_then(|entry| Some((entry.placed.as_ref()?.0, entry.order.prompt.clone())))
+        let placed = state.pool.streams.placed(work);
+        entry.and_then(|entry| Some((placed?.0, entry.order.prompt.clone())))
     };
     let Some((engine, prompt)) = placed else { return };
     health_step(host, HealthInput::Outcome { engine, is_success: true });
@@ -372,14 +375,15 @@
         let state = &mut *state;
         let before = std::mem::take(&mut state.notes.produced);
         let mut streams: BTreeMap<EngineKey, (u64, u64)> = BTreeMap::new();
-        for (work, entry) in &state.pool.works {
-            let Some((engine, _)) = &entry.placed else { continue };
+        for work in state.pool.works.keys() {
+            let Some((engine, _)) = state.pool.streams.placed(*work) else { continue };
+            let now_produced = state.pool.streams.produced(*work);
             if let Some(produced) = before.get(work).filter(|produced| **produced > 0) {
                 let (tokens, count) = streams.entry(*engine).or_default();
-                *tokens += entry.produced.saturating_sub(*produced);
+                *tokens += now_produced.saturating_sub(*produced);
                 *count += 1;
             }
-            state.notes.produced.insert(*work, entry.produced);
+            state.notes.produced.insert(*work, now_produced);
         }
         for (engine, (tokens, count)) in streams {
             let server = state.engines.name(engine.0);
@@ -466,6 +470,8 @@
         offset: 0,
         max_tokens: 1,
         priority: 0,
+        owner: host.settings.name.clone(),
+        time_left: PROBE_LIMIT,
     };
     let run = async {
         let EngineAnswer::Stream(mut stream) = engine::submit(&address, &order).await? else {
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -12,128 +12,52 @@
 use http_types::Method;
 use serde_json::{Value, json};
 
+mod builder;
+mod inspect;
+
+pub use builder::FleetBuilder;
+
 use crate::{
     caller,
-    engine::{self, EngineConfig},
-    engine_model::EngineShape,
+    engine::{self, EngineConfig, EngineFaults},
     hostlist,
+    relay::{self, RelayHandle},
     server::ServerHandle,
-    service, store, weights,
+    service::{self, ServiceLog},
+    store::{self, StoreFaults},
+    weights,
 };
 
 /// Secret that the hosts of a stand-in fleet share.
 const PEER_KEY: &str = "stand-in fleet";
-/// Unit of processor time in `/proc`, in milliseconds.
-const TICK_MS: u64 = 10;
 /// Rate of the weight store.
 const LOADS_PER_SECOND: f64 = 40.0;
 /// Time within which a started fleet answers.
 const START_LIMIT: Duration = Duration::from_secs(15);
 
-/// Describes a fleet.
-#[derive(Clone, Debug)]
-pub struct FleetBuilder {
-    command: PathBuf,
-    hosts: usize,
-    domains: usize,
-    engines: usize,
-    accounts: Vec<String>,
-    shape: EngineShape,
-    step: Duration,
-    services: bool,
-    quiet: bool,
-    replicas: Option<u32>,
-    checks_fencing: bool,
-}
+/// Ports from here to [`LAST_PORT`] are not given to clients by the system.
+const FIRST_PORT: u16 = 10_000;
+const LAST_PORT: u16 = 32_000;
+const PORT_TRIES: usize = 50;
 
 impl FleetBuilder {
-    /// A fleet whose host processes run `command serve --settings FILE`.
-    pub fn new(command: impl Into<PathBuf>) -> FleetBuilder {
-        FleetBuilder {
-            command: command.into(),
-            hosts: 3,
-            domains: 3,
-            engines: 3,
-            accounts: vec!["inspection".to_owned(), "archive".to_owned()],
-            shape: EngineShape {
-                memory_tokens: 600_000,
-                batch: 32,
-                prefill_tokens: 20_000,
-                cached_prefixes: 64,
-            },
-            step: Duration::from_millis(5),
-            services: true,
-            quiet: true,
-            replicas: None,
-            checks_fencing: true,
-        }
-    }
-
-    /// Number of hosts.
-    pub fn hosts(mut self, hosts: usize) -> FleetBuilder {
-        self.hosts = hosts;
-        self
-    }
-
-    /// Number of failure domains.
-    pub fn domains(mut self, domains: usize) -> FleetBuilder {
-        self.domains = domains;
-        self
-    }
-
-    /// Number of engines.
-    pub fn engines(mut self, engines: usize) -> FleetBuilder {
-        self.engines = engines;
-        self
-    }
-
-    /// Names of client accounts; each one's bearer token is `token-<name>`.
-    pub fn accounts(mut self, accounts: Vec<String>) -> FleetBuilder {
-        self.accounts = accounts;
-        self
-    }
-
-    /// Size and pace of each engine.
-    pub fn shape(mut self, shape: EngineShape) -> FleetBuilder {
-        self.shape = shape;
-        self
-    }
-
-    /// Time of one engine step.
-    pub fn step(mut self, step: Duration) -> FleetBuilder {
-        self.step = step;
-        self
-    }
-
-    /// Number of engines that are to have the model loaded. Engines then start without it.
-    pub fn replicas(mut self, replicas: u32) -> FleetBuilder {
-        self.replicas = Some(replicas);
-        self
-    }
-
-    /// Whether engines refuse orders with an old fencing number.
-    pub fn checks_fencing(mut self, checks_fencing: bool) -> FleetBuilder {
-        self.checks_fencing = checks_fencing;
-        self
-    }
-
-    /// Whether the hosts' logs are dropped.
-    pub fn quiet(mut self, quiet: bool) -> FleetBuilder {
-        self.quiet = quiet;
-        self
-    }
-
     /// Starts everything and waits until each host has the configuration.
     pub fn start(self) -> io::Result<Fleet> {
-        let store = store::start(0)?;
+        let store_faults = Arc::<StoreFaults>::default();
+        let store = store::start(0, store_faults.clone())?;
         let host_list = hostlist::start(0, json!([]))?;
         let weights = weights::start(0, LOADS_PER_SECOND)?;
         let mut fleet = Fleet {
             builder: self,
+            store_faults,
+            engine_faults: Vec::new(),
+            service_log: Arc::default(),
+            relays: Vec::new(),
             store: Some(store),
             host_list: Some(host_list),
             weights: Some(weights),
             engines: Vec::new(),
+            engine_ports: Vec::new(),
             services: Vec::new(),
             hosts: Vec::new(),
         };
@@ -148,6 +72,19 @@
     }
 }
 
+/// What a relay of the fleet stands between.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RelayRoute {
+    /// Hosts and an engine.
+    Engine(usize),
+    /// Hosts and the key-value service.
+    Store,
+    /// Hosts and a host.
+    Peer(usize),
+    /// Callers and a host.
+    Caller(usize),
+}
+
 /// One host of the fleet.
 pub struct FleetHost {
     /// Name.
@@ -163,10 +100,15 @@
 /// A running fleet.
 pub struct Fleet {
     builder: FleetBuilder,
+    store_faults: Arc<StoreFaults>,
+    engine_faults: Vec<Arc<EngineFaults>>,
+    service_log: Arc<ServiceLog>,
+    relays: Vec<(RelayRoute, RelayHandle)>,
     store: Option<ServerHandle>,
     host_list: Option<ServerHandle>,
     weights: Option<ServerHandle>,
     engines: Vec<Option<ServerHandle>>,
+    engine_ports: Vec<u16>,
     services: Vec<ServerHandle>,
     hosts: Vec<FleetHost>,
 }
@@ -182,11 +124,6 @@
         self.store.as_ref().map(ServerHandle::address)
     }
 
-    /// Address of the host list, if it runs.
-    pub fn host_list_address(&self) -> Option<SocketAddr> {
-        self.host_list.as_ref().map(ServerHandle::address)
-    }
-
     /// Addresses of the engines that run.
     pub fn engine_addresses(&self) -> Vec<SocketAddr> {
         self.engines.iter().flatten().map(ServerHandle::address).collect()
@@ -197,6 +134,46 @@
         self.services.iter().map(ServerHandle::address).collect()
     }
 
+    fn add_relay(&mut self, route: RelayRoute, target: SocketAddr) -> io::Result<SocketAddr> {
+        if !self.builder.relayed {
+            return Ok(target);
+        }
+        let relay = relay::start(target)?;
+        let address = relay.address();
+        self.relays.push((route, relay));
+        Ok(address)
+    }
+
+    /// Starts an engine that was killed again at its address; it remembers nothing.
+    pub fn restart_engine(&mut self, index: usize) -> io::Result<()> {
+        let config = self.engine_config(index, self.engine_ports[index]);
+        self.engines[index] = Some(engine::start(config)?);
+        Ok(())
+    }
+
+    /// Starts an engine on a port that no client gets while the engine is down.
+    fn start_engine(&self, index: usize) -> io::Result<ServerHandle> {
+        let tries = (0..PORT_TRIES).map(|_| fastrand::u16(FIRST_PORT..LAST_PORT));
+        let mut start = tries.map(|port| engine::start(self.engine_config(index, port)));
+        let free = || io::Error::other("no free port");
+        start.find_map(Result::ok).ok_or_else(free)
+    }
+
+    fn engine_config(&self, index: usize, port: u16) -> EngineConfig {
+        EngineConfig {
+            port,
+            shape: self.builder.shape.clone(),
+            step: self.builder.step,
+            models: match self.builder.replicas {
+                Some(_) => Vec::new(),
+                None => vec!["inspector".to_owned()],
+            },
+            checks_fencing: self.builder.checks_fencing,
+            weights: self.weights.as_ref().map(|weights| weights.address().to_string()),
+            faults: self.engine_faults[index].clone(),
+        }
+    }
+
     /// Kills a host's process.
     pub fn kill_host(&mut self, index: usize) {
         if let Some(mut child) = self.hosts[index].child.take() {
@@ -213,19 +190,6 @@
         Command::new("kill").args([&format!("-{signal}"), &pid]).status().map(drop)
     }
 
-    /// Processor time that a host's process has used.
-    pub fn host_cpu(&self, index: usize) -> io::Result<Duration> {
-        let Some(child) = &self.hosts[index].child else { return Ok(Duration::ZERO) };
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", child.id()))?;
-        // The command's name may contain spaces; the fields after its closing bracket do not.
-        let fields = stat.rsplit(')').next().unwrap_or_default();
-        let ticks = |index: usize| {
-            fields.split_whitespace().nth(index).and_then(|text| text.parse().ok()).unwrap_or(0)
-        };
-        let ticks: u64 = ticks(11) + ticks(12);
-        Ok(Duration::from_millis(ticks * TICK_MS))
-    }
-
     /// Waits until a host's process ended by itself. Returns whether it ended with success.
     pub fn wait_host(&mut self, index: usize) -> io::Result<bool> {
         let Some(mut child) = self.hosts[index].child.take() else { return Ok(false) };
@@ -278,6 +242,9 @@
         if let Some(weights) = self.weights.take() {
             weights.close();
         }
+        for (_, relay) in self.relays.drain(..) {
+            relay.close();
+        }
     }
 
     fn stop(&mut self) {
@@ -288,36 +255,30 @@
     }
 
     fn start_servers(&mut self) -> io::Result<()> {
-        for _ in 0..self.builder.engines {
-            let config = EngineConfig {
-                port: 0,
-                shape: self.builder.shape.clone(),
-                step: self.builder.step,
-                models: match self.builder.replicas {
-                    Some(_) => Vec::new(),
-                    None => vec!["inspector".to_owned()],
-                },
-                checks_fencing: self.builder.checks_fencing,
-                weights: self.weights.as_ref().map(|weights| weights.address().to_string()),
-            };
-            self.engines.push(Some(engine::start(config)?));
+        for index in 0..self.builder.engines {
+            self.engine_faults.push(Arc::default());
+            let engine = self.start_engine(index)?;
+            self.engine_ports.push(engine.address().port());
+            self.engines.push(Some(engine));
         }
         if self.builder.services {
-            self.services.push(service::start(0, Duration::from_millis(20))?);
+            let delay = Duration::from_millis(20);
+            self.services.push(service::start(0, delay, self.service_log.clone())?);
         }
         Ok(())
     }
 
-    fn declare(&self) -> io::Result<()> {
+    fn declare(&mut self) -> io::Result<()> {
+        let mut engines = Vec::new();
+        for (index, address) in self.engine_addresses().into_iter().enumerate() {
+            engines.push(self.add_relay(RelayRoute::Engine(index), address)?);
+        }
         let put = |kind: &str, name: &str, spec: Value| self.put(kind, name, &spec);
         put("ranks", "urgent", rank(0, 1_000, 30_000, 30))?;
         put("ranks", "standard", rank(1, 5_000, 120_000, 40))?;
         put("ranks", "batch", rank(2, 60_000, 300_000, 10))?;
-        put(
-            "models",
-            "inspector",
-            json!({"context_tokens": 1_200_000, "replicas": self.builder.replicas}),
-        )?;
+        let replicas = self.builder.replicas;
+        put("models", "inspector", json!({"context_tokens": 1_200_000, "replicas": replicas}))?;
         for name in &self.builder.accounts {
             let digest = blake3::hash(format!("token-{name}").as_bytes()).to_hex().to_string();
             let spec = json!({
@@ -325,7 +286,7 @@
             });
             put("clientaccounts", name, spec)?;
         }
-        for (index, address) in self.engine_addresses().iter().enumerate() {
+        for (index, address) in engines.iter().enumerate() {
             let shape = &self.builder.shape;
             let role = json!({
                 "type": "engine", "models": ["inspector"],
@@ -334,12 +295,11 @@
             put("backendservers", &format!("engine-{index}"), self.server(index, *address, &role))?;
         }
         for (index, address) in self.service_addresses().iter().enumerate() {
-            let role = json!({"type": "service", "service": "registry", "repeatable": false});
-            put(
-                "backendservers",
-                &format!("registry-{index}"),
-                self.server(index, *address, &role),
-            )?;
+            for (service, repeatable) in [("registry", false), ("lookup", true)] {
+                let role = json!({"type": "service", "service": service, "repeatable": repeatable});
+                let name = format!("{service}-{index}");
+                put("backendservers", &name, self.server(index, *address, &role))?;
+            }
         }
         Ok(())
     }
@@ -368,22 +328,36 @@
     }
 
     fn plan_hosts(&mut self) -> io::Result<()> {
-        let addresses: Vec<_> =
-            (0..self.builder.hosts * 2).map(|_| free_address()).collect::<io::Result<_>>()?;
-        let addresses: Vec<_> = addresses.iter().map(|(address, _)| *address).collect();
-        let seeds: Vec<_> = addresses.iter().skip(1).step_by(2).take(3).collect();
+        // Each fleet has a loopback address of its own and ports below those that the system gives
+        // to clients, so that fleets do not disturb each other even while a host is down.
+        let ip = Ipv4Addr::new(127, fastrand::u8(1..), fastrand::u8(..), fastrand::u8(1..255));
+        let ports = (FIRST_PORT..).take(self.builder.hosts * 2);
+        let addresses: Vec<_> = ports.map(|port| SocketAddr::from((ip, port))).collect();
+        let mut peers = Vec::new();
+        for (index, pair) in addresses.chunks(2).enumerate() {
+            self.add_relay(RelayRoute::Caller(index), pair[0])?;
+            peers.push(self.add_relay(RelayRoute::Peer(index), pair[1])?);
+        }
+        let store = match self.store_address() {
+            Some(address) => self.add_relay(RelayRoute::Store, address)?,
+            None => return Err(io::Error::other("no key-value service")),
+        };
+        let seeds: Vec<_> = peers.iter().take(3).collect();
         let run = fastrand::u64(..);
         for index in 0..self.builder.hosts {
             let name = format!("host-{index}");
             let (address, peer_address) = (addresses[index * 2], addresses[index * 2 + 1]);
-            let settings = json!({
+            let mut settings = json!({
                 "name": name, "region": "region-0",
                 "failure_domain": format!("domain-{}", index % self.builder.domains),
                 "listen": address, "peer_listen": peer_address, "peer_key": PEER_KEY,
-                "store": [self.store_address()], "host_list": self.host_list.as_ref().map(ServerHandle::address),
+                "store": [store], "host_list": self.host_list.as_ref().map(ServerHandle::address),
                 "weight_store": self.weights.as_ref().map(ServerHandle::address),
                 "seeds": seeds,
             });
+            if self.builder.relayed {
+                settings["peer_advertise"] = json!(peers[index]);
+            }
             let path = std::env::temp_dir().join(format!("parsley-{run:016x}-{name}.json"));
             std::fs::write(&path, settings.to_string())?;
             let host = FleetHost { name, address, peer_address, settings: path, child: None };
@@ -393,14 +367,18 @@
     }
 
     fn wait_ready(&self) -> io::Result<()> {
+        (0..self.hosts.len()).try_for_each(|index| self.wait_started(index))
+    }
+
+    /// Waits until a started host knows the configuration and the other hosts.
+    pub fn wait_started(&self, index: usize) -> io::Result<()> {
         let end = Instant::now() + START_LIMIT;
-        for host in &self.hosts {
-            while !self.is_ready(host) {
-                if Instant::now() >= end {
-                    return Err(io::Error::other(format!("{} did not become ready", host.name)));
-                }
-                std::thread::sleep(Duration::from_millis(50));
+        let host = &self.hosts[index];
+        while !self.is_ready(host) {
+            if Instant::now() >= end {
+                return Err(io::Error::other(format!("{} did not become ready", host.name)));
             }
+            std::thread::sleep(Duration::from_millis(50));
         }
         Ok(())
     }
