--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -50,6 +50,8 @@
     credit: f64,
     /// Actual service received lately.
     recent: FadingSum,
+    /// Cost sent lately, by size class.
+    class_recent: [FadingSum; CLASSES],
     /// Average generated tokens of a request; 0 until known.
     typical_output: f64,
     /// Typical memory of a request, in tokens.
@@ -113,8 +115,6 @@
     /// Average seconds a request of a size class holds memory, and seconds a token takes.
     typical_seconds: [f64; CLASSES],
     token_seconds: f64,
-    /// Recent cost of each size class.
-    class_recent: [FadingSum; CLASSES],
     /// Urgent requests that wait for preempted work to leave an engine, and since when.
     preempting: BTreeMap<WorkKey, Time>,
     usage: BTreeMap<(AccountKey, RankKey), (u64, u64)>,
@@ -150,7 +150,10 @@
             SchedulerInput::Requeue(item) => self.requeue(now, item, &mut outputs),
             SchedulerInput::Retry(item) => self.retry(now, item, &mut outputs),
             SchedulerInput::Adopt { item, engine } => self.adopt(now, item, engine),
-            SchedulerInput::Cancel(work) => self.cancel(now, work, &mut outputs),
+            SchedulerInput::Cancel(work) => {
+                freed = !self.queued.contains_key(&work);
+                self.cancel(now, work, &mut outputs);
+            }
             SchedulerInput::Progress { work, tokens } => freed = self.progress(now, work, tokens),
             SchedulerInput::Finished(work) => self.close(now, work),
             SchedulerInput::Rejected(work) => {
@@ -451,6 +454,7 @@
             queue: RankQueue::default(),
             credit: 0.0,
             recent: FadingSum::default(),
+            class_recent: [FadingSum::default(); CLASSES],
             typical_output: 0.0,
             typical_need: 0.0,
         }
