Bound the wait for outcomes at shutdown

Cause: a host that drains while the key-value service is out waited up to 10 minutes for outcomes of calls that were answered long ago. Ruled out: leaving at once; a recorded outcome spares later retries an 'unknown', so 30 s are given. The change: open_requests counts calls whose caller waits; drain gives the others 30 s. Tests for a shutdown under calls and for orphans of a dead host whose callers are gone. Conclusion: nothing is cut off, and drain ends.

--- a/crates/core/src/call/mod.rs
+++ b/crates/core/src/call/mod.rs
@@ -96,6 +96,11 @@
         self.calls.len()
     }
 
+    /// Number of calls whose caller waits for an answer.
+    pub fn unanswered(&self) -> usize {
+        self.calls.values().filter(|open| !open.is_answered).count()
+    }
+
     /// Whether no call is in progress.
     pub fn is_empty(&self) -> bool {
         self.calls.is_empty()
--- a/crates/node/src/api/services.rs
+++ b/crates/node/src/api/services.rs
@@ -67,6 +67,11 @@
         self.keeper.len()
     }
 
+    /// Number of calls whose caller waits for an answer.
+    pub fn unanswered(&self) -> usize {
+        self.keeper.unanswered()
+    }
+
     /// Whether no call is in progress.
     pub fn is_empty(&self) -> bool {
         self.keeper.is_empty()
--- a/crates/node/src/command/serve.rs
+++ b/crates/node/src/command/serve.rs
@@ -24,6 +24,10 @@
     parsleystage serve --settings FILE
 ";
 
+/// Time between two looks at what is still open.
+const DRAIN_PERIOD: Duration = Duration::from_millis(50);
+/// Time for which an answered call whose outcome the key-value service does not take is waited for.
+const RECORD_LIMIT: Duration = Duration::from_secs(30);
 /// Time in which the last accepted connections send their request.
 const LAST_REQUEST: Duration = Duration::from_millis(500);
 
@@ -79,6 +83,11 @@
     // Connections that were accepted last have sent their request by then.
     Timer::after(LAST_REQUEST).await;
     while host.open_requests() > 0 {
-        Timer::after(Duration::from_millis(50)).await;
+        Timer::after(DRAIN_PERIOD).await;
+    }
+    // Outcomes still to be recorded would be `unknown` to later retries.
+    let end = host.now() + RECORD_LIMIT;
+    while host.now() < end && !host.state.borrow().calls.is_empty() {
+        Timer::after(DRAIN_PERIOD).await;
     }
 }
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -204,7 +204,7 @@
     pub fn open_requests(&self) -> usize {
         let state = self.state.borrow();
         let open = self.open_requests.load(Ordering::Relaxed);
-        open + state.pool.len() + state.calls.len()
+        open + state.pool.len() + state.calls.unanswered()
     }
 
     /// Counts a request as open until the guard is dropped.
--- a/crates/node/tests/calls.rs
+++ b/crates/node/tests/calls.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
     time::Duration,
@@ -210,3 +210,31 @@
     assert!(matches!(end, CallOutcome::Answered(_)), "{end:?}");
     fleet.close();
 }
+
+/// Guards against a call cut off by a graceful shutdown, which would leave its outcome unknown.
+#[test]
+fn graceful_shutdown_leaves_no_call_unknown() {
+    let mut fleet = fixture::fleet().start().unwrap();
+    let stop = Arc::<AtomicBool>::default();
+    let worker = |worker: usize| {
+        let (addresses, stop) = (fixture::addresses(&fleet), stop.clone());
+        thread::spawn(move || {
+            let mut ends = Vec::new();
+            while !stop.load(Ordering::Relaxed) {
+                let key = format!("drain-{worker}-{}", ends.len());
+                ends.push(call_key(&addresses, &key, ends.len()));
+            }
+            ends
+        })
+    };
+    let workers: Vec<_> = (0..8).map(worker).collect();
+    fixture::pause(500);
+    fleet.signal_host(0, "TERM").unwrap();
+    assert!(fleet.wait_host(0).unwrap(), "the host did not end by itself");
+    stop.store(true, Ordering::Relaxed);
+    let ends: Vec<_> = workers.into_iter().flat_map(|worker| worker.join().unwrap()).collect();
+    assert_eq!(check(&fleet, &ends), (0, 0, 0));
+    let open: Vec<_> = ends.iter().filter(|end| !end.is_answered()).collect();
+    assert!(open.is_empty(), "{} of {}: {:?}", open.len(), ends.len(), open[0]);
+    fleet.close();
+}
--- a/crates/node/tests/hosts.rs
+++ b/crates/node/tests/hosts.rs
@@ -1,6 +1,7 @@
 //! Hosts that crash or are paused while streams run.
 
-use parsley_standins::tally::PromptLoad;
+use async_io::block_on;
+use parsley_standins::{caller, tally::PromptLoad};
 
 mod fixture;
 
@@ -61,3 +62,23 @@
     fixture::assert_quiet(&fleet);
     fleet.close();
 }
+
+/// Guards against memory that engines keep for streams of a dead host whose callers are gone too:
+/// nobody asks for them again, and by themselves they would run for minutes.
+#[test]
+fn orphans_of_a_dead_host_are_cancelled() {
+    let mut fleet = fixture::fleet().start().unwrap();
+    let hosts = fixture::addresses(&fleet);
+    let prompts = fixture::prompts("orphan", 12, 20_000);
+    let open = |(index, prompt): (usize, &caller::Prompt)| {
+        let address = hosts[index % hosts.len()].to_string();
+        block_on(caller::send(&address, caller::completion_request(&address, prompt))).unwrap()
+    };
+    let responses: Vec<_> = prompts.iter().enumerate().map(open).collect();
+    fixture::pause(500);
+    assert_eq!(fleet.open_streams(), 12);
+    fleet.kill_host(0);
+    drop(responses);
+    fixture::assert_quiet(&fleet);
+    fleet.close();
+}
