--- a/crates/core/src/record/tests.rs
+++ b/crates/core/src/record/tests.rs
@@ -67,7 +67,7 @@
     for (name, domain) in [("h1", "d0"), ("h2", "d0"), ("h3", "d1")] {
         let (from, records) = (host(name, domain), Vec::new());
         let (revision, kind) = (Revision(0), MemberKind::Gossip);
-        let message = MemberMessage { from, revision, kind, records };
+        let message = MemberMessage { from, revision, kind, records, updates: Vec::new() };
         table.step(Time(0), MemberInput::Received(message));
     }
     arbtest::arbtest(|u| {
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -26,6 +26,7 @@
     settings::HostSettings,
     time::Time,
     token::TokenSigner,
+    usage::UsageLedger,
 };
 use slog::Logger;
 
@@ -90,6 +91,8 @@
     pub shard_leases: BTreeMap<ShardKey, u64>,
     /// Seals and opens datagrams.
     pub datagrams: DatagramSealer,
+    /// Use of accounts over all hosts.
+    pub usage: UsageLedger,
     /// Keys of client accounts.
     pub accounts: NameTable,
     /// Keys of models.
@@ -134,6 +137,7 @@
             carriers: CarrierTable::default(),
             records: RecordKeeper::default(),
             calls: CallTable::new(keeper),
+            usage: UsageLedger::new(settings.name.clone()),
             accounts: NameTable::default(),
             models: NameTable::default(),
             engines: NameTable::default(),
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -12,6 +12,7 @@
     config::ConfigInput,
     member::{MEMBER_TICK, MemberInput, MemberOutput},
     placement::PlacementInput,
+    usage::UsageInput,
 };
 
 use crate::{config_sync, error::NodeError, event, host::HostRef, pool};
@@ -78,6 +79,10 @@
             let input = ConfigInput::PeerRevision { host: from.clone(), revision };
             config_sync::step(host, input);
         }
+        PeerDatagram::Drain(engine) => pool::group::drain_owned(host, &engine),
+        PeerDatagram::Usage(message) => {
+            pool::report::usage_step(host, UsageInput::Received(message));
+        }
         PeerDatagram::Leaving(names) => pool::assign::leaving(host, &names),
     }
 }
@@ -108,7 +113,7 @@
         let members = &state.members;
         state.datagrams.retain(|name| members.get(name).is_some());
     }
-    pool::assign::assign(host);
+    pool::assign::assign_soon(host);
 }
 
 /// Sends a datagram to a host by name; one that is not known gets nothing.
@@ -149,6 +154,8 @@
         PeerDatagram::Load(_) | PeerDatagram::LoadSubscribe => "load",
         PeerDatagram::ConfigPush(_) => "config",
         PeerDatagram::Leaving(_) => "leaving",
+        PeerDatagram::Drain(_) => "drain",
+        PeerDatagram::Usage(_) => "usage",
     }
 }
 
--- a/crates/node/src/pool/assign.rs
+++ b/crates/node/src/pool/assign.rs
@@ -4,6 +4,7 @@
 
 use async_io::Timer;
 use parsley_core::{
+    group::MAX_MEMBERS,
     health::{HealthInput, HealthOutput, LeavingSource},
     key::{AccountKey, EngineKey, ModelKey, RankKey, WorkKey},
     placement::{
@@ -25,6 +26,16 @@
 };
 
 const LOAD_PERIOD: Duration = Duration::from_millis(200);
+/// Above this number of subscribers only every third push is made: at 16, pushes of 132 bytes
+/// every 200 ms would take 21 KB/s in and out of the 17 KB/s of a host.
+const QUICK_SUBSCRIBERS: usize = 8;
+/// Above this number of engines only every second report is read; each takes about 750 bytes.
+const QUICK_ENGINES: usize = 3;
+/// Reports for one read of cache events, which come late anyway.
+const REPORTS_PER_EVENTS: u64 = 5;
+/// Time over which changes of membership are taken together. One costs 1.3 ms at 10,000 engines,
+/// and the loss of a failure domain brings 440.
+const ASSIGN_DELAY: Duration = Duration::from_millis(50);
 /// Time between two reads of an engine's load report and cache events.
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
 /// Subscribers that this host pushes its load to; on average there are 16.
@@ -37,6 +48,9 @@
 #[derive(Default)]
 pub struct EngineNotes {
     subscribers: BTreeMap<Arc<str>, Time>,
+    is_assign_due: bool,
+    /// Version of the configuration whose servers placement follows.
+    servers: Option<u64>,
     /// Engines that the host list names as leaving, with the time of its last word.
     leaving: BTreeMap<EngineKey, Time>,
     /// Number of the last cache event of each engine.
@@ -52,10 +66,12 @@
 }
 
 async fn load_loop(host: HostRef) {
+    let mut round = 0u64;
     loop {
         Timer::after(LOAD_PERIOD).await;
         return_unservable(&host);
-        push_load(&host);
+        push_load(&host, round);
+        round += 1;
     }
 }
 
@@ -79,7 +95,7 @@
     }
 }
 
-fn push_load(host: &HostRef) {
+fn push_load(host: &HostRef, round: u64) {
     let now = host.now();
     let (targets, push) = {
         let mut state = host.state.borrow_mut();
@@ -95,7 +111,10 @@
         let push = LoadPush { owner, engines: pool.owned.iter().map(load).collect() };
         state.picker.step(now, PlacementInput::Load(push.clone()));
         state.notes.subscribers.retain(|_, until| now < *until);
-        (state.notes.subscribers.keys().cloned().collect::<Vec<_>>(), push)
+        let subscribers = &state.notes.subscribers;
+        let is_due = subscribers.len() <= QUICK_SUBSCRIBERS || round.is_multiple_of(3);
+        let targets: Vec<_> = subscribers.keys().filter(|_| is_due).cloned().collect();
+        (targets, push)
     };
     for name in targets {
         peer::send_to(host, &name, PeerDatagram::Load(push.clone()));
@@ -123,16 +142,35 @@
     }
 }
 
+/// Calls [`assign`] soon, once for all changes until then.
+pub fn assign_soon(host: &HostRef) {
+    if std::mem::replace(&mut host.state.borrow_mut().notes.is_assign_due, true) {
+        return;
+    }
+    let host = host.clone();
+    host.clone().spawn(async move {
+        Timer::after(ASSIGN_DELAY).await;
+        host.state.borrow_mut().notes.is_assign_due = false;
+        assign(&host);
+    });
+}
+
 /// Recomputes which engines this host owns, after membership or configuration changed.
 pub fn assign(host: &HostRef) {
     let now = host.now();
     let (inputs, health) = {
         let mut state = host.state.borrow_mut();
         let state = &mut *state;
-        state.picker.update(state.config.resources(), &state.members);
+        // Membership changes far more often than the servers, of which there may be 10,000.
+        if state.notes.servers != Some(state.config.version()) {
+            state.notes.servers = Some(state.config.version());
+            state.picker.update_servers(state.config.resources());
+        }
+        state.picker.update_hosts(&state.members);
         let mut inputs = vec![ranks(state), accounts(state)];
         let (engines, health) = owned_engines(now, state);
         inputs.extend(engines);
+        inputs.extend(largest_groups(state));
         (inputs, health)
     };
     for input in inputs {
@@ -166,6 +204,32 @@
     SchedulerInput::Accounts(accounts.map(spec).collect())
 }
 
+/// The memory of the largest group that each model's engines can form in one region.
+fn largest_groups(state: &mut HostState) -> Vec<SchedulerInput> {
+    let set = state.config.resources();
+    let mut regions: BTreeMap<(Arc<str>, Arc<str>), Vec<u64>> = BTreeMap::new();
+    for server in set.servers.values().filter(|server| !server.leaving) {
+        let BackendRole::Engine { models, memory_tokens, .. } = &server.role else { continue };
+        for model in models {
+            let pool = regions.entry((model.clone(), server.region.clone())).or_default();
+            pool.push(*memory_tokens);
+        }
+    }
+    let mut largest: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+    for ((model, _), mut pool) in regions {
+        pool.sort_unstable_by_key(|tokens| std::cmp::Reverse(*tokens));
+        let tokens: u64 = pool.iter().take(MAX_MEMBERS).sum();
+        let most = largest.entry(model).or_default();
+        *most = tokens.max(*most);
+    }
+    let models = &mut state.models;
+    let input = |(model, tokens): (Arc<str>, u64)| SchedulerInput::Groups {
+        model: ModelKey(models.intern(&model) as u16),
+        tokens,
+    };
+    largest.into_iter().map(input).collect()
+}
+
 fn owned_engines(now: Time, state: &mut HostState) -> (Vec<SchedulerInput>, Vec<HealthOutput>) {
     let (mut inputs, mut health) = (Vec::new(), Vec::new());
     let mut owned = BTreeMap::new();
@@ -274,7 +338,7 @@
 }
 
 async fn report_loop(host: HostRef) {
-    loop {
+    for round in 0u64.. {
         Timer::after(REPORT_PERIOD).await;
         let now = host.now();
         let (owned, stayed) = {
@@ -291,8 +355,12 @@
             health_step(&host, HealthInput::Leaving { engine, source, is_leaving: false });
         }
         measure(&host);
-        for engine in owned {
+        let is_due = owned.len() <= QUICK_ENGINES || round.is_multiple_of(2);
+        for engine in owned.into_iter().filter(|_| is_due) {
             host.spawn(report(host.clone(), engine));
+            if round.is_multiple_of(REPORTS_PER_EVENTS) {
+                host.spawn(read_events(host.clone(), engine));
+            }
         }
         health_step(&host, HealthInput::Tick);
     }
@@ -353,9 +421,9 @@
     Some((name.clone(), server.address.clone()))
 }
 
-/// Reads an engine's load report and cache events.
+/// Reads an engine's load report.
 async fn report(host: HostRef, engine: EngineKey) {
-    let Some((name, address)) = engine_address(&host, engine) else { return };
+    let Some((_, address)) = engine_address(&host, engine) else { return };
     let answer = engine::load(&address).await;
     let is_answering = answer.is_ok();
     health_step(&host, HealthInput::Answering { engine, is_answering });
@@ -369,6 +437,11 @@
         leaving: load.leaving,
     };
     step(&host, SchedulerInput::Report { engine, report });
+}
+
+/// Reads an engine's cache events.
+async fn read_events(host: HostRef, engine: EngineKey) {
+    let Some((name, address)) = engine_address(&host, engine) else { return };
     let after = host.state.borrow().notes.events.get(&engine).copied().unwrap_or(0);
     let Ok(events) = engine::cache_events(&address, after).await else { return };
     let mut state = host.state.borrow_mut();
--- a/crates/node/src/pool/mod.rs
+++ b/crates/node/src/pool/mod.rs
@@ -9,6 +9,7 @@
 use async_channel::Sender;
 use async_io::Timer;
 use parsley_core::{
+    group::GroupPlanner,
     key::{AccountKey, EngineKey, ModelKey, RankKey, WorkKey},
     record::RequestName,
     refusal::{Reason, Refusal},
@@ -23,7 +24,9 @@
 };
 
 pub mod assign;
+pub mod group;
 pub mod orphan;
+pub mod report;
 pub mod stream;
 
 /// Bytes of a prompt counted as one token.
@@ -77,7 +80,6 @@
 }
 
 /// The requests of the engines that this host owns.
-#[derive(Default)]
 pub struct EnginePool {
     scheduler: PoolScheduler,
     streams: StreamTable,
@@ -85,12 +87,34 @@
     works: BTreeMap<WorkKey, PoolWork>,
     names: BTreeMap<RequestName, WorkKey>,
     owned: BTreeMap<EngineKey, Arc<str>>,
+    groups: GroupPlanner,
+    /// Memory reserved for groups of this host.
+    reserved: BTreeMap<(EngineKey, WorkKey), u64>,
     next_work: u64,
     next_attachment: u64,
     last_tick: Time,
     epoch: u64,
 }
 
+impl Default for EnginePool {
+    fn default() -> EnginePool {
+        EnginePool {
+            scheduler: PoolScheduler::default(),
+            streams: StreamTable::default(),
+            orphans: OrphanTracker::default(),
+            works: BTreeMap::new(),
+            names: BTreeMap::new(),
+            owned: BTreeMap::new(),
+            groups: GroupPlanner::new(fastrand::Rng::new()),
+            reserved: BTreeMap::new(),
+            next_work: 0,
+            next_attachment: 0,
+            last_tick: Time::ZERO,
+            epoch: 0,
+        }
+    }
+}
+
 impl EnginePool {
     /// Number of requests.
     pub fn len(&self) -> usize {
@@ -115,6 +139,7 @@
     host.spawn(tick_loop(host.clone()));
     assign::start(host);
     host.spawn(orphan::list_loop(host.clone()));
+    host.spawn(report::usage_loop(host.clone()));
 }
 
 async fn tick_loop(host: HostRef) {
@@ -123,6 +148,7 @@
         check_pause(&host);
         stream::step(&host, StreamInput::Tick, None);
         step(&host, SchedulerInput::Tick);
+        group::tick(&host);
     }
 }
 
@@ -305,21 +331,13 @@
             SchedulerOutput::Refuse { work, refusal } => {
                 end(host, work, StreamEvent::Refused(refusal));
             }
-            SchedulerOutput::Group(work) => refuse_group(host, work),
-            SchedulerOutput::AbortGroup(_) => {}
+            SchedulerOutput::Group(work) => group::start(host, work),
+            SchedulerOutput::AbortGroup(work) => group::abort(host, work),
             SchedulerOutput::Move(work) => end(host, work, StreamEvent::Moved),
         }
     }
 }
 
-/// Without group reservation a prompt beyond one engine cannot be served.
-fn refuse_group(host: &HostRef, work: WorkKey) {
-    let text = "the prompt needs more memory than one engine has";
-    let refusal = Refusal::not_run(Reason::PromptExceedsFleet, text);
-    end(host, work, StreamEvent::Refused(refusal));
-    step(host, SchedulerInput::Finished(work));
-}
-
 /// Ends a request with its last event; a stream that may still run is cancelled.
 fn end(host: &HostRef, work: WorkKey, event: StreamEvent) {
     let entry = host.state.borrow_mut().pool.remove(work);
--- a/crates/node/src/pool/orphan.rs
+++ b/crates/node/src/pool/orphan.rs
@@ -8,7 +8,7 @@
     request::{OrphanInput, OrphanOutput},
 };
 
-use super::stream::address;
+use super::{group, stream::address};
 use crate::{adapter::engine, event, host::HostRef};
 
 /// Time between two lists of an engine's streams.
@@ -31,7 +31,12 @@
     let outputs = {
         let mut state = host.state.borrow_mut();
         let pool = &state.pool;
-        let mine = pool.streams.claimed();
+        let mut mine = pool.streams.claimed();
+        let groups = group::stream_ids(&state);
+        let is_segment =
+            |stream: &str| stream.split_once('-').is_some_and(|(base, _)| groups.contains(base));
+        let listed = streams.iter().map(|listed| &listed.stream);
+        mine.extend(listed.filter(|stream| is_segment(stream)).cloned());
         let live = state.members.live().skip(1).map(|member| member.name.clone()).collect();
         let input = OrphanInput::Listed { engine, streams, live, mine };
         state.pool.orphans.step(host.now(), input)
--- a/crates/node/src/pool/stream.rs
+++ b/crates/node/src/pool/stream.rs
@@ -56,6 +56,20 @@
     }
 }
 
+/// Puts a request on the last engine of its group, which the group submits to. Returns the reader.
+pub(super) fn place_group(
+    host: &HostRef,
+    work: WorkKey,
+    engine: EngineKey,
+    stream: Arc<str>,
+) -> u64 {
+    let now = host.now();
+    let input = StreamInput::Place { work, engine, stream, submit: true };
+    host.state.borrow_mut().pool.streams.step(now, input);
+    send_started(host, work);
+    host.state.borrow().pool.streams.reader(work)
+}
+
 /// Advances the stream table and carries out what it asks for. `sink` is the receiver that an
 /// attachment brings.
 pub(super) fn step(host: &HostRef, input: StreamInput, sink: Option<EventSink>) {
@@ -224,7 +238,12 @@
     step(host, StreamInput::Reply { work, reader, reply }, None);
 }
 
-async fn read(host: &HostRef, work: WorkKey, reader: u64, mut stream: Box<EngineStream>) {
+pub(super) async fn read(
+    host: &HostRef,
+    work: WorkKey,
+    reader: u64,
+    mut stream: Box<EngineStream>,
+) {
     loop {
         let event = stream.next().await;
         check_pause(host);
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -7,6 +7,9 @@
 //! | `DELETE /streams/<id>?owner=H` | cancel a stream and return its memory; 409 if it has another owner |
 //! | `GET /streams` | list streams with owner, and whether they are overdue or followed; `open=1` leaves out finished ones |
 //! | `GET /held` | memory held now, for tests |
+//! | `GET /streams/<id>/state` | export the KV state of a stream |
+//! | `POST /reservations` | reserve memory for a group for a term, or renew the reservation |
+//! | `DELETE /reservations/<group>` | give a reservation back and cancel its streams |
 //! | `GET /load` | load report, as it was one lag ago |
 //! | `GET /cache?after=N` | cache events after a number, late and with gaps |
 //! | `POST /orders` `{"fencing","action","model"}` | load or unload a model; 412 for an old number |
@@ -14,6 +17,9 @@
 //! | `PUT /leaving` | says that it is leaving, for tests |
 //! | `GET /runs` | every stream id that was ever taken, for tests |
 //!
+//! A stream with `group` uses the memory of that group's reservation; `import` is the exported KV
+//! state of the part before its prompt. The state of the stand-in is the text it stands for.
+//!
 //! A line is `{"o":offset,"t":text,"n":tokens}`, `{}` as keep-alive, or `{"end":"stop"}`.
 
 use std::{
@@ -118,6 +124,10 @@
     reports: VecDeque<serde_json::Value>,
     roles: EngineRoles,
     weights: Option<String>,
+    /// End of each reservation's term.
+    terms: BTreeMap<String, Instant>,
+    /// Prompts of streams of groups with everything before them, for export.
+    states: BTreeMap<String, String>,
 }
 
 type EngineRef = Rc<RefCell<Engine>>;
@@ -135,6 +145,8 @@
             reports: VecDeque::new(),
             roles: EngineRoles::new(config.models, config.checks_fencing),
             weights: config.weights,
+            terms: BTreeMap::new(),
+            states: BTreeMap::new(),
         }));
         executor.spawn(run_steps(engine.clone(), config.step)).detach();
         executor.spawn(send_keep_alives(engine.clone())).detach();
@@ -151,6 +163,7 @@
             continue;
         }
         engine.silence();
+        engine.end_terms();
         for id in engine.model.advance() {
             engine.publish(&id);
         }
@@ -206,6 +219,20 @@
             let owner = query.get("owner").map(String::as_str);
             engine.borrow_mut().attach_at(id, offset, owner)
         }
+        (Method::Get, ["streams", id, "state"]) => match engine.borrow().states.get(*id) {
+            Some(state) => server::json(200, &json!(state)),
+            None => server::json(404, &json!({"reason": "unknown-stream"})),
+        },
+        (Method::Post, ["reservations"]) => {
+            let Ok(body) = request.body_json::<serde_json::Value>().await else {
+                return server::json(400, &json!({"reason": "bad-json"}));
+            };
+            engine.borrow_mut().reserve(&body)
+        }
+        (Method::Delete, ["reservations", group]) => {
+            engine.borrow_mut().release(group);
+            server::json(200, &json!({}))
+        }
         (Method::Delete, ["streams", id]) => {
             let owner = query.get("owner").map(String::as_str);
             server::json(engine.borrow_mut().cancel(id, owner), &json!({}))
@@ -267,6 +294,9 @@
         return server::json(503, &json!({"reason": "refusing"}));
     }
     let offset = order.offset;
+    if order.group.is_some() {
+        engine.states.insert(id.clone(), full_prompt(body).unwrap_or_default());
+    }
     let known = engine.model.streams().contains_key(&id);
     match engine.model.submit(&id, order) {
         Ok(()) => {
@@ -291,15 +321,21 @@
     let order = StreamOrder {
         model: body["model"].as_str()?.to_owned(),
         prompt_tokens: prompt_tokens + offset,
-        prompt_hash: engine_model::prompt_hash(prompt),
+        prompt_hash: engine_model::prompt_hash(&full_prompt(body)?),
         prefixes: prefix_chain(prompt),
         offset,
         end: body["max_tokens"].as_u64()?,
         priority: u8::try_from(body["priority"].as_u64()?).ok()?,
+        group: body["group"].as_str().map(str::to_owned),
     };
     Some((body["stream"].as_str()?.to_owned(), order))
 }
 
+/// The prompt with the part that the imported state stands for.
+fn full_prompt(body: &serde_json::Value) -> Option<String> {
+    Some(body["import"].as_str().unwrap_or_default().to_owned() + body["prompt"].as_str()?)
+}
+
 /// Tokens of a prompt: four bytes a token.
 pub fn prompt_tokens(prompt: &str) -> u64 {
     (prompt.len() as u64).div_ceil(4)
@@ -390,6 +426,38 @@
         if self.model.cancel(id) { 200 } else { 404 }
     }
 
+    fn reserve(&mut self, body: &serde_json::Value) -> Response {
+        let fields = (body["group"].as_str(), body["tokens"].as_u64(), body["term_ms"].as_u64());
+        let (Some(group), Some(tokens), Some(term)) = fields else {
+            return server::json(400, &json!({"reason": "bad-order"}));
+        };
+        match self.model.reserve(group, tokens) {
+            Ok(()) => {
+                let end = Instant::now() + Duration::from_millis(term);
+                self.terms.insert(group.to_owned(), end);
+                server::json(200, &json!({}))
+            }
+            Err(StreamRefusal::Memory) => server::json(409, &json!({"reason": "memory"})),
+            Err(StreamRefusal::TooLarge) => server::json(413, &json!({"reason": "too-large"})),
+        }
+    }
+
+    fn release(&mut self, group: &str) {
+        self.terms.remove(group);
+        for id in self.model.release(group) {
+            self.states.remove(&id);
+            self.cancel(&id, None);
+        }
+    }
+
+    /// Drops reservations whose term was not renewed.
+    fn end_terms(&mut self) {
+        let now = Instant::now();
+        let ended = self.terms.iter().filter(|(_, end)| **end <= now);
+        let ended: Vec<_> = ended.map(|(group, _)| group.clone()).collect();
+        ended.iter().for_each(|group| self.release(group));
+    }
+
     fn report(&self) -> serde_json::Value {
         json!({
             "held_tokens": self.model.held(),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod hostlist;
 pub mod load;
 pub mod relay;
+pub mod sampling;
+pub mod scale_world;
 pub mod server;
 pub mod service;
 pub mod soak;
