--- a/crates/core/src/request/stream.rs
+++ b/crates/core/src/request/stream.rs
@@ -70,6 +70,11 @@
         self.streams.get(&work).is_some_and(|entry| entry.reader == reader)
     }
 
+    /// The reader whose answers count, or zero.
+    pub fn reader(&self, work: WorkKey) -> u64 {
+        self.streams.get(&work).map_or(0, |entry| entry.reader)
+    }
+
     /// Streams that requests of this host are on.
     pub fn claimed(&self) -> BTreeSet<Arc<str>> {
         let placed = self.streams.values().filter_map(|entry| entry.placed.as_ref());
--- a/crates/node/src/adapter/engine.rs
+++ b/crates/node/src/adapter/engine.rs
@@ -93,17 +93,14 @@
 
 /// Submits a stream; a repeated submission of the same stream id attaches to it.
 pub async fn submit(address: &str, order: &EngineOrder) -> Result<EngineAnswer, NodeError> {
-    let body = Some(order_body(order).to_string());
-    let response = http::send(address, Method::Post, "/streams", body, HEAD_LIMIT).await?;
-    Ok(answer(response))
-}
-
-fn order_body(order: &EngineOrder) -> serde_json::Value {
-    json!({
+    let body = json!({
         "stream": order.stream, "model": order.model, "prompt": order.prompt,
         "offset": order.offset, "max_tokens": order.max_tokens, "priority": order.priority,
         "owner": order.owner, "time_left_ms": order.time_left.as_millis() as u64,
-    })
+    });
+    let body = Some(body.to_string());
+    let response = http::send(address, Method::Post, "/streams", body, HEAD_LIMIT).await?;
+    Ok(answer(response))
 }
 
 /// A part of a prompt that a member of a group processes.
@@ -120,9 +117,12 @@
     order: &EngineOrder,
     part: &GroupPart<'_>,
 ) -> Result<EngineAnswer, NodeError> {
-    let mut body = order_body(order);
-    body["group"] = json!(part.group);
-    body["import"] = json!(part.import);
+    let body = json!({
+        "stream": order.stream, "model": order.model, "prompt": order.prompt,
+        "offset": order.offset, "max_tokens": order.max_tokens, "priority": order.priority,
+        "owner": order.owner, "time_left_ms": order.time_left.as_millis() as u64,
+        "group": part.group, "import": part.import,
+    });
     let body = Some(body.to_string());
     let response = http::send(address, Method::Post, "/streams", body, HEAD_LIMIT).await?;
     Ok(answer(response))
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -41,8 +41,8 @@
 pub struct PeerLink {
     frames: Sender<PeerFrame>,
     channels: Channels,
-    used: Rc<Cell<Instant>>,
     questions: Questions,
+    used: Rc<Cell<Instant>>,
 }
 
 impl PeerLink {
@@ -92,7 +92,7 @@
     let (frames, outgoing) = async_channel::unbounded();
     let used = Rc::new(Cell::new(Instant::now()));
     let (channels, questions) = (Channels::default(), Questions::default());
-    let link = PeerLink { frames, channels, used, questions };
+    let link = PeerLink { frames, channels, questions, used };
     host.state.borrow_mut().links.insert(name.clone(), link.clone());
     host.spawn(run(host.clone(), name.clone(), address.clone(), link.clone(), outgoing));
     link
@@ -135,7 +135,8 @@
 async fn wait_idle(link: &PeerLink) -> Result<(), NodeError> {
     loop {
         Timer::after(IDLE_LIMIT).await;
-        if link.channels.borrow().is_empty() && link.used.get().elapsed() >= IDLE_LIMIT {
+        let is_unused = link.channels.borrow().is_empty() && link.questions.borrow().is_empty();
+        if is_unused && link.used.get().elapsed() >= IDLE_LIMIT {
             return Ok(());
         }
     }
--- a/crates/node/src/pool/group.rs
+++ b/crates/node/src/pool/group.rs
@@ -1,7 +1,7 @@
 //! Prompts beyond one engine: reserves a group of engines, runs the prompt in segments and decodes
 //! on the last member.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use async_io::Timer;
 use parsley_core::{
@@ -14,7 +14,7 @@
     scheduler::SchedulerInput,
 };
 
-use super::{step, stream};
+use super::{end as end_work, step, stream};
 use crate::{
     adapter::engine::{self, EngineAnswer, EngineEvent, EngineOrder, EngineStream, GroupPart},
     error::NodeError,
@@ -81,7 +81,7 @@
 
 fn end(host: &HostRef, work: WorkKey, event: StreamEvent) {
     group_step(host, GroupInput::Ended(work));
-    super::end(host, work, event);
+    end_work(host, work, event);
     step(host, SchedulerInput::Finished(work));
 }
 
@@ -204,89 +204,55 @@
 /// Runs a prompt on reserved members and relays the answer.
 async fn run(host: HostRef, work: WorkKey, members: Vec<GroupMember>) {
     match run_segments(&host, work, &members).await {
-        Ok(Some((stream, reader))) => {
-            stream::answered(&host, work, reader, Ok(EngineAnswer::Stream(stream))).await;
-        }
+        Ok(Some((stream, reader))) => stream::read(&host, work, reader, stream).await,
         Ok(None) => {}
-        Err((member, err)) => {
+        Err(err) => {
             event!(host.log, GROUP_FAILED, "work" => work.0, "error" => %err);
-            failed(&host, work, member);
+            let reader = host.state.borrow().pool.streams.reader(work);
+            let reply = EngineReply::Failed;
+            stream::step(&host, StreamInput::Reply { work, reader, reply }, None);
         }
     }
     // The next tick ends the group if the request has ended.
 }
 
-/// A member failed: the request goes on with its next attempt, and the member's health is judged.
-fn failed(host: &HostRef, work: WorkKey, member: &GroupMember) {
-    let Some(stream) = stream_of(host, work) else { return };
-    let Some(reader) = place(host, work, member, stream) else { return };
-    let reply = EngineReply::Failed;
-    stream::step(host, StreamInput::Reply { work, reader, reply }, None);
-}
-
 type LastStream = (Box<EngineStream>, u64);
 
-/// Processes all segments; `None` if the request ended meanwhile. An error names the member.
-async fn run_segments<'a>(
+/// Processes all segments; `None` if the request ended meanwhile.
+async fn run_segments(
     host: &HostRef,
     work: WorkKey,
-    members: &'a [GroupMember],
-) -> Result<Option<LastStream>, (&'a GroupMember, NodeError)> {
+    members: &[GroupMember],
+) -> Result<Option<LastStream>, NodeError> {
+    let group = group_id(host, work);
     let mut import: Option<String> = None;
     let mut start = 0;
     for (index, member) in members.iter().enumerate() {
         let is_last = index + 1 == members.len();
+        let address = address(host, &member.engine).ok_or(NodeError::Protocol("engine is gone"))?;
         let Some((order, end)) = part_order(host, work, member, index, start, is_last) else {
             return Ok(None);
         };
         start = end;
-        let reader = match is_last {
-            true => place(host, work, member, order.stream.clone()),
-            false => None,
+        let reader = if is_last { place(host, work, member, &order) } else { 0 };
+        let part = GroupPart { group: &group, import: import.as_deref() };
+        let answer = engine::submit_part(&address, &order, &part).await?;
+        let EngineAnswer::Stream(mut stream) = answer else {
+            return Err(NodeError::Protocol("engine refused a reserved segment"));
         };
-        let stream = submit_part(host, work, member, &order, import.as_deref());
-        let stream = stream.await.map_err(|err| (member, err))?;
         if is_last {
-            return Ok(reader.map(|reader| (stream, reader)));
+            return Ok(Some((stream, reader)));
         }
-        let state = segment_state(host, member, &order, stream);
-        import = Some(state.await.map_err(|err| (member, err))?);
-    }
-    Ok(None)
-}
-
-async fn submit_part(
-    host: &HostRef,
-    work: WorkKey,
-    member: &GroupMember,
-    order: &EngineOrder,
-    import: Option<&str>,
-) -> Result<Box<EngineStream>, NodeError> {
-    let group = group_id(host, work);
-    let address = address(host, &member.engine).ok_or(NodeError::Protocol("engine is gone"))?;
-    let part = GroupPart { group: &group, import };
-    match engine::submit_part(&address, order, &part).await? {
-        EngineAnswer::Stream(stream) => Ok(stream),
-        _ => Err(NodeError::Protocol("engine refused a reserved segment")),
-    }
-}
-
-/// Waits for the end of a segment and exports its state.
-async fn segment_state(
-    host: &HostRef,
-    member: &GroupMember,
-    order: &EngineOrder,
-    mut stream: Box<EngineStream>,
-) -> Result<String, NodeError> {
-    loop {
-        match stream.next().await? {
-            EngineEvent::End { complete: true } => break,
-            EngineEvent::End { .. } => return Err(NodeError::Protocol("segment cancelled")),
-            _ => {}
+        loop {
+            match stream.next().await? {
+                EngineEvent::End { complete: true } => break,
+                EngineEvent::End { .. } => return Err(NodeError::Protocol("segment cancelled")),
+                _ => {}
+            }
         }
+        import = Some(engine::export(&address, &order.stream).await?);
     }
-    let address = address(host, &member.engine).ok_or(NodeError::Protocol("engine is gone"))?;
-    engine::export(&address, &order.stream).await
+    Ok(None)
 }
 
 /// The order for a member's part of the prompt, and where the part ends, in bytes.
@@ -303,12 +269,14 @@
     let prompt = &entry.order.prompt;
     let wanted = start + member.tokens as usize * BYTES_PER_TOKEN;
     let end = if is_last { prompt.len() } else { prompt.floor_char_boundary(wanted) };
-    let stream = stream_of(host, work)?;
+    let streams = &state.pool.streams;
+    let (account, request) = (&entry.order.account, &entry.order.request);
+    let stream = stream::stream_id(account, request, streams.attempt(work));
     let order = EngineOrder {
         stream: if is_last { stream } else { format!("{stream}-{index}").into() },
         model: entry.order.model.clone(),
         prompt: prompt[start..end].into(),
-        offset: if is_last { state.pool.streams.produced(work) } else { 0 },
+        offset: if is_last { streams.produced(work) } else { 0 },
         max_tokens: if is_last { entry.order.max_tokens } else { 0 },
         priority: PRIORITY,
         owner: host.settings.name.clone(),
@@ -317,16 +285,18 @@
     Some((order, end))
 }
 
-/// The stream id of the request's present attempt.
-fn stream_of(host: &HostRef, work: WorkKey) -> Option<Arc<str>> {
-    let state = host.state.borrow();
-    let order = &state.pool.works.get(&work)?.order;
-    let attempt = state.pool.streams.attempt(work);
-    Some(stream::stream_id(&order.account, &order.request, attempt))
-}
-
 /// Notes where the answer comes from.
-fn place(host: &HostRef, work: WorkKey, member: &GroupMember, stream: Arc<str>) -> Option<u64> {
+fn place(host: &HostRef, work: WorkKey, member: &GroupMember, order: &EngineOrder) -> u64 {
     let engine = EngineKey(host.state.borrow_mut().engines.intern(&member.engine));
-    stream::place_reader(host, work, engine, stream)
+    stream::place_group(host, work, engine, order.stream.clone())
+}
+
+/// Ids of the streams of requests in groups; the segments' ids begin with them.
+pub(super) fn stream_ids(state: &HostState) -> BTreeSet<Arc<str>> {
+    let id = |work: WorkKey| {
+        let order = &state.pool.works.get(&work)?.order;
+        let attempt = state.pool.streams.attempt(work);
+        Some(stream::stream_id(&order.account, &order.request, attempt))
+    };
+    state.pool.groups.works().filter_map(id).collect()
 }
--- a/crates/node/src/pool/mod.rs
+++ b/crates/node/src/pool/mod.rs
@@ -138,8 +138,8 @@
     host.state.borrow_mut().pool.last_tick = host.now();
     host.spawn(tick_loop(host.clone()));
     assign::start(host);
-    host.spawn(report::usage_loop(host.clone()));
     host.spawn(orphan::list_loop(host.clone()));
+    host.spawn(report::usage_loop(host.clone()));
 }
 
 async fn tick_loop(host: HostRef) {
--- a/crates/node/src/pool/stream.rs
+++ b/crates/node/src/pool/stream.rs
@@ -31,23 +31,6 @@
     place(host, work, engine, stream, true, priority);
 }
 
-/// Notes that a request goes to an engine, and tells its receiver. Returns the reader whose answers
-/// count from now on.
-pub(super) fn place_reader(
-    host: &HostRef,
-    work: WorkKey,
-    engine: EngineKey,
-    stream: Arc<str>,
-) -> Option<u64> {
-    let input = StreamInput::Place { work, engine, stream, submit: true };
-    let outputs = host.state.borrow_mut().pool.streams.step(host.now(), input);
-    send_started(host, work);
-    outputs.into_iter().find_map(|output| match output {
-        StreamOutput::Submit { reader, .. } => Some(reader),
-        _ => None,
-    })
-}
-
 /// Puts a request on an engine.
 pub(super) fn place(
     host: &HostRef,
@@ -73,6 +56,20 @@
     }
 }
 
+/// Puts a request on the last engine of its group, which the group submits to. Returns the reader.
+pub(super) fn place_group(
+    host: &HostRef,
+    work: WorkKey,
+    engine: EngineKey,
+    stream: Arc<str>,
+) -> u64 {
+    let now = host.now();
+    let input = StreamInput::Place { work, engine, stream, submit: true };
+    host.state.borrow_mut().pool.streams.step(now, input);
+    send_started(host, work);
+    host.state.borrow().pool.streams.reader(work)
+}
+
 /// Advances the stream table and carries out what it asks for. `sink` is the receiver that an
 /// attachment brings.
 pub(super) fn step(host: &HostRef, input: StreamInput, sink: Option<EventSink>) {
@@ -225,7 +222,7 @@
     Some((address, order))
 }
 
-pub(super) async fn answered(
+async fn answered(
     host: &HostRef,
     work: WorkKey,
     reader: u64,
@@ -241,7 +238,12 @@
     step(host, StreamInput::Reply { work, reader, reply }, None);
 }
 
-async fn read(host: &HostRef, work: WorkKey, reader: u64, mut stream: Box<EngineStream>) {
+pub(super) async fn read(
+    host: &HostRef,
+    work: WorkKey,
+    reader: u64,
+    mut stream: Box<EngineStream>,
+) {
     loop {
         let event = stream.next().await;
         check_pause(host);
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -4,12 +4,12 @@
 //! |---|---|
 //! | `POST /streams` | submit a stream, or attach to it if the id is known; lines of JSON follow |
 //! | `GET /streams/<id>?offset=N&owner=H` | attach to a stream at a position, for an owner; 416 before its start |
-//! | `GET /streams/<id>/state` | export the KV state of a stream |
-//! | `POST /reservations` | reserve memory for a group for a term, or renew the reservation |
-//! | `DELETE /reservations/<group>` | give a reservation back and cancel its streams |
 //! | `DELETE /streams/<id>?owner=H` | cancel a stream and return its memory; 409 if it has another owner |
 //! | `GET /streams` | list streams with owner, and whether they are overdue or followed; `open=1` leaves out finished ones |
 //! | `GET /held` | memory held now, for tests |
+//! | `GET /streams/<id>/state` | export the KV state of a stream |
+//! | `POST /reservations` | reserve memory for a group for a term, or renew the reservation |
+//! | `DELETE /reservations/<group>` | give a reservation back and cancel its streams |
 //! | `GET /load` | load report, as it was one lag ago |
 //! | `GET /cache?after=N` | cache events after a number, late and with gaps |
 //! | `POST /orders` `{"fencing","action","model"}` | load or unload a model; 412 for an old number |
@@ -162,8 +162,8 @@
         if engine.faults.is_frozen() {
             continue;
         }
-        engine.end_terms();
         engine.silence();
+        engine.end_terms();
         for id in engine.model.advance() {
             engine.publish(&id);
         }
