Refuse requests that hosts only hand on

Cause: an owner without a usable engine hands a request back, and the entry host submitted it again until the rank's time was over, although no host could serve it. Ruled out: refusing at the first hand-over, which happens on every change of owner. Change: a request that was only moved for 4 s, longer than a suspicion lasts at today's size, is refused with no-engine and Retry-After. Before: 'cargo test -p parsley-core request_that_only': still moving after 5 s. Conclusion: such a request gets its final answer long before its deadline.

--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -31,6 +31,9 @@
 
 /// Delay before a request goes on after a leg broke.
 const LEG_DELAY: Duration = Duration::from_millis(100);
+/// Time for which hosts may hand a request on before it is refused. A dead owner's engines have a
+/// new owner after the suspicion, which lasts 3 s at up to 32 hosts.
+const MOVE_LIMIT: Duration = Duration::from_secs(4);
 /// Most delays in a row before an attempt.
 const LEG_DELAYS: u32 = 10;
 
@@ -42,6 +45,8 @@
     avoid: Option<Arc<str>>,
     /// Whether any attempt may have reached an engine.
     may_have_run: bool,
+    /// Since when owners hand the request back without a stream.
+    moving: Option<Time>,
     leg: LegKey,
     is_leg_open: bool,
     /// When the next leg starts, or the deadline.
@@ -78,6 +83,7 @@
                     may_have_run: placed.is_some(),
                     placed,
                     avoid: None,
+                    moving: None,
                     leg: LegKey(0),
                     is_leg_open: false,
                     due: now,
@@ -120,13 +126,20 @@
             return;
         }
         match event {
-            StreamEvent::Moved => return self.next_leg(now, request, leg, LEG_DELAY, outputs),
+            StreamEvent::Moved => {
+                let since = *entry.moving.get_or_insert(now);
+                if now.since(since) >= MOVE_LIMIT {
+                    return self.refuse_unserved(request, outputs);
+                }
+                return self.next_leg(now, request, leg, LEG_DELAY, outputs);
+            }
             StreamEvent::Started { attempt, .. } if attempt < entry.attempt => return,
             StreamEvent::Started { ref engine, ref stream, attempt } => {
                 let (engine, stream) = (engine.clone(), stream.clone());
                 entry.placed = Some(PlacedStream { engine, stream });
                 entry.attempt = attempt;
                 entry.may_have_run = true;
+                entry.moving = None;
             }
             StreamEvent::Chunk { offset, tokens, .. } => {
                 // A chunk that the caller has was sent before the stream was attached again.
@@ -198,6 +211,11 @@
             entry.attempt += 1;
             return self.next_leg(now, request, leg, Duration::ZERO, outputs);
         }
+        self.refuse_unserved(request, outputs);
+    }
+
+    fn refuse_unserved(&mut self, request: RequestKey, outputs: &mut Vec<RequestOutput>) {
+        let Some(entry) = self.requests.get(&request) else { return };
         let refuse = if entry.may_have_run { Refusal::ran } else { Refusal::not_run };
         let refusal = refuse(Reason::NoEngine, "no engine serves the model now")
             .retry_after(Duration::from_secs(1));
--- a/crates/core/src/request/tests.rs
+++ b/crates/core/src/request/tests.rs
@@ -265,3 +265,35 @@
     }
     assert_eq!(cancelled, BTreeSet::<Arc<str>>::from(["dead".into(), "left".into()]));
 }
+
+/// Guards against a request that is handed back again and again until its deadline, although no
+/// host has an engine for it.
+#[test]
+fn request_that_only_moves_is_refused_early() {
+    let mut table = RequestTable::default();
+    let mut now = Time(0);
+    let mut outputs = open(&mut table, now);
+    let refusal = loop {
+        assert!(now < Time(5_000_000), "still moving after 5 s");
+        let leg = outputs.iter().find_map(|output| match output {
+            RequestOutput::StartLeg { leg, .. } => Some(*leg),
+            _ => None,
+        });
+        if let Some(leg) = leg {
+            let event = StreamEvent::Moved;
+            outputs = table.step(now, RequestInput::Event { request: REQUEST, leg, event });
+        } else {
+            now = now + LEG_DELAY;
+            outputs = table.step(now, RequestInput::Tick);
+        }
+        let refused = outputs.iter().find_map(|output| match output {
+            RequestOutput::Deliver { event: StreamEvent::Refused(refusal), .. } => Some(refusal),
+            _ => None,
+        });
+        if let Some(refusal) = refused {
+            break refusal.clone();
+        }
+    };
+    assert_eq!((refusal.reason, refusal.outcome), (Reason::NoEngine, Outcome::NotRun));
+    assert!(refusal.retry_after.is_some());
+}
