Read the configuration before ordering under a lease

Cause: the model of orders found that a new lease holder with an older configuration undoes what the last holder ordered by a newer one; the keeper ordered as soon as it was leased. Ruled out: trusting the spread among peers, which has no bound while peers are cut off. Change: a new lease leads to a read of the key-value service; no order goes out before its answer. Before, with the condition taken out: 'cargo test -p parsley-core order::': 1 of 8 fails.

--- a/crates/core/src/order/message.rs
+++ b/crates/core/src/order/message.rs
@@ -68,6 +68,14 @@
         /// When the call was sent, on this host's clock.
         sent: Time,
     },
+    /// The configuration in force includes everything that the key-value service held after the
+    /// lease was granted.
+    ConfigRead {
+        /// Shard.
+        shard: ShardKey,
+        /// Fencing number of the lease.
+        fencing: u64,
+    },
     /// The lease is not held: another host has it, it expired, or the service does not answer.
     NotLeased(ShardKey),
     /// What the configuration wants, by engine.
@@ -99,6 +107,14 @@
     Acquire(ShardKey),
     /// Renew the lease of the shard.
     Renew(ShardKey),
+    /// Read the configuration from the key-value service. No order is sent before: the last holder
+    /// may have known a newer one.
+    ReadConfig {
+        /// Shard.
+        shard: ShardKey,
+        /// Fencing number of the lease.
+        fencing: u64,
+    },
     /// Give the lease up, as the shard fell to another host.
     Release(ShardKey),
     /// Send an order if it goes out before `latest`.
--- a/crates/core/src/order/mod.rs
+++ b/crates/core/src/order/mod.rs
@@ -51,6 +51,8 @@
     settled: Time,
     next_renewal: Time,
     saved_loads: f64,
+    /// Whether the configuration was read after the lease was granted.
+    is_current: bool,
 }
 
 #[derive(Default)]
@@ -90,7 +92,16 @@
         match input {
             OrderInput::Tick => self.tick(now, &mut outputs),
             OrderInput::Duty(duty) => self.duty = duty,
-            OrderInput::Leased { shard, fencing, sent } => self.leased(shard, fencing, sent),
+            OrderInput::Leased { shard, fencing, sent } => {
+                self.leased(shard, fencing, sent);
+                outputs.extend(self.read_config(shard));
+            }
+            OrderInput::ConfigRead { shard, fencing } => {
+                let lease = self.leases.get_mut(&shard);
+                if let Some(lease) = lease.filter(|lease| lease.fencing == fencing) {
+                    lease.is_current = true;
+                }
+            }
             OrderInput::NotLeased(shard) => drop(self.leases.remove(&shard)),
             OrderInput::Desired(desired) => {
                 self.views.retain(|engine, _| desired.contains_key(engine));
@@ -118,6 +129,7 @@
                     settled: sent + LEASE_TERM + ORDER_TIMEOUT,
                     next_renewal: sent + RENEW_PERIOD,
                     saved_loads: 0.0,
+                    is_current: false,
                 };
                 self.leases.insert(shard, lease);
                 // What an earlier term saw or sent may have been changed by another holder.
@@ -126,6 +138,12 @@
         }
     }
 
+    /// Asks for the configuration until it was read once in the lease's term.
+    fn read_config(&self, shard: ShardKey) -> Option<OrderOutput> {
+        let lease = self.leases.get(&shard).filter(|lease| !lease.is_current)?;
+        Some(OrderOutput::ReadConfig { shard, fencing: lease.fencing })
+    }
+
     fn tick(&mut self, now: Time, outputs: &mut Vec<OrderOutput>) {
         let passed = now.since(self.last_tick).as_secs_f64();
         self.last_tick = now;
@@ -250,7 +268,7 @@
     fn latest_send(&self, now: Time, checks_fencing: bool) -> Option<Time> {
         let latest = self.valid_until - ORDER_TIMEOUT;
         let is_settled = checks_fencing || self.settled <= now;
-        (is_settled && now <= latest).then_some(latest)
+        (is_settled && self.is_current && now <= latest).then_some(latest)
     }
 }
 
--- a/crates/core/src/order/tests.rs
+++ b/crates/core/src/order/tests.rs
@@ -30,7 +30,16 @@
 }
 
 fn lease(keeper: &mut OrderKeeper, fencing: u64, sent: Time) {
-    keeper.step(sent, OrderInput::Leased { shard: ShardKey(0), fencing, sent });
+    grant(keeper, sent, OrderInput::Leased { shard: ShardKey(0), fencing, sent });
+}
+
+/// Hands in the answer of the service to a lease call, and the configuration if it is asked for.
+fn grant(keeper: &mut OrderKeeper, now: Time, answer: OrderInput) {
+    for output in keeper.step(now, answer) {
+        if let OrderOutput::ReadConfig { shard, fencing } = output {
+            keeper.step(now, OrderInput::ConfigRead { shard, fencing });
+        }
+    }
 }
 
 fn observe(keeper: &mut OrderKeeper, now: Time, index: usize, models: &[&str]) {
@@ -46,6 +55,23 @@
     outputs.into_iter().filter_map(send).collect()
 }
 
+/// Guards against a new holder with an older configuration undoing what the last holder ordered by
+/// a newer one.
+#[test]
+fn no_order_before_the_configuration_was_read_under_the_lease() {
+    let mut keeper = keeper(&[(engine(0), desired(&["m"], true))]);
+    let (shard, fencing) = (ShardKey(0), 7);
+    let outputs = keeper.step(Time::ZERO, OrderInput::Leased { shard, fencing, sent: Time::ZERO });
+    assert!(outputs.contains(&OrderOutput::ReadConfig { shard, fencing }));
+    observe(&mut keeper, Time::ZERO, 0, &[]);
+    assert_eq!(sends(&mut keeper, seconds(0.5)), []);
+    // A read for an earlier lease says nothing about this one.
+    keeper.step(seconds(0.6), OrderInput::ConfigRead { shard, fencing: 6 });
+    assert_eq!(sends(&mut keeper, seconds(1.0)), []);
+    keeper.step(seconds(1.1), OrderInput::ConfigRead { shard, fencing });
+    assert_eq!(sends(&mut keeper, seconds(1.5)).len(), 1);
+}
+
 /// Guards against an order that arrives after its lease may be over, and against an early order to
 /// an engine that would take one of the last holder after it.
 #[test]
@@ -258,6 +284,10 @@
                             _ if is_answered => OrderInput::NotLeased(shard),
                             _ => continue,
                         };
+                        grant(&mut self.keepers[index], self.now, input);
+                    }
+                    OrderOutput::ReadConfig { shard, fencing } => {
+                        let input = OrderInput::ConfigRead { shard, fencing };
                         self.keepers[index].step(self.now, input);
                     }
                 }
--- a/crates/node/src/api/admin_write.rs
+++ b/crates/node/src/api/admin_write.rs
@@ -8,7 +8,7 @@
 use async_io::Timer;
 use http_types::{Response, StatusCode};
 use parsley_core::{
-    config::{CONFIG_PREFIX, ConfigDelta, ConfigItem, Revision, resource_key},
+    config::{ConfigDelta, ConfigItem, Revision, resource_key},
     refusal::{Outcome, Reason, Refusal},
     resource::{ResourceKind, StoredResource, conditions, read_spec, users},
 };
@@ -119,14 +119,10 @@
 
 /// Takes over what other hosts accepted, so that references are checked against the latest state.
 async fn refresh(host: &HostRef) -> Result<(), Refusal> {
-    for address in &host.settings.store {
-        let after = host.state.borrow().config.complete();
-        if let Ok(delta) = store::changes(address, CONFIG_PREFIX, after, None).await {
-            config_sync::apply(host, delta);
-            return Ok(());
-        }
+    match config_sync::refresh(host).await {
+        true => Ok(()),
+        false => Err(unavailable(Outcome::NotRun)),
     }
-    Err(unavailable(Outcome::NotRun))
 }
 
 fn unavailable(outcome: Outcome) -> Refusal {
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -69,7 +69,7 @@
         match output {
             ConfigOutput::Pull { host: peer, after } => pull(host, peer, after),
             ConfigOutput::Push(revision) => push(host, revision),
-            ConfigOutput::Read { after } => host.spawn(read(host.clone(), after)),
+            ConfigOutput::Read { .. } => host.spawn(read(host.clone())),
             ConfigOutput::Complete(revision) => {
                 peer::member_step(host, MemberInput::Revision(revision));
                 event!(host.log, CONFIG_IN_FORCE, "revision" => revision.0);
@@ -104,10 +104,19 @@
 }
 
 /// Reads the service directly, which a host does about once a minute in case its peers are cut off.
-async fn read(host: HostRef, after: Revision) {
+async fn read(host: HostRef) {
+    // Without an answer the configuration in force stays.
+    refresh(&host).await;
+}
+
+/// Takes over what the service holds now. Returns whether it answered.
+pub async fn refresh(host: &HostRef) -> bool {
     for address in &host.settings.store {
+        let after = host.state.borrow().config.complete();
         if let Ok(delta) = store::changes(address, CONFIG_PREFIX, after, None).await {
-            return apply(&host, delta);
+            apply(host, delta);
+            return true;
         }
     }
+    false
 }
--- a/crates/node/src/order_sync.rs
+++ b/crates/node/src/order_sync.rs
@@ -17,6 +17,7 @@
         store::{self, LeaseAnswer},
         weights,
     },
+    config_sync,
     error::NodeError,
     event,
     host::HostRef,
@@ -112,6 +113,9 @@
             OrderOutput::Acquire(shard) | OrderOutput::Renew(shard) => {
                 host.spawn(lease(host.clone(), shard));
             }
+            OrderOutput::ReadConfig { shard, fencing } => {
+                host.spawn(read_config(host.clone(), shard, fencing));
+            }
             OrderOutput::Release(shard) => host.spawn(release(host.clone(), shard)),
             OrderOutput::Send { order, latest, timeout } => {
                 host.spawn(send(host.clone(), order, latest, timeout));
@@ -144,6 +148,13 @@
     }
 }
 
+async fn read_config(host: HostRef, shard: ShardKey, fencing: u64) {
+    // Without an answer the next renewal asks again.
+    if config_sync::refresh(&host).await {
+        step(&host, OrderInput::ConfigRead { shard, fencing });
+    }
+}
+
 async fn release(host: HostRef, shard: ShardKey) {
     let lease = host.state.borrow_mut().shard_leases.remove(&shard);
     let Some(lease) = lease else { return };
