Tell owners directly that an engine is leaving

Cause: the model of leaving servers shows that spec.leaving through configuration alone is bound by 10 s, while a leaving server must get no new work after 5 s. Ruled out: a lower bound for all configuration, which the spread at 2,000 hosts does not need. Change: the host that accepts the write sends the owners the same message that the host list's watchers send; that code is now one function.

--- a/crates/node/src/api/admin_write.rs
+++ b/crates/node/src/api/admin_write.rs
@@ -20,6 +20,7 @@
     error::NodeError,
     event,
     host::HostRef,
+    host_watch,
     peer::link::unix_ms,
 };
 
@@ -81,6 +82,10 @@
     let stored = StoredResource { spec, write_id, operator, written_ms: unix_ms() };
     let revision = commit(host, write, Some(&stored)).await?;
     let item = ConfigItem { key: write.key(), revision, value: Some(stored.encode().into()) };
+    if write.kind == ResourceKind::BackendServer && stored.spec["leaving"] == true {
+        // A change may take 10 s to reach every host; a leaving engine gets no new work after 5 s.
+        host_watch::notify_owners(host, std::iter::once(write.name.clone()));
+    }
     put_in_force(host, item.clone()).await;
     event!(host.log, RESOURCE_APPLIED, "operator" => &*write.operator, "resource" => write.path(),
         "revision" => revision.0, "write_id" => &*stored.write_id);
--- a/crates/node/src/host_watch.rs
+++ b/crates/node/src/host_watch.rs
@@ -53,23 +53,28 @@
             continue;
         }
         let Ok(listed) = hostlist::leaving(&address).await else { continue };
-        let mut by_owner: BTreeMap<Arc<str>, Vec<Arc<str>>> = BTreeMap::new();
-        {
-            let state = host.state.borrow();
-            for server in listed {
-                if let Some(owner) = state.picker.owners().owner(&server.name) {
-                    by_owner.entry(owner.clone()).or_default().push(server.name);
-                }
+        notify_owners(&host, listed.into_iter().map(|server| server.name));
+    }
+}
+
+/// Tells the owners of engines that these are leaving.
+pub fn notify_owners(host: &HostRef, engines: impl Iterator<Item = Arc<str>>) {
+    let mut by_owner: BTreeMap<Arc<str>, Vec<Arc<str>>> = BTreeMap::new();
+    {
+        let state = host.state.borrow();
+        for engine in engines {
+            if let Some(owner) = state.picker.owners().owner(&engine) {
+                by_owner.entry(owner.clone()).or_default().push(engine);
             }
         }
-        for (owner, names) in by_owner {
-            if owner == host.settings.name {
-                pool::assign::leaving(&host, &names);
-                continue;
-            }
-            for names in names.chunks(MAX_NAMES) {
-                peer::send_to(&host, &owner, PeerDatagram::Leaving(names.to_vec()));
-            }
+    }
+    for (owner, names) in by_owner {
+        if owner == host.settings.name {
+            pool::assign::leaving(host, &names);
+            continue;
+        }
+        for names in names.chunks(MAX_NAMES) {
+            peer::send_to(host, &owner, PeerDatagram::Leaving(names.to_vec()));
         }
     }
 }
