Rule out not-run after a lost connection

Cause: the model of a request's life showed that a request whose connection to the owner broke was told not-run when the next owner refused it, although the first may have started it: the news of the start is lost with the connection. Ruled out: telling ran, which the system does not know either. Change: the entry host keeps the outcome it can vouch for; a broken leg makes it unknown, a start makes it ran, and a refusal by an owner never lowers it. Conclusion: not-run is told only for requests that reached no engine.

--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -43,8 +43,8 @@
     attempt: u32,
     placed: Option<PlacedStream>,
     avoid: Option<Arc<str>>,
-    /// Whether any attempt may have reached an engine.
-    may_have_run: bool,
+    /// Whether any attempt reached an engine.
+    outcome: Outcome,
     /// Since when owners hand the request back without a stream.
     moving: Option<Time>,
     leg: LegKey,
@@ -53,6 +53,12 @@
     due: Time,
 }
 
+impl OpenRequest {
+    fn refusal(&self, reason: Reason, detail: &str) -> Refusal {
+        Refusal { outcome: self.outcome, ..Refusal::not_run(reason, detail) }
+    }
+}
+
 /// The requests open to callers at this host.
 #[derive(Default)]
 pub struct RequestTable {
@@ -80,7 +86,7 @@
                     deadline,
                     offset,
                     attempt,
-                    may_have_run: placed.is_some(),
+                    outcome: if placed.is_some() { Outcome::Ran } else { Outcome::NotRun },
                     placed,
                     avoid: None,
                     moving: None,
@@ -96,6 +102,13 @@
                 self.event(now, request, leg, event, &mut outputs);
             }
             RequestInput::Broken { request, leg } => {
+                // The news that an engine took the request may be lost with the connection.
+                let entry = self.requests.get_mut(&request);
+                if let Some(entry) = entry.filter(|entry| entry.leg == leg)
+                    && entry.outcome == Outcome::NotRun
+                {
+                    entry.outcome = Outcome::Unknown;
+                }
                 self.next_leg(now, request, leg, LEG_DELAY, &mut outputs);
             }
             RequestInput::NoEngine { request, leg } => {
@@ -103,8 +116,7 @@
             }
             RequestInput::Cancel(request) => {
                 let Some(entry) = self.requests.get(&request) else { return outputs };
-                let refuse = if entry.may_have_run { Refusal::ran } else { Refusal::not_run };
-                let refusal = refuse(Reason::Cancelled, "cancelled by the caller");
+                let refusal = entry.refusal(Reason::Cancelled, "cancelled by the caller");
                 self.close(request, Some(StreamEvent::Refused(refusal)), true, &mut outputs);
             }
             RequestInput::Abandon(request) => self.close(request, None, false, &mut outputs),
@@ -138,7 +150,7 @@
                 let (engine, stream) = (engine.clone(), stream.clone());
                 entry.placed = Some(PlacedStream { engine, stream });
                 entry.attempt = attempt;
-                entry.may_have_run = true;
+                entry.outcome = Outcome::Ran;
                 entry.moving = None;
             }
             StreamEvent::Chunk { offset, tokens, .. } => {
@@ -160,8 +172,8 @@
             }
             StreamEvent::Refused(mut refusal) => {
                 // The owner may know only the last attempt.
-                if entry.may_have_run && refusal.outcome == Outcome::NotRun {
-                    refusal.outcome = Outcome::Ran;
+                if refusal.outcome == Outcome::NotRun {
+                    refusal.outcome = entry.outcome;
                 }
                 return self.close(request, Some(StreamEvent::Refused(refusal)), false, outputs);
             }
@@ -216,8 +228,8 @@
 
     fn refuse_unserved(&mut self, request: RequestKey, outputs: &mut Vec<RequestOutput>) {
         let Some(entry) = self.requests.get(&request) else { return };
-        let refuse = if entry.may_have_run { Refusal::ran } else { Refusal::not_run };
-        let refusal = refuse(Reason::NoEngine, "no engine serves the model now")
+        let refusal = entry
+            .refusal(Reason::NoEngine, "no engine serves the model now")
             .retry_after(Duration::from_secs(1));
         self.close(request, Some(StreamEvent::Refused(refusal)), false, outputs);
     }
@@ -239,9 +251,8 @@
                 continue;
             };
             if entry.deadline <= now {
-                let refuse = if entry.may_have_run { Refusal::ran } else { Refusal::not_run };
-                let refusal =
-                    refuse(Reason::DeadlineExceeded, "not finished within the rank's time");
+                let detail = "not finished within the rank's time";
+                let refusal = entry.refusal(Reason::DeadlineExceeded, detail);
                 self.close(request, Some(StreamEvent::Refused(refusal)), true, outputs);
                 continue;
             }
--- a/crates/core/src/request/tests.rs
+++ b/crates/core/src/request/tests.rs
@@ -297,3 +297,24 @@
     assert_eq!((refusal.reason, refusal.outcome), (Reason::NoEngine, Outcome::NotRun));
     assert!(refusal.retry_after.is_some());
 }
+
+/// Guards against `not-run` for a request that an owner may have started before its connection
+/// broke: the news of the start can be lost with the connection.
+#[test]
+fn lost_connection_rules_out_not_run() {
+    let mut table = RequestTable::default();
+    open(&mut table, Time(0));
+    let (request, leg) = (REQUEST, LegKey(1));
+    table.step(Time(0), RequestInput::Broken { request, leg });
+    table.step(Time(0) + LEG_DELAY, RequestInput::Tick);
+    let refusal = Refusal::not_run(Reason::Overloaded, "busy");
+    let (leg, event) = (LegKey(2), StreamEvent::Refused(refusal));
+    let outputs = table.step(Time(0) + LEG_DELAY, RequestInput::Event { request, leg, event });
+    let outcome = outputs.iter().find_map(|output| match output {
+        RequestOutput::Deliver { event: StreamEvent::Refused(refusal), .. } => {
+            Some(refusal.outcome)
+        }
+        _ => None,
+    });
+    assert_eq!(outcome, Some(Outcome::Unknown));
+}
