Share the channel body and show the fleet's status

Ruled out: a third package for one type; the stand-ins already depend on the node's library. Conclusion: no change of behaviour of the host.

--- a/crates/node/src/api/chat.rs
+++ b/crates/node/src/api/chat.rs
@@ -230,7 +230,7 @@
         let (blocks, reader) = async_channel::bounded(64);
         let mut response = Response::new(StatusCode::Ok);
         response.insert_header("request-id", &*order.request);
-        response.set_body(Body::from_reader(ChannelReader::new(reader, guard), None));
+        response.set_body(Body::from_reader(ChannelReader::new(reader, Some(guard)), None));
         response.insert_header("content-type", "text/event-stream");
         response.insert_header("cache-control", "no-store");
         let stream = ChatStream { host: host.clone(), order, meter };
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -66,19 +66,19 @@
     block: Vec<u8>,
     at: usize,
     /// The HTTP server drops the body after it wrote all of it to the connection.
-    _guard: RequestGuard,
+    _guard: Option<RequestGuard>,
 }
 
 impl ChannelReader {
-    /// Reads from a channel. The request counts as open until the reader is dropped.
-    pub fn new(blocks: Receiver<Vec<u8>>, guard: RequestGuard) -> ChannelReader {
+    /// Reads from a channel. The guard's request counts as open until the reader is dropped.
+    pub fn new(blocks: Receiver<Vec<u8>>, guard: Option<RequestGuard>) -> ChannelReader {
         ChannelReader { blocks: Box::pin(blocks), block: Vec::new(), at: 0, _guard: guard }
     }
 
     /// Reads bytes that are all there. The request counts as open until the reader is dropped.
     pub fn whole(bytes: Vec<u8>, guard: RequestGuard) -> ChannelReader {
         let (_, blocks) = async_channel::bounded(1);
-        ChannelReader { blocks: Box::pin(blocks), block: bytes, at: 0, _guard: guard }
+        ChannelReader { blocks: Box::pin(blocks), block: bytes, at: 0, _guard: Some(guard) }
     }
 }
 
--- a/crates/standins/examples/quickstart.rs
+++ b/crates/standins/examples/quickstart.rs
@@ -2,13 +2,15 @@
 //! prompt. The host processes are this program again, with the arguments of `parsleystage`. With
 //! `--keep` the fleet stays until standard input ends, to be tried with `parsleyctl`.
 
-use std::{process::ExitCode, time::Duration};
+use std::{net::SocketAddr, process::ExitCode, time::Duration};
 
+use http_types::Method;
 use parsley_node::command::{self, serve};
 use parsley_standins::{
     caller::{self, Prompt},
     fleet::FleetBuilder,
 };
+use serde_json::Value;
 
 fn main() -> ExitCode {
     let mut parser = lexopt::Parser::from_env();
@@ -66,6 +68,7 @@
         let first = answer.first_token.unwrap_or_default().as_millis();
         println!("{name} prompt ({tokens} tokens), first token after {first} ms: {}", answer.text);
     }
+    print_status(first)?;
     if keep {
         println!("\nexport PARSLEY_SERVER={}", addresses.join(","));
         println!("The fleet runs until the end of standard input (Ctrl-D).");
@@ -75,3 +78,22 @@
     fleet.close();
     Ok(())
 }
+
+/// Prints what a host says about the fleet.
+fn print_status(address: SocketAddr) -> Result<(), String> {
+    let address = address.to_string();
+    let request = caller::request(Method::Get, &address, "/admin/v1/status");
+    let status: Value = async_io::block_on(async {
+        let mut response = caller::send(&address, request).await?;
+        response.body_json().await.map_err(|err| err.to_string())
+    })?;
+    println!(
+        "fleet: configuration revision {}, {} engines and services, hosts:",
+        status["revision"], status["resources"]["backendservers"],
+    );
+    for member in status["members"].as_array().into_iter().flatten() {
+        let text = |field: &str| member[field].as_str().unwrap_or_default().to_owned();
+        println!("  {} {} {}", text("name"), text("failureDomain"), text("state"));
+    }
+    Ok(())
+}
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -5,15 +5,15 @@
     net::{Ipv4Addr, SocketAddr, TcpListener},
     pin::Pin,
     rc::Rc,
-    task::{Context, Poll},
     thread,
 };
 
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
 use async_io::Async;
-use futures_lite::{AsyncBufRead, AsyncRead, FutureExt, io};
+use futures_lite::FutureExt;
 use http_types::{Body, Request, Response, StatusCode};
+use parsley_node::http::ChannelReader;
 
 /// The future of one answer.
 pub type AnswerFuture = Pin<Box<dyn Future<Output = Response>>>;
@@ -98,56 +98,10 @@
 pub fn streamed(lines: Receiver<Vec<u8>>) -> Response {
     let mut response = Response::new(StatusCode::Ok);
     response.insert_header("content-type", "application/x-ndjson");
-    response.set_body(Body::from_reader(
-        ChannelReader { lines: Box::pin(lines), rest: Vec::new(), at: 0 },
-        None,
-    ));
+    response.set_body(Body::from_reader(ChannelReader::new(lines, None), None));
     response
 }
 
-struct ChannelReader {
-    lines: Pin<Box<Receiver<Vec<u8>>>>,
-    rest: Vec<u8>,
-    at: usize,
-}
-
-impl AsyncBufRead for ChannelReader {
-    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
-        use futures_lite::Stream;
-        let this = self.get_mut();
-        while this.at == this.rest.len() {
-            match this.lines.as_mut().poll_next(cx) {
-                Poll::Pending => return Poll::Pending,
-                Poll::Ready(None) => return Poll::Ready(Ok(&[])),
-                Poll::Ready(Some(line)) => (this.rest, this.at) = (line, 0),
-            }
-        }
-        Poll::Ready(Ok(&this.rest[this.at..]))
-    }
-
-    fn consume(self: Pin<&mut Self>, amount: usize) {
-        self.get_mut().at += amount;
-    }
-}
-
-impl AsyncRead for ChannelReader {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let available = match self.as_mut().poll_fill_buf(cx) {
-            Poll::Ready(Ok(available)) => available,
-            Poll::Ready(Err(err)) => return Poll::Ready(Err(err)),
-            Poll::Pending => return Poll::Pending,
-        };
-        let amount = available.len().min(buffer.len());
-        buffer[..amount].copy_from_slice(&available[..amount]);
-        self.consume(amount);
-        Poll::Ready(Ok(amount))
-    }
-}
-
 /// The path of a request, split at slashes, and its query pairs.
 pub fn route(request: &Request) -> (Vec<String>, std::collections::BTreeMap<String, String>) {
     let url = request.url();
