Judge only the open leg by its end

Cause: a leg that the table gave up itself ends later, and that end was taken for a lost connection, so a request that was only handed on was refused as unknown. Ruled out: filtering in the node, where the same order of events cannot be tested. Change: only the end of the open leg makes the outcome unknown. Before: 'cargo test -p parsley-core request_that_only': left (NoEngine, Unknown), right (NoEngine, NotRun). Conclusion: not-run stays exact for requests that were handed on.

--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -104,7 +104,7 @@
             RequestInput::Broken { request, leg } => {
                 // The news that an engine took the request may be lost with the connection.
                 let entry = self.requests.get_mut(&request);
-                if let Some(entry) = entry.filter(|entry| entry.leg == leg)
+                if let Some(entry) = entry.filter(|entry| entry.leg == leg && entry.is_leg_open)
                     && entry.outcome == Outcome::NotRun
                 {
                     entry.outcome = Outcome::Unknown;
--- a/crates/core/src/request/tests.rs
+++ b/crates/core/src/request/tests.rs
@@ -282,6 +282,8 @@
         if let Some(leg) = leg {
             let event = StreamEvent::Moved;
             outputs = table.step(now, RequestInput::Event { request: REQUEST, leg, event });
+            // The end of a leg that was given up says nothing about the request.
+            table.step(now, RequestInput::Broken { request: REQUEST, leg });
         } else {
             now = now + LEG_DELAY;
             outputs = table.step(now, RequestInput::Tick);
