--- a/crates/node/src/command/serve.rs
+++ b/crates/node/src/command/serve.rs
@@ -2,6 +2,12 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_signal::{Signal, Signals};
+use futures_lite::{FutureExt, StreamExt};
+use parsley_core::{entry::ENTRY_LIFETIME, member::MemberInput, settings::HostSettings};
+
 use crate::{
     api, carrier,
     command::SettingsArgs,
@@ -11,11 +17,6 @@
     host::{Host, HostRef},
     host_watch, log, order_sync, peer, pool, records,
 };
-use async_executor::LocalExecutor;
-use async_io::Timer;
-use async_signal::{Signal, Signals};
-use futures_lite::{FutureExt, StreamExt};
-use parsley_core::{entry::ENTRY_LIFETIME, member::MemberInput, settings::HostSettings};
 
 const USAGE: &str = "\
 Run a host until SIGTERM or SIGINT.
--- a/crates/node/src/config_sync.rs
+++ b/crates/node/src/config_sync.rs
@@ -2,14 +2,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::{
-    adapter::store,
-    event,
-    host::HostRef,
-    order_sync,
-    peer::{self, datagram::PeerDatagram, frame::PeerFrame, link},
-    pool,
-};
 use async_io::Timer;
 use parsley_core::{
     config::{
@@ -19,6 +11,15 @@
     member::MemberInput,
 };
 
+use crate::{
+    adapter::store,
+    event,
+    host::HostRef,
+    order_sync,
+    peer::{self, datagram::PeerDatagram, frame::PeerFrame, link},
+    pool,
+};
+
 const WATCH_WAIT: Duration = Duration::from_secs(5);
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
