Measure the added time on engines with short steps

Cause: the scenario compared two fleets with steps of 40 ms; two repetitions gave an added p50 of 1.3 and 3.7 ms, which is the phase of arrivals in a step, not the layer. Ruled out: more requests at that step, which would need some 10,000 for 0.1 ms. Change: one fleet with steps of 1 ms, direct and through the hosts, 100 requests a second. Conclusion: the scenario now measures the layer.

--- a/crates/standins/examples/measure/bench.rs
+++ b/crates/standins/examples/measure/bench.rs
@@ -62,31 +62,31 @@
 
     /// Starts a fleet.
     pub fn fleet(&self) -> Result<Fleet, String> {
-        let program = std::env::current_exe().map_err(|err| err.to_string())?;
-        FleetBuilder::new(program)
-            .hosts(9)
-            .domains(3)
-            .engines(self.engines)
-            .accounts((0..ACCOUNTS).map(account).collect())
-            .shape(shape())
-            .step(STEP)
-            .start()
-            .map_err(|err| err.to_string())
+        self.builder()?.start().map_err(|err| err.to_string())
     }
 
     /// Starts a fleet of one host before engines that stream fast.
     pub fn streaming_fleet(&self) -> Result<Fleet, String> {
-        let program = std::env::current_exe().map_err(|err| err.to_string())?;
         let shape = EngineShape { batch: 64, ..shape() };
-        FleetBuilder::new(program)
-            .hosts(1)
-            .domains(1)
-            .engines(4)
+        let fleet = self.builder()?.hosts(1).domains(1).engines(4).shape(shape);
+        fleet.step(Duration::from_millis(8)).start().map_err(|err| err.to_string())
+    }
+
+    /// Starts a fleet whose engines answer within a few milliseconds.
+    pub fn quick_fleet(&self) -> Result<Fleet, String> {
+        let fleet = self.builder()?.step(Duration::from_millis(1));
+        fleet.start().map_err(|err| err.to_string())
+    }
+
+    fn builder(&self) -> Result<FleetBuilder, String> {
+        let program = std::env::current_exe().map_err(|err| err.to_string())?;
+        Ok(FleetBuilder::new(program)
+            .hosts(9)
+            .domains(3)
+            .engines(self.engines)
             .accounts((0..ACCOUNTS).map(account).collect())
-            .shape(shape)
-            .step(Duration::from_millis(8))
-            .start()
-            .map_err(|err| err.to_string())
+            .shape(shape())
+            .step(STEP))
     }
 
     /// Sends sources through the hosts of a fresh fleet.
@@ -104,6 +104,19 @@
         LoadRun { target, sources, length: self.length, seed }.run()
     }
 
+    /// Sends sources straight to the engines of a running fleet.
+    pub fn run_direct(
+        &self,
+        fleet: &Fleet,
+        sources: Vec<LoadSource>,
+        seed: u64,
+    ) -> Vec<LoadSample> {
+        let engines = fleet.engine_addresses();
+        let router = BaselineRouter::new(EngineChoice::Random, &engines, seed);
+        let target = LoadTarget::Baseline(Arc::new(router));
+        LoadRun { target, sources, length: self.length, seed }.run()
+    }
+
     /// Sends sources through a baseline router before the engines of a fresh fleet.
     pub fn run_baseline(
         &self,
--- a/crates/standins/examples/measure/scenarios.rs
+++ b/crates/standins/examples/measure/scenarios.rs
@@ -89,16 +89,21 @@
     complete / total
 }
 
+/// The same requests through the hosts and straight to the engines of one fleet, whose steps are so
+/// short that the moment of arrival in a step does not hide a millisecond.
 fn added_time(bench: &Bench, seed: u64) -> Result<Vec<Measured>, String> {
-    let sources = vec![urgent(bench, 20.0, URGENT_ACCOUNT, "urgent")];
-    let layer = bench.run(sources.clone(), seed)?;
-    let direct = bench.run_baseline(EngineChoice::Random, sources, seed)?;
+    let fleet = bench.quick_fleet()?;
+    let sources = || vec![urgent(bench, 100.0, URGENT_ACCOUNT, "urgent")];
+    let direct = bench.run_direct(&fleet, sources(), seed);
+    let layer = bench.run_on(&fleet, sources(), seed);
+    fleet.close();
     let percentile =
         |samples: &[LoadSample], percent| percentile_ms(&first_tokens(samples, |_| true), percent);
     Ok(vec![
         at_most("added p50 ms", percentile(&layer, 50.0) - percentile(&direct, 50.0), 1.0),
         at_most("added p99 ms", percentile(&layer, 99.0) - percentile(&direct, 99.0), 3.0),
         figure("direct p50 ms", percentile(&direct, 50.0)),
+        figure("direct p99 ms", percentile(&direct, 99.0)),
         unanswered(&layer),
     ])
 }
