--- /dev/null
+++ b/crates/core/src/catalog/mod.rs
@@ -0,0 +1,196 @@
+//! Decides which service a request goes to and whose request it is.
+//!
+//! Owns the configuration in force: one document with routes, services, accounts and limits. Other
+//! slices read it through [`RouteCatalog`]. When no configuration arrives any more the last one
+//! stays; how long it may still decide about keys is the duty of [`crate::evidence`].
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use parsley_macros::{key, value};
+
+use crate::dispatch::PassModel;
+
+#[cfg(test)]
+mod tests;
+
+/// How often a request may be executed.
+#[key]
+pub enum RepeatRule {
+    /// It may run again after a failure.
+    Idempotent,
+    /// It runs at most once for each attempt of its caller.
+    AtMostOnce,
+}
+
+/// One rule that leads requests to a service.
+#[value]
+pub struct ServingRoute {
+    /// Name, for logs.
+    pub name: Arc<str>,
+    /// Host that callers name.
+    pub host: Arc<str>,
+    /// Start of the path; begins and ends with a slash.
+    pub prefix: Arc<str>,
+    /// How often a request may be executed.
+    pub repeat: RepeatRule,
+    /// Whether the answer is a series of events.
+    pub is_stream: bool,
+    /// Longest time a caller is kept waiting for the end.
+    pub timeout: Duration,
+    /// Time to the answer, or to the first event, within which it is on time.
+    pub first_aim: Duration,
+    /// Longest pause between events with which a stream is on time.
+    pub gap_aim: Option<Duration>,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Most backend servers that one attempt of a caller may be sent to.
+    pub attempts: u32,
+    /// Whether requests without a key are served.
+    pub is_anonymous: bool,
+    /// Services with their weights.
+    pub services: Vec<(Arc<str>, u32)>,
+}
+
+/// One service and the limits of its backend servers.
+#[value]
+pub struct ServingService {
+    /// Name.
+    pub name: Arc<str>,
+    /// Connections that one backend server accepts from all hosts together.
+    pub max_connections: u32,
+    /// How an engine of it works; `None` for a plain service.
+    pub pass: Option<PassModel>,
+}
+
+/// A client account with its keys.
+#[value]
+pub struct AccountKeys {
+    /// Name.
+    pub name: Arc<str>,
+    /// Keys that stand for it.
+    pub keys: Vec<Arc<str>>,
+    /// Rank that goes before the route's.
+    pub priority: Option<u8>,
+}
+
+/// Bounds on what a caller may send.
+#[value]
+pub struct CallerLimits {
+    /// Bytes of a head.
+    pub head_bytes: usize,
+    /// Bytes of a body.
+    pub body_bytes: usize,
+    /// Time for a head.
+    pub head_time: Duration,
+    /// Time for which a connection may stay idle.
+    pub idle_time: Duration,
+}
+
+/// The operators' configuration as one document.
+#[value]
+pub struct ServingConfig {
+    /// Version; grows in uneven steps.
+    pub version: u64,
+    /// Routes.
+    pub routes: Vec<ServingRoute>,
+    /// Services.
+    pub services: Vec<ServingService>,
+    /// Client accounts; `None` if requests carry no keys.
+    pub accounts: Option<Vec<AccountKeys>>,
+    /// Bounds on what callers send.
+    pub limits: CallerLimits,
+}
+
+/// What the configuration says about one request.
+#[value]
+pub enum RouteAnswer {
+    /// It goes to a service.
+    Serve {
+        /// The route.
+        route: Arc<ServingRoute>,
+        /// Account that the key stands for.
+        account: Option<Arc<str>>,
+        /// Rank of the request.
+        priority: u8,
+    },
+    /// No route matches.
+    NotFound,
+    /// The key is missing or unknown.
+    Unauthenticated,
+}
+
+/// The configuration in force, indexed.
+pub struct RouteCatalog {
+    config: ServingConfig,
+    /// Routes of a host, longest prefix first.
+    hosts: BTreeMap<Arc<str>, Vec<Arc<ServingRoute>>>,
+    accounts: BTreeMap<Arc<str>, (Arc<str>, Option<u8>)>,
+    services: BTreeMap<Arc<str>, ServingService>,
+}
+
+impl RouteCatalog {
+    /// Indexes a configuration.
+    pub fn new(config: ServingConfig) -> RouteCatalog {
+        let mut hosts: BTreeMap<Arc<str>, Vec<Arc<ServingRoute>>> = BTreeMap::new();
+        for route in &config.routes {
+            hosts.entry(route.host.clone()).or_default().push(Arc::new(route.clone()));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let mut accounts = BTreeMap::new();
+        for account in config.accounts.iter().flatten() {
+            for key in &account.keys {
+                accounts.insert(key.clone(), (account.name.clone(), account.priority));
+            }
+        }
+        let services = config.services.iter().map(|one| (one.name.clone(), one.clone())).collect();
+        RouteCatalog { config, hosts, accounts, services }
+    }
+
+    /// The version in force.
+    pub fn version(&self) -> u64 {
+        self.config.version
+    }
+
+    /// Bounds on what callers send.
+    pub fn limits(&self) -> &CallerLimits {
+        &self.config.limits
+    }
+
+    /// Services by name.
+    pub fn services(&self) -> &BTreeMap<Arc<str>, ServingService> {
+        &self.services
+    }
+
+    /// Whether a request with this host, path and key is served, and by which route.
+    pub fn answer(&self, host: &str, path: &str, key: Option<&str>) -> RouteAnswer {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = self.hosts.get(host).map_or(&[][..], Vec::as_slice);
+        let Some(route) = routes.iter().find(|route| path.starts_with(&*route.prefix)) else {
+            return RouteAnswer::NotFound;
+        };
+        let holder = key.and_then(|key| self.accounts.get(key));
+        let (account, priority) = match holder {
+            Some((account, priority)) => (Some(account.clone()), *priority),
+            None if self.config.accounts.is_none() || route.is_anonymous => (None, None),
+            None => return RouteAnswer::Unauthenticated,
+        };
+        let priority = priority.unwrap_or(route.priority);
+        RouteAnswer::Serve { route: route.clone(), account, priority }
+    }
+}
+
+impl ServingRoute {
+    /// Draws a service by weight.
+    pub fn draw_service(&self, rng: &mut fastrand::Rng) -> Option<&Arc<str>> {
+        let total: u32 = self.services.iter().map(|(_, weight)| weight).sum();
+        let mut draw = rng.u32(0..total.max(1));
+        let drawn = self.services.iter().find(|(_, weight)| {
+            let is_drawn = draw < *weight;
+            draw = draw.saturating_sub(*weight);
+            is_drawn
+        });
+        drawn.map(|(name, _)| name)
+    }
+}
--- /dev/null
+++ b/crates/core/src/catalog/tests.rs
@@ -0,0 +1,1 @@
+use super::*;
--- a/crates/core/src/document/mod.rs
+++ b/crates/core/src/document/mod.rs
@@ -122,11 +122,18 @@
     path: String,
     object: &'a Object<'a>,
     known: Vec<&'static str>,
+    allows_others: bool,
 }
 
 impl<'a> ObjectReader<'a> {
     fn new(notes: &'a Notes<'a>, path: &str, object: &'a Object<'a>) -> ObjectReader<'a> {
-        ObjectReader { notes, path: path.to_owned(), object, known: Vec::new() }
+        ObjectReader {
+            notes,
+            path: path.to_owned(),
+            object,
+            known: Vec::new(),
+            allows_others: false,
+        }
     }
 
     /// The field with a name. `null` counts as absent.
@@ -139,6 +146,12 @@
         Field { notes: self.notes, path: join(&self.path, name), name, value, position }
     }
 
+    /// Passes over fields that are not asked for: the document belongs to another system, which may
+    /// add some.
+    pub fn allow_others(&mut self) {
+        self.allows_others = true;
+    }
+
     /// Reports the fields that were not asked for and those that occur twice.
     fn close(self) {
         let mut seen = BTreeMap::new();
@@ -147,6 +160,9 @@
             let position = property.range.start;
             let path = join(&self.path, name);
             if !self.known.contains(&name) {
+                if self.allows_others {
+                    continue;
+                }
                 let fix = format!("remove it, or use one of: {}", self.known.join(", "));
                 self.notes.report(position, &path, "unknown field", &fix);
             } else if seen.insert(name, ()).is_some() {
@@ -271,6 +287,19 @@
         found
     }
 
+    /// A number that is not negative.
+    pub fn ratio(&self) -> Option<f64> {
+        let Value::NumberLit(number) = self.value? else {
+            self.wrong_type("a number");
+            return None;
+        };
+        let found = number.value.parse().ok().filter(|number: &f64| *number >= 0.0);
+        if found.is_none() {
+            self.report("out of range", "write a number from 0");
+        }
+        found
+    }
+
     /// `true` or `false`.
     pub fn flag(&self) -> Option<bool> {
         match self.value? {
--- /dev/null
+++ b/crates/core/src/evidence/mod.rs
@@ -0,0 +1,88 @@
+//! Decides whether this host may still act on its configuration for requests with a key.
+//!
+//! Owns the moment at which the configuration in force was last known to be the newest. The store
+//! confirms it, or a peer that was confirmed itself hands its confirmation on. When confirmations
+//! stop, requests with a key are refused before a key that was taken away could still be served.
+
+use std::time::Duration;
+
+use parsley_macros::{message, value};
+
+use crate::time::Time;
+
+#[cfg(test)]
+mod tests;
+
+/// Part of the revocation time that is kept as reserve for clocks that run at unlike rates and for
+/// the time between the decision and the send.
+const RESERVE_SHARE: f64 = 0.1;
+
+/// What a peer says about its own configuration, as an answer to a datagram of this host.
+#[message]
+pub struct PeerEvidence {
+    /// Version in force at the peer.
+    pub version: u64,
+    /// Milliseconds since that version was known to be the newest, at the peer's send.
+    pub age_ms: Option<u32>,
+    /// This host's clock in its last datagram that the peer received, in microseconds.
+    pub echo: u64,
+    /// Milliseconds from that receipt to the peer's send.
+    pub held_ms: u32,
+}
+
+/// Evidence that the configuration is the newest.
+#[value]
+pub struct EvidenceKeeper {
+    version: u64,
+    confirmed: Option<Time>,
+    limit: Duration,
+}
+
+impl EvidenceKeeper {
+    /// A keeper that allows requests with a key for most of `revoke` after a confirmation.
+    pub fn new(revoke: Duration) -> EvidenceKeeper {
+        EvidenceKeeper { version: 0, confirmed: None, limit: revoke.mul_f64(1.0 - RESERVE_SHARE) }
+    }
+
+    /// The version in force.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The store showed `version` in a call that was sent at `asked`. Whatever the answer's delay,
+    /// the version was the newest at some moment after that.
+    pub fn confirm(&mut self, version: u64, asked: Time) {
+        if version < self.version {
+            return;
+        }
+        self.version = version;
+        self.confirmed = self.confirmed.max(Some(asked));
+    }
+
+    /// Takes over what a peer says. Returns whether the peer has a newer version than this host.
+    ///
+    /// The peer received this host's datagram after `echo`, so its confirmation is no older than
+    /// `echo + held - age` on this host's clock, however long the answer was under way.
+    pub fn hear(&mut self, evidence: &PeerEvidence) -> bool {
+        if evidence.version != self.version {
+            return evidence.version > self.version;
+        }
+        let Some(age) = evidence.age_ms else { return false };
+        let heard = Time(evidence.echo) + Duration::from_millis(evidence.held_ms.into());
+        let age = Duration::from_millis(age.into());
+        if evidence.echo > 0 && heard.0 > age.as_micros() as u64 {
+            self.confirmed = self.confirmed.max(Some(heard - age));
+        }
+        false
+    }
+
+    /// Time since the version was known to be the newest.
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        self.confirmed.map(|at| now.since(at))
+    }
+
+    /// Whether a request with a key that arrived by `now` may be executed.
+    pub fn is_recent(&self, now: Time) -> bool {
+        self.age(now).is_some_and(|age| age <= self.limit)
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/mod.rs
@@ -0,0 +1,292 @@
+//! Decides which backend servers may get work, and how likely each is to fail it.
+//!
+//! Owns one record per backend server: what discovery says of it, and what answers showed. Health
+//! checks are not asked, as they may be false; answers of requests decide. When discovery stops,
+//! the last list stays. Entries that vanish while the store was away get a short time to return.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use parsley_macros::{key, message, value};
+
+use crate::time::Time;
+
+#[cfg(test)]
+mod tests;
+
+/// Time after the store's return in which entries that lapsed meanwhile come back.
+pub const RETURN_TIME: Duration = Duration::from_millis(2_200);
+/// Weight of one answer in the failure estimate.
+const FAILURE_WEIGHT: f64 = 0.35;
+/// Time in which a failure estimate falls to about a third without further answers.
+const FAILURE_MEMORY: Duration = Duration::from_secs(4);
+/// Estimate under which failures are taken for chance and not told to peers.
+pub const NOTED_FAILURE: f64 = 0.05;
+/// Estimate of a server whose requests all go unanswered.
+const SILENT_FAILURE: f64 = 0.95;
+/// Weight of one measurement in the pace.
+const PACE_WEIGHT: f64 = 0.3;
+/// Bounds of the pace estimate.
+const PACE_RANGE: (f64, f64) = (0.5, 20.0);
+
+/// A backend server process: the hash of its instance id.
+#[key]
+pub struct EngineTag(pub u64);
+
+/// A stable hash of a name that hosts share instead of the name.
+pub fn hash_name(name: &str) -> u64 {
+    let hash = blake3::hash(name.as_bytes());
+    u64::from_le_bytes(hash.as_bytes()[..8].try_into().expect("eight bytes"))
+}
+
+/// What discovery says of a backend server.
+#[value]
+pub struct EngineEntry {
+    /// Instance id.
+    pub id: Arc<str>,
+    /// Service.
+    pub service: Arc<str>,
+    /// Address.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving and takes no new work.
+    pub is_leaving: bool,
+    /// Start of the process, in milliseconds of its own clock; 0 if not told.
+    pub born: u64,
+}
+
+impl EngineEntry {
+    /// The tag of the instance.
+    pub fn tag(&self) -> EngineTag {
+        EngineTag(hash_name(&self.id))
+    }
+}
+
+/// How an attempt at a backend server ended, as far as the server is to blame.
+#[key]
+pub enum EngineVerdict {
+    /// It answered.
+    Good,
+    /// It broke off, answered nonsense or an error of its own.
+    Failed,
+    /// It did not answer in time.
+    Silent,
+    /// No connection came about.
+    Unreachable,
+    /// It was full and did not run the request.
+    Full,
+    /// Another instance has its address.
+    Replaced,
+}
+
+/// What hosts tell each other of a backend server.
+#[message]
+pub struct EngineOpinion {
+    /// Server.
+    pub tag: EngineTag,
+    /// Estimated chance that it fails a request, in percent.
+    pub failure_percent: u8,
+    /// Time it takes in relation to its model, in percent.
+    pub pace_percent: u16,
+}
+
+/// One backend server.
+#[value]
+pub struct EngineRecord {
+    /// What discovery says.
+    pub entry: EngineEntry,
+    /// Chance of failure at `judged`; falls with time.
+    failure: f64,
+    judged: Time,
+    /// The same, as peers tell it.
+    heard_failure: f64,
+    heard: Time,
+    /// Measured time in relation to the model.
+    pace: f64,
+    /// When it vanished from discovery while the store was away.
+    lapsed: Option<Time>,
+    replaced: bool,
+}
+
+impl EngineRecord {
+    fn new(entry: EngineEntry, now: Time) -> EngineRecord {
+        EngineRecord {
+            entry,
+            failure: 0.0,
+            judged: now,
+            heard_failure: 0.0,
+            heard: now,
+            pace: 1.0,
+            lapsed: None,
+            replaced: false,
+        }
+    }
+
+    /// Estimated chance that it fails the next request.
+    pub fn failure_chance(&self, now: Time) -> f64 {
+        self.own_failure(now).max(faded(self.heard_failure, now.since(self.heard)))
+    }
+
+    fn own_failure(&self, now: Time) -> f64 {
+        faded(self.failure, now.since(self.judged))
+    }
+
+    /// Time it takes in relation to its model.
+    pub fn pace(&self) -> f64 {
+        self.pace
+    }
+
+    /// Whether it may get new work.
+    pub fn is_usable(&self) -> bool {
+        !self.entry.is_leaving && !self.replaced
+    }
+}
+
+fn faded(chance: f64, age: Duration) -> f64 {
+    chance * (-age.as_secs_f64() / FAILURE_MEMORY.as_secs_f64()).exp()
+}
+
+/// The known backend servers.
+#[derive(Debug, Default)]
+pub struct FleetTable {
+    engines: BTreeMap<EngineTag, EngineRecord>,
+    store_lost: bool,
+    regained: Option<Time>,
+}
+
+impl FleetTable {
+    /// The store was lost or answers again.
+    pub fn note_store(&mut self, now: Time, is_lost: bool) {
+        self.store_lost = is_lost;
+        if !is_lost {
+            self.regained = Some(now);
+        }
+    }
+
+    /// Discovery was read as a whole. Returns the servers that are gone.
+    pub fn list(&mut self, now: Time, entries: Vec<EngineEntry>) -> Vec<EngineTag> {
+        let listed: Vec<_> = entries.iter().map(EngineEntry::tag).collect();
+        for entry in entries {
+            self.change(now, entry);
+        }
+        let missing: Vec<_> =
+            self.engines.keys().filter(|tag| !listed.contains(tag)).copied().collect();
+        missing.into_iter().filter(|tag| self.remove(now, *tag)).collect()
+    }
+
+    /// Discovery shows an entry. Returns whether it is new, leaves or has started again.
+    pub fn change(&mut self, now: Time, entry: EngineEntry) -> bool {
+        let tag = entry.tag();
+        match self.engines.get_mut(&tag) {
+            Some(record)
+                if record.entry.born == entry.born && record.entry.address == entry.address =>
+            {
+                let is_news = record.entry.is_leaving != entry.is_leaving;
+                record.entry = entry;
+                record.lapsed = None;
+                is_news
+            }
+            _ => {
+                self.engines.insert(tag, EngineRecord::new(entry, now));
+                true
+            }
+        }
+    }
+
+    /// Discovery no longer shows an entry. Returns whether the server is gone now.
+    pub fn remove(&mut self, now: Time, tag: EngineTag) -> bool {
+        let may_return =
+            self.store_lost || self.regained.is_some_and(|at| now.since(at) < RETURN_TIME);
+        let Some(record) = self.engines.get_mut(&tag) else { return false };
+        if may_return && !record.entry.is_leaving {
+            record.lapsed.get_or_insert(now);
+            return false;
+        }
+        self.engines.remove(&tag);
+        true
+    }
+
+    /// Drops servers that did not return after the store did. Returns them.
+    pub fn expire(&mut self, now: Time) -> Vec<EngineTag> {
+        if self.store_lost || self.regained.is_some_and(|at| now.since(at) < RETURN_TIME) {
+            return Vec::new();
+        }
+        let lapsed: Vec<_> = self
+            .engines
+            .iter()
+            .filter(|(_, record)| record.lapsed.is_some())
+            .map(|(tag, _)| *tag)
+            .collect();
+        for tag in &lapsed {
+            self.engines.remove(tag);
+        }
+        lapsed
+    }
+
+    /// An attempt at the server ended. Returns the new estimate.
+    pub fn judge(&mut self, now: Time, tag: EngineTag, verdict: EngineVerdict) -> f64 {
+        let Some(record) = self.engines.get_mut(&tag) else { return 1.0 };
+        let before = record.own_failure(now);
+        record.failure = match verdict {
+            EngineVerdict::Good => before * (1.0 - FAILURE_WEIGHT),
+            EngineVerdict::Failed => before + (1.0 - before) * FAILURE_WEIGHT,
+            EngineVerdict::Silent | EngineVerdict::Unreachable => before.max(SILENT_FAILURE),
+            EngineVerdict::Full => before,
+            EngineVerdict::Replaced => {
+                record.replaced = true;
+                1.0
+            }
+        };
+        if verdict == EngineVerdict::Good {
+            record.heard_failure *= 1.0 - FAILURE_WEIGHT;
+        }
+        record.judged = now;
+        record.failure
+    }
+
+    /// A step took `ratio` times as long as the model says.
+    pub fn measure(&mut self, tag: EngineTag, ratio: f64) {
+        let Some(record) = self.engines.get_mut(&tag) else { return };
+        let pace = record.pace + (ratio - record.pace) * PACE_WEIGHT;
+        record.pace = pace.clamp(PACE_RANGE.0, PACE_RANGE.1);
+    }
+
+    /// A peer's opinion arrived.
+    pub fn hear(&mut self, now: Time, opinion: &EngineOpinion) {
+        let Some(record) = self.engines.get_mut(&opinion.tag) else { return };
+        record.heard_failure = f64::from(opinion.failure_percent) / 100.0;
+        record.heard = now;
+    }
+
+    /// What this host has seen of failing servers, for its peers.
+    pub fn opinions(&self, now: Time) -> Vec<EngineOpinion> {
+        let noted = self.engines.iter().filter(|(_, one)| one.own_failure(now) >= NOTED_FAILURE);
+        noted
+            .map(|(tag, record)| EngineOpinion {
+                tag: *tag,
+                failure_percent: (record.own_failure(now) * 100.0) as u8,
+                pace_percent: (record.pace * 100.0) as u16,
+            })
+            .collect()
+    }
+
+    /// The record of a server.
+    pub fn get(&self, tag: EngineTag) -> Option<&EngineRecord> {
+        self.engines.get(&tag)
+    }
+
+    /// All servers.
+    pub fn iter(&self) -> impl Iterator<Item = (EngineTag, &EngineRecord)> {
+        self.engines.iter().map(|(tag, record)| (*tag, record))
+    }
+
+    /// Usable servers of a service.
+    pub fn usable<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (EngineTag, &'a EngineRecord)> {
+        self.iter().filter(move |(_, one)| &*one.entry.service == service && one.is_usable())
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,9 +7,14 @@
 pub mod admission;
 pub mod arena;
 pub mod call;
+pub mod catalog;
 pub mod config;
+pub mod dispatch;
 pub mod document;
 pub mod entry;
+pub mod evidence;
+pub mod feed;
+pub mod fleet;
 pub mod group;
 pub mod health;
 pub mod key;
@@ -20,11 +25,14 @@
 pub mod refusal;
 pub mod request;
 pub mod resource;
+pub mod retry;
+pub mod roster;
 pub mod scheduler;
 pub mod settings;
 pub mod time;
 pub mod token;
 pub mod usage;
+pub mod work;
 
 /// Runs a property on a fixed number of fixed seeds, so that the verdict does not depend on how
 /// many cases fit into a time budget. The low half of a seed is the size of the input in bytes.
--- /dev/null
+++ b/crates/core/src/work/mod.rs
@@ -0,0 +1,188 @@
+//! Keeps the work in flight and waiting of all hosts, as far as this host knows it.
+//!
+//! Owns the entries of this host and copies of the peers' entries. Each host sends its changes at
+//! once and all of its entries with every full beat, so a lost datagram is mended within one beat.
+//! The entries of a peer that fell silent stay for [`ORPHAN_TIME`], as its engines may still work.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use parsley_macros::{key, message, value};
+
+use crate::{fleet::EngineTag, roster::HostTag, time::Time};
+
+#[cfg(test)]
+mod tests;
+
+/// Time for which the entries of a silent peer count.
+const ORPHAN_TIME: Duration = Duration::from_secs(3);
+
+/// How far a piece of work has come.
+#[key]
+pub enum WorkPhase {
+    /// It waits for a backend server.
+    Waiting,
+    /// It was sent and no part of the answer has come.
+    Sent,
+    /// Its answer is being written.
+    Writing,
+}
+
+/// What a piece of work asks for.
+#[message]
+pub struct WorkNeed {
+    /// Hash of the service's name.
+    pub service: u64,
+    /// Tokens of the prompt; 0 for a plain service.
+    pub prompt: u32,
+    /// Most tokens of the answer.
+    pub answer: u32,
+    /// Time to the first part of the answer with which it is on time, in milliseconds.
+    pub first_aim_ms: u32,
+    /// Longest pause with which it is on time, in milliseconds; 0 if it is no stream.
+    pub gap_aim_ms: u32,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+}
+
+/// A piece of work as hosts tell each other.
+#[message]
+pub struct WorkEntry {
+    /// What it asks for.
+    pub need: WorkNeed,
+    /// How far it has come.
+    pub phase: WorkPhase,
+    /// Backend servers that work on it, the one that answers first.
+    pub engines: Vec<EngineTag>,
+    /// Arrival, and the start of the phase. Sent as an age.
+    pub arrived: Time,
+    /// Start of the phase. Sent as an age.
+    pub since: Time,
+}
+
+/// The number of a piece of work at its host.
+#[key]
+pub struct WorkNumber(pub u32);
+
+/// A change of a host's entries.
+#[message]
+pub struct WorkNews {
+    /// Whether `entries` are all entries of the host.
+    pub is_full: bool,
+    /// New and changed entries; their times are ages in microseconds.
+    pub entries: Vec<(WorkNumber, WorkEntry)>,
+    /// Entries that ended.
+    pub ended: Vec<WorkNumber>,
+}
+
+#[value]
+struct PeerWork {
+    incarnation: u64,
+    heard: Time,
+    entries: BTreeMap<WorkNumber, WorkEntry>,
+}
+
+/// The work of all hosts.
+#[derive(Debug, Default)]
+pub struct WorkView {
+    own: BTreeMap<WorkNumber, WorkEntry>,
+    peers: BTreeMap<HostTag, PeerWork>,
+    changed: Vec<WorkNumber>,
+}
+
+impl WorkView {
+    /// Sets an entry of this host.
+    pub fn set(&mut self, number: WorkNumber, entry: WorkEntry) {
+        self.own.insert(number, entry);
+        self.changed.push(number);
+    }
+
+    /// Changes an entry of this host.
+    pub fn update(&mut self, number: WorkNumber, change: impl FnOnce(&mut WorkEntry)) {
+        let Some(entry) = self.own.get_mut(&number) else { return };
+        change(entry);
+        self.changed.push(number);
+    }
+
+    /// Ends an entry of this host.
+    pub fn end(&mut self, number: WorkNumber) {
+        if self.own.remove(&number).is_some() {
+            self.changed.push(number);
+        }
+    }
+
+    /// An entry of this host.
+    pub fn get(&self, number: WorkNumber) -> Option<&WorkEntry> {
+        self.own.get(&number)
+    }
+
+    /// Entries of this host.
+    pub fn own(&self) -> impl Iterator<Item = (WorkNumber, &WorkEntry)> {
+        self.own.iter().map(|(number, entry)| (*number, entry))
+    }
+
+    /// Entries of all hosts; the host is `None` for this one.
+    pub fn all(&self) -> impl Iterator<Item = (Option<HostTag>, WorkNumber, &WorkEntry)> {
+        let own = self.own.iter().map(|(number, entry)| (None, *number, entry));
+        let peers = self.peers.iter().flat_map(|(host, work)| {
+            work.entries.iter().map(|(number, entry)| (Some(*host), *number, entry))
+        });
+        own.chain(peers)
+    }
+
+    /// Whether there is something to tell.
+    pub fn has_news(&self) -> bool {
+        !self.changed.is_empty()
+    }
+
+    /// What changed since the last call, or everything.
+    pub fn take_news(&mut self, now: Time, is_full: bool) -> WorkNews {
+        let mut changed = std::mem::take(&mut self.changed);
+        changed.sort_unstable();
+        changed.dedup();
+        let aged = |number: &WorkNumber, entry: &WorkEntry| {
+            let mut entry = entry.clone();
+            entry.arrived = Time(now.0.saturating_sub(entry.arrived.0));
+            entry.since = Time(now.0.saturating_sub(entry.since.0));
+            (*number, entry)
+        };
+        if is_full {
+            let entries = self.own.iter().map(|(number, entry)| aged(number, entry)).collect();
+            return WorkNews { is_full, entries, ended: Vec::new() };
+        }
+        let entries = changed.iter().filter_map(|one| Some(aged(one, self.own.get(one)?)));
+        let entries = entries.collect();
+        changed.retain(|number| !self.own.contains_key(number));
+        WorkNews { is_full, entries, ended: changed }
+    }
+
+    /// Takes over a peer's news.
+    pub fn hear(&mut self, now: Time, host: HostTag, incarnation: u64, news: WorkNews) {
+        let work = self.peers.entry(host).or_insert_with(|| PeerWork {
+            incarnation,
+            heard: now,
+            entries: BTreeMap::new(),
+        });
+        if incarnation < work.incarnation {
+            return;
+        }
+        // What an earlier process of the host sent has ended with its connections.
+        if incarnation > work.incarnation || news.is_full {
+            work.entries.clear();
+        }
+        work.incarnation = incarnation;
+        work.heard = now;
+        for (number, mut entry) in news.entries {
+            entry.arrived = Time(now.0.saturating_sub(entry.arrived.0));
+            entry.since = Time(now.0.saturating_sub(entry.since.0));
+            work.entries.insert(number, entry);
+        }
+        for number in &news.ended {
+            work.entries.remove(number);
+        }
+    }
+
+    /// Forgets what silent peers had.
+    pub fn forget(&mut self, now: Time) {
+        self.peers.retain(|_, work| now.since(work.heard) <= ORPHAN_TIME);
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/attempt.rs
@@ -0,0 +1,407 @@
+//! One send to a backend server, and its answer.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use async_channel::Sender;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    body::{Bytes, Incoming},
+    header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING},
+};
+use parsley_core::{
+    dispatch::DispatchInput,
+    fleet::{EngineTag, EngineVerdict},
+    time::Time,
+};
+
+use super::{
+    Placement,
+    body::{AnswerBody, BodyPiece, EventSplitter},
+    clock,
+    edge::SendFacts,
+    exchange::{Exchange, Progress},
+    link::{SendFault, ServerLink},
+    listener::within,
+    memory::{self, HeldMemory},
+};
+
+/// Largest answer that is not a stream, in bytes.
+const ANSWER_BYTES: usize = 16 << 20;
+/// Idle time up to which a kept connection carries a request that may run only once: a server
+/// that closes at that moment would leave its fate open.
+const FRESH_LINK: Duration = Duration::from_millis(1_500);
+/// Idle time up to which a kept connection carries a request that may be repeated.
+const KEPT_LINK: Duration = Duration::from_secs(60);
+/// Ranks that an engine's own queue tells apart, per rank of ours.
+const URGENCY_STEP: u8 = 3;
+/// Lowest rank of an engine's own queue.
+const LAST_URGENCY: u8 = 9;
+/// Heads of one connection; they are not handed on.
+const HOP_HEADS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// How an attempt ended.
+pub enum AttemptEnd {
+    /// The caller has the whole answer.
+    Answered(StatusCode),
+    /// The server ran the request and answered with a failure; nothing was given to the caller.
+    Failure(Response<AnswerBody>),
+    /// The server did not run the request and will not.
+    NotRun(Arc<str>),
+    /// The request may have run.
+    Unknown(Arc<str>),
+}
+
+/// The streamed answer to a caller, over all attempts.
+pub struct CallerStream {
+    pieces: Option<Sender<BodyPiece>>,
+    last_event: Option<u64>,
+    /// Events given to the caller.
+    pub events: u32,
+}
+
+impl CallerStream {
+    /// A stream that goes on after an event that the caller has.
+    pub fn new(last_event: Option<u64>) -> CallerStream {
+        CallerStream { pieces: None, last_event, events: 0 }
+    }
+
+    /// Whether the caller has the head of the answer.
+    pub fn is_begun(&self) -> bool {
+        self.pieces.is_some()
+    }
+}
+
+/// Sends a request to its place.
+pub async fn run(
+    exchange: &Exchange,
+    placement: &Placement,
+    stream: &mut CallerStream,
+    progress: &Progress,
+    alive: &async_channel::WeakSender<()>,
+    can_repeat: bool,
+) -> AttemptEnd {
+    let gateway = &exchange.gateway;
+    let engine = placement.engine;
+    let Some((address, instance)) = target(exchange, engine) else {
+        return AttemptEnd::NotRun("the server is gone".into());
+    };
+    let held = match memory::hold(exchange, placement).await {
+        Ok(held) => held,
+        Err(fault) => return AttemptEnd::NotRun(fault),
+    };
+    let mut link = match open(exchange, engine, address).await {
+        Ok(link) => link,
+        Err(fault) => {
+            gateway.judge(engine, EngineVerdict::Unreachable, &exchange.id);
+            return AttemptEnd::NotRun(fault);
+        }
+    };
+    let request = build(exchange, &instance, placement, &held, stream.last_event);
+    progress.attempts.set(progress.attempts.get() + 1);
+    let sent = clock::now();
+    let first_limit = if can_repeat { placement.first_limit } else { exchange.time_left() };
+    let limit = first_limit.min(exchange.time_left());
+    let (verdict, end) = match within(limit, link.send(request)).await {
+        None => (EngineVerdict::Silent, AttemptEnd::Unknown("no answer in time".into())),
+        Some(Err(SendFault::NotSent(err))) => {
+            progress.attempts.set(progress.attempts.get() - 1);
+            (EngineVerdict::Failed, AttemptEnd::NotRun(err.to_string().into()))
+        }
+        Some(Err(SendFault::Unknown(err))) => {
+            (EngineVerdict::Failed, AttemptEnd::Unknown(err.to_string().into()))
+        }
+        Some(Ok(response)) => {
+            let mut relay =
+                Relay { exchange, placement, stream, progress, alive, can_repeat, sent };
+            relay.take(link, response).await
+        }
+    };
+    gateway.metrics.sends.with_label_values(&[verdict_name(verdict)]).inc();
+    gateway.judge(engine, verdict, &exchange.id);
+    held.close();
+    end
+}
+
+fn verdict_name(verdict: EngineVerdict) -> &'static str {
+    match verdict {
+        EngineVerdict::Good => "good",
+        EngineVerdict::Failed => "failed",
+        EngineVerdict::Silent => "silent",
+        EngineVerdict::Unreachable => "unreachable",
+        EngineVerdict::Full => "full",
+        EngineVerdict::Replaced => "replaced",
+    }
+}
+
+fn target(exchange: &Exchange, engine: EngineTag) -> Option<(SocketAddr, Arc<str>)> {
+    let state = exchange.gateway.state.borrow();
+    let record = state.dispatcher.fleet.get(engine)?;
+    record.is_usable().then(|| (record.entry.address, record.entry.id.clone()))
+}
+
+async fn open(
+    exchange: &Exchange,
+    engine: EngineTag,
+    address: SocketAddr,
+) -> Result<ServerLink, Arc<str>> {
+    let gateway = &exchange.gateway;
+    let limit = if exchange.is_repeatable() { KEPT_LINK } else { FRESH_LINK };
+    if let Some(link) = gateway.links.take(engine, limit) {
+        return Ok(link);
+    }
+    gateway.metrics.connects.inc();
+    ServerLink::open(&gateway.executor, address).await.map_err(|err| err.to_string().into())
+}
+
+fn build(
+    exchange: &Exchange,
+    instance: &Arc<str>,
+    placement: &Placement,
+    held: &HeldMemory,
+    last_event: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(exchange.body.clone()));
+    *request.method_mut() = exchange.method.clone();
+    *request.uri_mut() = exchange.uri.clone();
+    let mut head = exchange.head.clone();
+    strip_hops(&mut head);
+    let is_model = exchange.facts.prompt > 0;
+    let facts = SendFacts {
+        instance: instance.clone(),
+        account: exchange.account.clone(),
+        time_left: exchange.time_left(),
+        urgency: is_model.then(|| exchange.priority.saturating_mul(URGENCY_STEP).min(LAST_URGENCY)),
+        last_event,
+        helpers: helper_addresses(exchange, placement, held),
+    };
+    (exchange.gateway.edge.write_send)(&mut head, &facts);
+    *request.headers_mut() = head;
+    request
+}
+
+fn helper_addresses(
+    exchange: &Exchange,
+    placement: &Placement,
+    held: &HeldMemory,
+) -> Vec<(SocketAddr, Option<Arc<str>>)> {
+    let state = exchange.gateway.state.borrow();
+    let helpers = placement.helpers.iter().filter_map(|helper| {
+        let record = state.dispatcher.fleet.get(helper.engine)?;
+        let name = helper.tokens.is_some().then(|| held.name.clone());
+        Some((record.entry.address, name))
+    });
+    helpers.collect()
+}
+
+/// Removes what concerns one connection only.
+fn strip_hops(head: &mut HeaderMap) {
+    let listed: Vec<String> = head
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(',').map(|name| name.trim().to_ascii_lowercase()))
+        .collect();
+    for name in HOP_HEADS {
+        head.remove(name);
+    }
+    for name in listed {
+        head.remove(name.as_str());
+    }
+    head.remove(CONTENT_LENGTH);
+    head.remove(TRANSFER_ENCODING);
+}
+
+/// Hands one answer on.
+struct Relay<'a> {
+    exchange: &'a Exchange,
+    placement: &'a Placement,
+    stream: &'a mut CallerStream,
+    progress: &'a Progress,
+    alive: &'a async_channel::WeakSender<()>,
+    can_repeat: bool,
+    sent: Time,
+}
+
+impl Relay<'_> {
+    async fn take(
+        &mut self,
+        mut link: ServerLink,
+        response: Response<Incoming>,
+    ) -> (EngineVerdict, AttemptEnd) {
+        let facts = (self.exchange.gateway.edge.read_answer)(response.status(), response.headers());
+        let own = self.exchange.facts.id.as_ref();
+        if facts.id.is_some() && facts.id.as_ref() != own {
+            return (
+                EngineVerdict::Failed,
+                AttemptEnd::Unknown("an answer to another request".into()),
+            );
+        }
+        let may_keep = link.note_answer(response.headers());
+        if facts.is_replaced {
+            return (EngineVerdict::Replaced, AttemptEnd::NotRun("another server is there".into()));
+        }
+        if facts.is_not_run {
+            let at_fault = facts.at_fault.map(|address| address.to_string()).unwrap_or_default();
+            let fault = format!("the server did not run it ({}) {at_fault}", response.status());
+            return (EngineVerdict::Full, AttemptEnd::NotRun(fault.trim().into()));
+        }
+        if response.status().is_success() && !facts.is_sealed {
+            return (EngineVerdict::Failed, AttemptEnd::Unknown("an answer without a seal".into()));
+        }
+        if response.status().is_success() && self.exchange.route.is_stream {
+            return self.relay_events(link, response, may_keep).await;
+        }
+        self.relay_whole(link, response, may_keep).await
+    }
+
+    /// An answer that is no stream is given to the caller once it is whole.
+    async fn relay_whole(
+        &mut self,
+        link: ServerLink,
+        response: Response<Incoming>,
+        may_keep: bool,
+    ) -> (EngineVerdict, AttemptEnd) {
+        let (parts, body) = response.into_parts();
+        let left = self.exchange.time_left();
+        let bytes = match within(left, Limited::new(body, ANSWER_BYTES).collect()).await {
+            Some(Ok(bytes)) => bytes.to_bytes(),
+            Some(Err(err)) => {
+                return (EngineVerdict::Failed, AttemptEnd::Unknown(err.to_string().into()));
+            }
+            None => {
+                return (EngineVerdict::Silent, AttemptEnd::Unknown("the answer stopped".into()));
+            }
+        };
+        if may_keep {
+            self.exchange.gateway.links.keep(self.placement.engine, link);
+        }
+        let status = parts.status;
+        let mut head = parts.headers;
+        strip_hops(&mut head);
+        let mut answer = Response::new(AnswerBody::Whole(Some(bytes)));
+        *answer.status_mut() = status;
+        *answer.headers_mut() = head;
+        if status.is_server_error() && self.can_repeat {
+            return (EngineVerdict::Failed, AttemptEnd::Failure(answer));
+        }
+        self.progress.first.set(Some(clock::now()));
+        // A caller that left meanwhile needs no answer.
+        let _ = self.exchange.reply.try_send(answer);
+        let verdict =
+            if status.is_server_error() { EngineVerdict::Failed } else { EngineVerdict::Good };
+        (verdict, AttemptEnd::Answered(status))
+    }
+
+    /// Events are given to the caller as they come, each whole.
+    async fn relay_events(
+        &mut self,
+        link: ServerLink,
+        response: Response<Incoming>,
+        may_keep: bool,
+    ) -> (EngineVerdict, AttemptEnd) {
+        let (parts, mut body) = response.into_parts();
+        let status = parts.status;
+        if !self.begin(parts) {
+            return (EngineVerdict::Good, AttemptEnd::Unknown("the caller left".into()));
+        }
+        let mut splitter = EventSplitter::default();
+        let mut has_event = false;
+        loop {
+            let limit = self.next_limit(has_event);
+            let frame = match within(limit, body.frame()).await {
+                None => {
+                    let fault = if has_event { "the stream stopped" } else { "no event in time" };
+                    return (EngineVerdict::Silent, AttemptEnd::Unknown(fault.into()));
+                }
+                Some(None) if splitter.has_rest() => {
+                    return (
+                        EngineVerdict::Failed,
+                        AttemptEnd::Unknown("an event broke off".into()),
+                    );
+                }
+                Some(None) => break,
+                Some(Some(Err(err))) => {
+                    return (EngineVerdict::Failed, AttemptEnd::Unknown(err.to_string().into()));
+                }
+                Some(Some(Ok(frame))) => frame,
+            };
+            let Some(bytes) = frame.data_ref() else { continue };
+            let events = match splitter.push(bytes) {
+                Ok(events) => events,
+                Err(err) => {
+                    return (EngineVerdict::Failed, AttemptEnd::Unknown(err.to_string().into()));
+                }
+            };
+            for event in events {
+                if !has_event {
+                    has_event = true;
+                    self.begin_writing();
+                }
+                if let (Some(id), Some(last)) = (event.id, self.stream.last_event)
+                    && id <= last
+                {
+                    continue;
+                }
+                self.stream.last_event = event.id.or(self.stream.last_event);
+                self.stream.events += 1;
+                let Some(pieces) = &self.stream.pieces else { continue };
+                // The caller's end is noticed by the request's task.
+                let _ = pieces.send(BodyPiece::Data(event.bytes)).await;
+            }
+        }
+        if may_keep {
+            self.exchange.gateway.links.keep(self.placement.engine, link);
+        }
+        if let Some(pieces) = &self.stream.pieces {
+            let _ = pieces.send(BodyPiece::End).await;
+        }
+        (EngineVerdict::Good, AttemptEnd::Answered(status))
+    }
+
+    /// Gives the caller the head of the first answer. Returns whether the caller is still there.
+    fn begin(&mut self, parts: hyper::http::response::Parts) -> bool {
+        if self.stream.is_begun() {
+            return true;
+        }
+        let Some(alive) = self.alive.upgrade() else { return false };
+        let (pieces, body) = AnswerBody::pieces(alive);
+        let mut answer = Response::new(body);
+        *answer.status_mut() = parts.status;
+        *answer.headers_mut() = parts.headers;
+        strip_hops(answer.headers_mut());
+        self.stream.pieces = Some(pieces);
+        self.exchange.reply.try_send(answer).is_ok()
+    }
+
+    fn begin_writing(&self) {
+        if self.progress.first.get().is_none() {
+            self.progress.first.set(Some(clock::now()));
+        }
+        self.exchange.gateway.dispatch(DispatchInput::Begun(self.exchange.number));
+    }
+
+    /// Time for the next event before another server is asked, or before the end.
+    fn next_limit(&self, has_event: bool) -> Duration {
+        let left = self.exchange.time_left();
+        if !self.can_repeat {
+            return left;
+        }
+        let limit = if has_event {
+            self.placement.gap_limit
+        } else {
+            let spent = clock::now().since(self.sent);
+            self.placement.first_limit.saturating_sub(spent)
+        };
+        limit.min(left)
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/clock.rs
@@ -0,0 +1,11 @@
+//! The gateway's clock: it also counts the time in which the machine was suspended.
+
+use parsley_core::time::Time;
+use rustix::time::{ClockId, clock_gettime};
+
+/// Microseconds since the machine started, suspended time included.
+pub fn now() -> Time {
+    let at = clock_gettime(ClockId::Boottime);
+    let micros = at.tv_sec.unsigned_abs() * 1_000_000 + at.tv_nsec.unsigned_abs() / 1_000;
+    Time(micros)
+}
--- /dev/null
+++ b/crates/node/src/gateway/exchange.rs
@@ -0,0 +1,417 @@
+//! One request of a caller, from its head to the end of its answer.
+
+use std::{sync::Arc, time::Duration};
+
+use async_channel::{Receiver, Sender};
+use futures_lite::FutureExt;
+use http_body_util::{BodyExt, Limited};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    body::{Bytes, Incoming},
+    header::HOST,
+};
+use parsley_core::{
+    catalog::{RepeatRule, RouteAnswer, ServingRoute},
+    dispatch::DispatchInput,
+    fleet::{EngineTag, hash_name},
+    refusal::{Outcome, Reason, Refusal},
+    retry::RetryBudget,
+    time::Time,
+    work::{WorkNeed, WorkNumber},
+};
+
+use super::{
+    Gateway, GatewayRef, NO_CONFIG, Placement,
+    attempt::{self, AttemptEnd, CallerStream},
+    body::AnswerBody,
+    clock,
+    edge::RequestFacts,
+    listener::within,
+    metrics::GatewayMetrics,
+    refuse::{refusal_answer, status_of},
+};
+use crate::event;
+
+/// When a caller may come back to a host that knows no configuration, or no recent one.
+const CONFIG_RETRY: Duration = Duration::from_millis(300);
+/// When a caller may come back, at another host, to one that drains.
+const DRAIN_RETRY: Duration = Duration::from_millis(10);
+/// When a caller may come back after a server did not run its request.
+const SERVER_RETRY: Duration = Duration::from_millis(100);
+/// Time for which a caller waits that names none.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+/// Most bodies are small; this much may be read before a configuration bounds them.
+const BODY_BYTES: usize = 4 << 20;
+/// Servers that may turn a request away before it counts as not served.
+const MAX_PLACEMENTS: u32 = 6;
+/// Requests with an unknown id are logged with this one.
+const NO_ID: &str = "none";
+
+/// A request that is being served.
+pub struct Exchange {
+    pub gateway: GatewayRef,
+    pub number: WorkNumber,
+    pub id: Arc<str>,
+    pub method: Method,
+    pub uri: Uri,
+    pub head: HeaderMap,
+    pub body: Bytes,
+    pub facts: RequestFacts,
+    pub account: Option<Arc<str>>,
+    pub route: Arc<ServingRoute>,
+    pub service: Arc<str>,
+    pub priority: u8,
+    pub arrived: Time,
+    /// When the caller leaves or the route's time is over.
+    pub end: Time,
+    /// Answers are given here.
+    pub reply: Sender<Response<AnswerBody>>,
+}
+
+/// Serves a request. When the caller leaves, hyper drops this future, or the body that it gave,
+/// and with it the sender that keeps the request's task alive.
+pub async fn serve(gateway: &GatewayRef, request: Request<Incoming>) -> Response<AnswerBody> {
+    let (reply, answer) = async_channel::bounded(1);
+    let (alive, left) = async_channel::bounded::<()>(1);
+    // The task holds the guard weakly: the caller decides how long it lives.
+    let task = run(gateway.clone(), request, reply, left, alive.downgrade());
+    gateway.spawn(task);
+    let response = answer.recv().await;
+    drop(alive);
+    response.unwrap_or_else(|_| {
+        refusal_answer(gateway, &Refusal::ran(Reason::EngineFailed, "the request's task ended"))
+    })
+}
+
+async fn run(
+    gateway: GatewayRef,
+    request: Request<Incoming>,
+    reply: Sender<Response<AnswerBody>>,
+    left: Receiver<()>,
+    alive: async_channel::WeakSender<()>,
+) {
+    let arrived = clock::now();
+    gateway.open.set(gateway.open.get() + 1);
+    let number = gateway.new_number();
+    let (parts, body) = request.into_parts();
+    let facts = (gateway.edge.read_request)(&parts.headers);
+    let id = facts.id.clone().unwrap_or_else(|| NO_ID.into());
+    let progress = Progress::default();
+    let work = async {
+        let end = match admit(&gateway, number, arrived, parts, facts, body, &reply).await {
+            Ok(exchange) => exchange.carry(&progress, &alive).await,
+            Err(refusal) => RequestEnd::Refused(refusal),
+        };
+        Some(end)
+    };
+    let gone = async {
+        // Nothing is ever sent; the channel closes when the caller leaves.
+        let _ = left.recv().await;
+        None
+    };
+    let end = work.or(gone).await;
+    gateway.dispatch(DispatchInput::Ended(number));
+    gateway.state.borrow_mut().waiters.remove(&number);
+    gateway.open.set(gateway.open.get() - 1);
+    close(&gateway, &id, arrived, &progress, end, reply);
+}
+
+/// How far a request has come; shared with the code that logs its end.
+#[derive(Default)]
+pub struct Progress {
+    pub attempts: std::cell::Cell<u32>,
+    pub first: std::cell::Cell<Option<Time>>,
+    pub size: std::cell::Cell<u32>,
+}
+
+/// How a request ended.
+pub enum RequestEnd {
+    /// An answer of a server was given.
+    Answered(StatusCode),
+    /// The gateway answers itself.
+    Refused(Refusal),
+    /// The answer had begun and broke off.
+    Broken(Refusal),
+}
+
+fn close(
+    gateway: &Gateway,
+    id: &str,
+    arrived: Time,
+    progress: &Progress,
+    end: Option<RequestEnd>,
+    reply: Sender<Response<AnswerBody>>,
+) {
+    let now = clock::now();
+    let total_ms = now.since(arrived).as_millis() as u64;
+    let attempts = progress.attempts.get();
+    let failed = |refusal: &Refusal, status: u16| {
+        gateway.metrics.count_end(refusal.outcome.name(), Some(refusal.reason));
+        if gateway.lines.may_write(now, true) {
+            event!(gateway.log, REQUEST_FAILED, "request" => id,
+                "reason" => refusal.reason.name(), "outcome" => refusal.outcome.name(),
+                "status" => status, "attempts" => attempts, "total_ms" => total_ms,
+                "detail" => &*refusal.detail);
+        }
+    };
+    match end {
+        Some(RequestEnd::Answered(status)) => {
+            let first = progress.first.get().map(|at| at.since(arrived));
+            if let Some(first) = first {
+                let size = GatewayMetrics::size_class(progress.size.get());
+                let histogram = gateway.metrics.first.with_label_values(&[size]);
+                histogram.observe(first.as_secs_f64());
+            }
+            gateway.metrics.count_end("answered", None);
+            if gateway.lines.may_write(now, false) {
+                event!(gateway.log, REQUEST_ENDED, "request" => id, "outcome" => "answered",
+                    "status" => status.as_u16(), "attempts" => attempts,
+                    "first_ms" => first.map_or(total_ms, |first| first.as_millis() as u64),
+                    "total_ms" => total_ms);
+            }
+        }
+        Some(RequestEnd::Refused(refusal)) => {
+            failed(&refusal, status_of(&refusal).as_u16());
+            // A caller that left meanwhile needs no answer.
+            let _ = reply.try_send(refusal_answer(gateway, &refusal));
+        }
+        Some(RequestEnd::Broken(refusal)) => failed(&refusal, StatusCode::OK.as_u16()),
+        None => {
+            gateway.metrics.count_end("left", None);
+            if gateway.lines.may_write(now, false) {
+                event!(gateway.log, REQUEST_LEFT, "request" => id, "attempts" => attempts,
+                    "total_ms" => total_ms);
+            }
+        }
+    }
+}
+
+/// Decides with the configuration whether a request is served, and reads its body.
+async fn admit(
+    gateway: &GatewayRef,
+    number: WorkNumber,
+    arrived: Time,
+    parts: hyper::http::request::Parts,
+    facts: RequestFacts,
+    body: Incoming,
+    reply: &Sender<Response<AnswerBody>>,
+) -> Result<Exchange, Refusal> {
+    let id = facts.id.clone().unwrap_or_else(|| NO_ID.into());
+    let (route, account, priority, limit, version) = route_of(gateway, &parts, &facts)?;
+    let service = {
+        let state = &mut *gateway.state.borrow_mut();
+        let drawn = route.draw_service(&mut state.rng).cloned();
+        let service = drawn
+            .ok_or_else(|| Refusal::not_run(Reason::NoEngine, "the route names no service"))?;
+        let limit = gateway.settings.retry.clone();
+        let budget =
+            state.budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(limit));
+        budget.note_request(arrived);
+        service
+    };
+    let patience = facts.patience.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
+    if gateway.lines.may_write(arrived, false) {
+        let age = gateway.state.borrow().evidence.age(arrived);
+        event!(gateway.log, REQUEST_ARRIVED, "request" => &*id, "route" => &*route.name,
+            "account" => account.as_deref().unwrap_or_default(), "priority" => priority,
+            "prompt" => facts.prompt, "patience_ms" => patience.as_millis() as u64,
+            "config" => version,
+            "config_age_ms" => age.map_or(u64::MAX, |age| age.as_millis() as u64));
+    }
+    let read = within(patience, Limited::new(body, limit).collect()).await;
+    let body = match read {
+        Some(Ok(body)) => body.to_bytes(),
+        Some(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
+            return Err(Refusal::not_run(Reason::BodyTooLarge, "the body is larger than allowed"));
+        }
+        Some(Err(_)) => return Err(Refusal::not_run(Reason::BadRequest, "the body broke off")),
+        None => return Err(Refusal::not_run(Reason::ReceiveTimeout, "the body came too slowly")),
+    };
+    Ok(Exchange {
+        gateway: gateway.clone(),
+        number,
+        id,
+        method: parts.method,
+        uri: parts.uri,
+        head: parts.headers,
+        body,
+        facts,
+        account,
+        route,
+        service,
+        priority,
+        arrived,
+        end: arrived + patience,
+        reply: reply.clone(),
+    })
+}
+
+type RouteChoice = (Arc<ServingRoute>, Option<Arc<str>>, u8, usize, u64);
+
+fn route_of(
+    gateway: &Gateway,
+    parts: &hyper::http::request::Parts,
+    facts: &RequestFacts,
+) -> Result<RouteChoice, Refusal> {
+    let state = gateway.state.borrow();
+    let Some(catalog) = &state.catalog else {
+        let refusal = Refusal::not_run(NO_CONFIG, "this host knows no configuration yet");
+        return Err(refusal.retry_after(CONFIG_RETRY));
+    };
+    if state.drain_end.is_some_and(|end| end.since(clock::now()).is_zero()) {
+        let refusal = Refusal::not_run(Reason::Draining, "this host stops");
+        return Err(refusal.retry_after(DRAIN_RETRY));
+    }
+    let host = parts.headers.get(HOST).and_then(|one| one.to_str().ok()).unwrap_or_default();
+    let answer = catalog.answer(host, parts.uri.path(), facts.key.as_deref());
+    let is_recent = state.evidence.is_recent(clock::now());
+    if !is_recent && facts.key.is_some() {
+        let refusal = Refusal::not_run(NO_CONFIG, "the configuration here may be old");
+        return Err(refusal.retry_after(CONFIG_RETRY));
+    }
+    match answer {
+        RouteAnswer::Serve { route, account, priority } => Ok((
+            route,
+            account,
+            priority,
+            catalog.limits().body_bytes.min(BODY_BYTES),
+            catalog.version(),
+        )),
+        RouteAnswer::NotFound => Err(Refusal::not_run(Reason::NotFound, "no route matches")),
+        RouteAnswer::Unauthenticated => {
+            Err(Refusal::not_run(Reason::Unauthenticated, "the key is not known"))
+        }
+    }
+}
+
+impl Exchange {
+    /// Time until the caller leaves or the route's time is over.
+    pub fn time_left(&self) -> Duration {
+        self.end.since(clock::now())
+    }
+
+    /// Whether the request may run again after it may have run.
+    pub fn is_repeatable(&self) -> bool {
+        self.route.repeat == RepeatRule::Idempotent
+    }
+
+    fn need(&self) -> WorkNeed {
+        let millis = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+        WorkNeed {
+            service: hash_name(&self.service),
+            prompt: self.facts.prompt,
+            answer: self.facts.answer,
+            first_aim_ms: millis(self.route.first_aim),
+            gap_aim_ms: self.route.gap_aim.map_or(0, millis),
+            priority: self.priority,
+        }
+    }
+
+    /// Waits for a place.
+    async fn place(&self, excluded: &[EngineTag]) -> Result<Placement, Refusal> {
+        let (sender, receiver) = async_channel::bounded(1);
+        self.gateway.state.borrow_mut().waiters.insert(self.number, sender);
+        self.gateway.dispatch(DispatchInput::Submit {
+            number: self.number,
+            service: self.service.clone(),
+            need: self.need(),
+            arrived: self.arrived,
+            deadline: self.end,
+            excluded: excluded.to_vec(),
+        });
+        let late = Refusal::not_run(Reason::DeadlineExceeded, "no server was free in time");
+        within(self.time_left(), receiver.recv()).await.and_then(Result::ok).unwrap_or(Err(late))
+    }
+
+    /// Tries servers until one answers or no further try is allowed.
+    async fn carry(self, progress: &Progress, alive: &async_channel::WeakSender<()>) -> RequestEnd {
+        let gateway = &self.gateway;
+        let mut excluded: Vec<EngineTag> = Vec::new();
+        let mut stream = CallerStream::new(self.facts.last_event);
+        let mut may_have_run = false;
+        let mut fallback = None;
+        progress.size.set(self.facts.prompt);
+        for placement_count in 1..=MAX_PLACEMENTS {
+            let waited = clock::now();
+            let placement = match self.place(&excluded).await {
+                Ok(placement) => placement,
+                Err(refusal) => return self.give_up(refusal, may_have_run, &stream, fallback),
+            };
+            gateway.metrics.waited.observe(clock::now().since(waited).as_secs_f64());
+            let engine = placement.engine;
+            let sends = progress.attempts.get();
+            self.log_placement(&placement, sends + 1, waited);
+            let can_repeat = self.is_repeatable() && sends + 1 < self.route.attempts;
+            let end =
+                attempt::run(&self, &placement, &mut stream, progress, alive, can_repeat).await;
+            let (fault, not_run) = match end {
+                AttemptEnd::Answered(status) => return RequestEnd::Answered(status),
+                AttemptEnd::Failure(answer) => {
+                    may_have_run = true;
+                    let fault = "the server answered with a failure";
+                    fallback = Some(answer);
+                    (Arc::from(fault), false)
+                }
+                AttemptEnd::NotRun(fault) => (fault, true),
+                AttemptEnd::Unknown(fault) => {
+                    may_have_run = true;
+                    (fault, false)
+                }
+            };
+            if gateway.lines.may_write(clock::now(), true) {
+                event!(gateway.log, ATTEMPT_FAILED, "request" => &*self.id, "server" => engine.0,
+                    "attempt" => progress.attempts.get(), "fault" => &*fault,
+                    "may_have_run" => !not_run, "events" => stream.events);
+            }
+            excluded.push(engine);
+            let was_sent = progress.attempts.get() > sends;
+            let is_allowed = (not_run || self.is_repeatable())
+                && progress.attempts.get() < self.route.attempts
+                && placement_count < MAX_PLACEMENTS;
+            if !is_allowed || (was_sent && !gateway.spend_retry(&self.service)) {
+                let reason = if not_run { Reason::Overloaded } else { Reason::EngineFailed };
+                let refusal = Refusal::not_run(reason, &fault).retry_after(SERVER_RETRY);
+                return self.give_up(refusal, may_have_run, &stream, fallback);
+            }
+        }
+        let refusal = Refusal::not_run(Reason::NoEngine, "every server turned the request away");
+        self.give_up(refusal, may_have_run, &stream, fallback)
+    }
+
+    fn give_up(
+        &self,
+        mut refusal: Refusal,
+        may_have_run: bool,
+        stream: &CallerStream,
+        fallback: Option<Response<AnswerBody>>,
+    ) -> RequestEnd {
+        if let Some(answer) = fallback {
+            let status = answer.status();
+            // A caller that left meanwhile needs no answer.
+            let _ = self.reply.try_send(answer);
+            return RequestEnd::Answered(status);
+        }
+        if may_have_run {
+            refusal.outcome = Outcome::Unknown;
+            refusal.retry_after = None;
+        }
+        if self.time_left().is_zero() {
+            refusal.reason = Reason::DeadlineExceeded;
+        }
+        if stream.is_begun() { RequestEnd::Broken(refusal) } else { RequestEnd::Refused(refusal) }
+    }
+
+    fn log_placement(&self, placement: &Placement, attempt: u32, waited: Time) {
+        let now = clock::now();
+        if !self.gateway.lines.may_write(now, false) {
+            return;
+        }
+        let reason = &placement.reason;
+        event!(self.gateway.log, REQUEST_PLACED, "request" => &*self.id,
+            "server" => placement.engine.0, "attempt" => attempt,
+            "helpers" => placement.helpers.len(),
+            "waited_ms" => now.since(waited).as_millis() as u64, "first_ms" => reason.first_ms,
+            "harmed" => reason.harmed, "failure_percent" => reason.failure_percent,
+            "requests" => reason.requests, "weighed" => reason.weighed);
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/line_budget.rs
@@ -0,0 +1,47 @@
+//! Bounds the log lines about single requests; failures go before routine ends.
+
+use std::{cell::Cell, time::Duration};
+
+use parsley_core::time::Time;
+
+/// Lines a second about requests that went well: under 1% of the smallest host's processor share.
+const ROUTINE_LINES: u32 = 200;
+/// Lines a second about failures.
+const FAILURE_LINES: u32 = 400;
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Counts lines in the running second.
+#[derive(Default)]
+pub struct LineBudget {
+    start: Cell<Time>,
+    routine: Cell<u32>,
+    failures: Cell<u32>,
+    dropped: Cell<u64>,
+}
+
+impl LineBudget {
+    /// Whether a line may be written now; one that may not is counted.
+    pub fn may_write(&self, now: Time, is_failure: bool) -> bool {
+        if now.since(self.start.get()) >= SECOND {
+            self.start.set(now);
+            self.routine.set(0);
+            self.failures.set(0);
+        }
+        let (count, limit) = if is_failure {
+            (&self.failures, FAILURE_LINES)
+        } else {
+            (&self.routine, ROUTINE_LINES)
+        };
+        if count.get() >= limit {
+            self.dropped.set(self.dropped.get() + 1);
+            return false;
+        }
+        count.set(count.get() + 1);
+        true
+    }
+
+    /// Lines that were not written since the last call.
+    pub fn take_dropped(&self) -> u64 {
+        self.dropped.take()
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/link.rs
@@ -0,0 +1,170 @@
+//! Connections to backend servers and to the store: opened when needed and kept for further
+//! requests.
+
+use std::{cell::RefCell, collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use async_executor::{LocalExecutor, Task};
+use async_net::TcpStream;
+use futures_lite::FutureExt;
+use http_body_util::Full;
+use hyper::{
+    Request, Response,
+    body::{Bytes, Incoming},
+    client::conn::http1::{SendRequest, handshake},
+    header::{CONNECTION, HeaderMap},
+};
+use parsley_core::{fleet::EngineTag, time::Time};
+use smol_hyper::rt::FuturesIo;
+
+use super::clock;
+use crate::error::NodeError;
+
+/// Time for a connection; one lost opening packet costs a second and another server is better.
+const CONNECT_LIMIT: Duration = Duration::from_millis(600);
+/// Idle time after which a connection is not used if the server names none.
+const IDLE_LIMIT: Duration = Duration::from_millis(3_500);
+/// Time before the server's own idle limit at which a connection is no longer used.
+const IDLE_RESERVE: Duration = Duration::from_millis(700);
+/// Idle connections kept for each server.
+const KEPT_LINKS: usize = 24;
+
+/// One open connection.
+pub struct ServerLink {
+    sender: SendRequest<Full<Bytes>>,
+    _connection: Task<()>,
+    idle_since: Time,
+    idle_limit: Duration,
+    /// Whether an answer came on it before.
+    pub is_reused: bool,
+}
+
+/// Why a send brought no answer.
+pub enum SendFault {
+    /// Nothing was sent.
+    NotSent(NodeError),
+    /// It was sent, at least in part.
+    Unknown(NodeError),
+}
+
+impl ServerLink {
+    /// Opens a connection.
+    pub async fn open(
+        executor: &Rc<LocalExecutor<'static>>,
+        address: SocketAddr,
+    ) -> Result<ServerLink, NodeError> {
+        let connect = async { TcpStream::connect(address).await.map_err(NodeError::Connect) };
+        let limit = async {
+            async_io::Timer::after(CONNECT_LIMIT).await;
+            Err(NodeError::Connect(io::ErrorKind::TimedOut.into()))
+        };
+        let stream = connect.or(limit).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = handshake(FuturesIo::new(stream))
+            .await
+            .map_err(|err| NodeError::Http(err.to_string().into()))?;
+        let connection = executor.spawn(async move {
+            // The error of a connection reaches whoever waits for its answer.
+            let _ = connection.await;
+        });
+        Ok(ServerLink {
+            sender,
+            _connection: connection,
+            idle_since: clock::now(),
+            idle_limit: IDLE_LIMIT,
+            is_reused: false,
+        })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendFault> {
+        let result = self.sender.try_send_request(request).await;
+        result.map_err(|mut err| {
+            let is_unsent = err.take_message().is_some();
+            let fault = NodeError::Http(err.into_error().to_string().into());
+            if is_unsent { SendFault::NotSent(fault) } else { SendFault::Unknown(fault) }
+        })
+    }
+
+    /// Whether it can carry a request now.
+    pub fn is_open(&self) -> bool {
+        self.sender.is_ready() && !self.sender.is_closed()
+    }
+
+    /// Notes what an answer's head says about the connection. Returns whether it may be kept.
+    pub fn note_answer(&mut self, head: &HeaderMap) -> bool {
+        let says = |name: &str| {
+            let values = head.get_all(CONNECTION).iter().filter_map(|one| one.to_str().ok());
+            values.flat_map(|one| one.split(',')).any(|one| one.trim().eq_ignore_ascii_case(name))
+        };
+        let seconds = head.get("keep-alive").and_then(|one| one.to_str().ok()).and_then(|text| {
+            let timeout = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
+            timeout?.trim().parse::<u64>().ok()
+        });
+        if let Some(seconds) = seconds {
+            self.idle_limit = Duration::from_secs(seconds).saturating_sub(IDLE_RESERVE);
+        }
+        !says("close") && !self.idle_limit.is_zero()
+    }
+}
+
+/// The idle connections of this host.
+#[derive(Default)]
+pub struct LinkPool {
+    idle: RefCell<BTreeMap<EngineTag, Vec<ServerLink>>>,
+}
+
+impl LinkPool {
+    /// A kept connection that has been idle for at most `limit`.
+    pub fn take(&self, tag: EngineTag, limit: Duration) -> Option<ServerLink> {
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.get_mut(&tag)?;
+        let now = clock::now();
+        links.retain(|link| {
+            !link.sender.is_closed() && now.since(link.idle_since) < link.idle_limit
+        });
+        let at = links
+            .iter()
+            .rposition(|link| link.sender.is_ready() && now.since(link.idle_since) < limit)?;
+        Some(links.remove(at))
+    }
+
+    /// Keeps a connection after a whole answer.
+    pub fn keep(&self, tag: EngineTag, mut link: ServerLink) {
+        link.idle_since = clock::now();
+        link.is_reused = true;
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.entry(tag).or_default();
+        links.push(link);
+        if links.len() > KEPT_LINKS {
+            links.remove(0);
+        }
+    }
+
+    /// Closes the kept connections to a server.
+    pub fn forget(&self, tag: EngineTag) {
+        self.idle.borrow_mut().remove(&tag);
+    }
+
+    /// Closes connections that are no longer of use.
+    pub fn sweep(&self) {
+        let now = clock::now();
+        for links in self.idle.borrow_mut().values_mut() {
+            links.retain(|link| {
+                !link.sender.is_closed() && now.since(link.idle_since) < link.idle_limit
+            });
+        }
+    }
+
+    /// Kept connections.
+    pub fn len(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+
+    /// Whether none is kept.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/metrics.rs
@@ -0,0 +1,151 @@
+//! Counters and histograms of the gateway, in the Prometheus text form.
+
+use parsley_core::refusal::Reason;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry,
+    TextEncoder,
+};
+
+use crate::metrics::{counters, gauge, register};
+
+/// Upper bounds for the time to the first part of an answer, in seconds.
+const FIRST_BUCKETS: [f64; 12] = [0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 1.5, 3.0, 6.0, 10.0, 15.0];
+/// Upper bounds for the time in the queue, in seconds.
+const WAIT_BUCKETS: [f64; 8] = [0.001, 0.005, 0.02, 0.1, 0.5, 1.0, 3.0, 10.0];
+
+/// The metrics of a gateway.
+pub struct GatewayMetrics {
+    registry: Registry,
+    /// Requests that ended, by outcome and reason.
+    pub ended: IntCounterVec,
+    /// Time to the first part of an answer, by size of the prompt.
+    pub first: HistogramVec,
+    /// Time in the queue.
+    pub waited: Histogram,
+    /// Sends to backend servers, by how they ended.
+    pub sends: IntCounterVec,
+    /// Connections opened to backend servers.
+    pub connects: IntCounter,
+    /// Calls to the store, by kind and result.
+    pub store_calls: IntCounterVec,
+    /// Datagrams to and from peers.
+    pub datagrams: IntCounterVec,
+    /// Bytes of datagrams to and from peers.
+    pub datagram_bytes: IntCounterVec,
+    /// Log lines that were not written.
+    pub dropped_lines: IntCounter,
+    /// Requests that are open.
+    pub open: IntGauge,
+    /// Requests that wait.
+    pub waiting: IntGauge,
+    /// Version of the configuration in force.
+    pub config_version: IntGauge,
+    /// Milliseconds since the configuration was known to be the newest.
+    pub config_age: IntGauge,
+    /// Hosts that were heard recently, this one included.
+    pub hosts: IntGauge,
+    /// Backend servers that may get work.
+    pub servers: IntGauge,
+    /// Repeats that may still be sent, over all services.
+    pub retry_left: IntGauge,
+}
+
+impl GatewayMetrics {
+    /// Metrics that are all zero.
+    #[allow(clippy::new_without_default)] // An empty set of metrics is not a useful default.
+    pub fn new() -> GatewayMetrics {
+        let registry = Registry::new();
+        let first = HistogramOpts::new(
+            "parsley_gateway_first_part_seconds",
+            "Time to the first part of an answer.",
+        )
+        .buckets(FIRST_BUCKETS.to_vec());
+        let waited = HistogramOpts::new("parsley_gateway_queue_seconds", "Time in the queue.")
+            .buckets(WAIT_BUCKETS.to_vec());
+        GatewayMetrics {
+            ended: counters(
+                &registry,
+                "gateway_requests_total",
+                "Requests.",
+                &["outcome", "reason"],
+            ),
+            first: register(&registry, HistogramVec::new(first, &["size"])),
+            waited: register(&registry, Histogram::with_opts(waited)),
+            sends: counters(&registry, "gateway_sends_total", "Sends to servers.", &["result"]),
+            connects: register(
+                &registry,
+                IntCounter::new("parsley_gateway_connects_total", "Connections opened to servers."),
+            ),
+            store_calls: counters(
+                &registry,
+                "gateway_store_calls_total",
+                "Calls to the store.",
+                &["call", "result"],
+            ),
+            datagrams: counters(
+                &registry,
+                "gateway_datagrams_total",
+                "Datagrams of peers.",
+                &["direction"],
+            ),
+            datagram_bytes: counters(
+                &registry,
+                "gateway_datagram_bytes_total",
+                "Bytes of datagrams of peers.",
+                &["direction"],
+            ),
+            dropped_lines: register(
+                &registry,
+                IntCounter::new(
+                    "parsley_gateway_log_lines_dropped_total",
+                    "Log lines not written.",
+                ),
+            ),
+            open: gauge(&registry, "gateway_open_requests", "Open requests."),
+            waiting: gauge(&registry, "gateway_waiting_requests", "Waiting requests."),
+            config_version: gauge(
+                &registry,
+                "gateway_config_version",
+                "Version of the configuration in force.",
+            ),
+            config_age: gauge(
+                &registry,
+                "gateway_config_age_milliseconds",
+                "Age of the proof that it is the newest.",
+            ),
+            hosts: gauge(&registry, "gateway_hosts", "Hosts heard recently."),
+            servers: gauge(&registry, "gateway_servers", "Backend servers that may get work."),
+            retry_left: gauge(
+                &registry,
+                "gateway_retry_budget_left",
+                "Repeats that may still be sent.",
+            ),
+            registry,
+        }
+    }
+
+    /// The size class of a prompt.
+    pub fn size_class(prompt: u32) -> &'static str {
+        match prompt {
+            0 => "none",
+            1..=16_000 => "16k",
+            16_001..=128_000 => "128k",
+            _ => "above",
+        }
+    }
+
+    /// Counts the end of a request.
+    pub fn count_end(&self, outcome: &str, reason: Option<Reason>) {
+        self.ended.with_label_values(&[outcome, reason.map_or("none", Reason::name)]).inc();
+    }
+
+    /// The metrics as text.
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        let families = self.registry.gather();
+        if TextEncoder::new().encode(&families, &mut text).is_err() {
+            text.clear();
+        }
+        text
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod command;
 pub mod config_sync;
 pub mod error;
+pub mod gateway;
 pub mod host;
 pub mod host_watch;
 pub mod http;
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -72,6 +72,42 @@
     REQUEST_REFUSED: "E1501" Info "request refused" ["reason", "outcome", "route", "detail"];
     REFUSALS_NOT_LOGGED: "E1502" Warning "refusals not logged" ["count"];
     CONNECTION_CLOSED: "E1503" Info "connection closed" ["reason", "from"];
+    GATEWAY_STARTED: "E2001" Info "gateway started" ["host", "serving", "incarnation", "version"];
+    GATEWAY_STOPPED: "E2002" Info "gateway stopped" ["open"];
+    GATEWAY_DRAINING: "E2003" Info "gateway draining" ["open", "grace_ms"];
+    SETTINGS_READ: "E2004" Info "settings read again" ["cause", "changed"];
+    SETTINGS_INVALID: "E2005" Error "settings not valid" ["cause", "error"];
+    ACCEPT_FAILED: "E2006" Warning "connection not accepted" ["error"];
+    STORE_LOST: "E2101" Warning "store lost" ["part", "error"];
+    STORE_REGAINED: "E2102" Info "store regained" ["part", "revision"];
+    CONFIG_TAKEN: "E2103" Info "configuration taken" ["version", "from", "age_ms"];
+    ENTRY_INVALID: "E2104" Warning "entry of the store not valid" ["entry", "error"];
+    EVIDENCE_STALE: "E2105" Warning "configuration may be old" ["version", "age_ms"];
+    EVIDENCE_RECENT: "E2106" Info "configuration known to be the newest" ["version", "age_ms"];
+    REGISTER_FAILED: "E2107" Warning "host not registered" ["error"];
+    PEER_HEARD: "E2201" Info "peer heard" ["peer", "incarnation", "ready"];
+    PEER_SILENT: "E2202" Warning "peer silent" ["peer"];
+    DATAGRAM_REFUSED: "E2203" Warning "datagram not valid" ["from", "error"];
+    SERVER_CHANGED: "E2301" Info "server in discovery"
+        ["server", "id", "service", "address", "leaving"];
+    SERVER_GONE: "E2302" Info "server gone" ["server"];
+    SERVER_JUDGED: "E2303" Warning "server failed an attempt"
+        ["server", "verdict", "failure_percent", "request"];
+    MEMORY_ORDER_FAILED: "E2304" Warning "order for memory failed" ["server", "name", "error"];
+    REQUEST_ARRIVED: "E2401" Info "request arrived"
+        ["request", "route", "account", "priority", "prompt", "patience_ms", "config", "config_age_ms"];
+    REQUEST_PLACED: "E2402" Info "request placed"
+        ["request", "server", "attempt", "helpers", "waited_ms", "first_ms", "harmed", "failure_percent",
+            "requests", "weighed"];
+    ATTEMPT_FAILED: "E2403" Warning "attempt failed"
+        ["request", "server", "attempt", "fault", "may_have_run", "events"];
+    REQUEST_ENDED: "E2404" Info "request ended"
+        ["request", "outcome", "status", "attempts", "first_ms", "total_ms"];
+    REQUEST_FAILED: "E2405" Warning "request failed"
+        ["request", "reason", "outcome", "status", "attempts", "total_ms", "detail"];
+    REQUEST_LEFT: "E2406" Info "caller left" ["request", "attempts", "total_ms"];
+    LINES_DROPPED: "E2407" Warning "log lines not written" ["count"];
+    CALLER_LINK_BROKE: "E2408" Info "connection of a caller broke" ["from", "error"];
 }
 
 /// Writes an event of the catalogue: `event!(log, EVENT, "field" => value)`.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -148,16 +148,21 @@
     register(registry, HistogramVec::new(options, &["rank", "class"]))
 }
 
-fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+pub(crate) fn counters(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> IntCounterVec {
     let options = Opts::new(format!("parsley_{name}"), help);
     register(registry, IntCounterVec::new(options, labels))
 }
 
-fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+pub(crate) fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     register(registry, IntGauge::new(format!("parsley_{name}"), help))
 }
 
-fn register<C: Collector + Clone + 'static>(
+pub(crate) fn register<C: Collector + Clone + 'static>(
     registry: &Registry,
     collector: prometheus::Result<C>,
 ) -> C {
