Let a store read finish when peers have news

Change: only watches yield to news; a host without proof that its configuration is the newest is not ready and names another host.

--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -38,6 +38,13 @@
     },
 }
 
+impl FeedAction {
+    /// Whether the call is given up when a peer knows something newer. A read already brings it.
+    pub fn yields_to_news(&self) -> bool {
+        matches!(self, FeedAction::Watch { .. })
+    }
+}
+
 /// What came of a call.
 #[value]
 pub enum FeedResult {
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -160,8 +160,11 @@
     /// heard recently, at most 64 of them drawn at random.
     pub fn addresses(&self, now: Time, me: &HostCard, rng: &mut fastrand::Rng) -> Vec<SocketAddr> {
         let peers = self.alive(now).map(|(_, card)| card);
-        let ready = peers.chain([me]).filter(|card| card.is_ready);
-        let mut addresses: Vec<_> = ready.map(|card| card.serving).collect();
+        let known: Vec<_> = peers.chain([me]).collect();
+        let any_ready = known.iter().any(|card| card.is_ready);
+        // Without a ready host, callers learn when to come back from those that run.
+        let told = known.into_iter().filter(|card| card.is_ready || !any_ready);
+        let mut addresses: Vec<_> = told.map(|card| card.serving).collect();
         rng.shuffle(&mut addresses);
         addresses.truncate(MAX_ADDRESSES);
         addresses
--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -32,10 +32,6 @@
 };
 use crate::event;
 
-/// When a caller may come back to a host that knows no configuration, or no recent one.
-const CONFIG_RETRY: Duration = Duration::from_millis(300);
-/// When a caller may come back, at another host, to one that drains.
-const DRAIN_RETRY: Duration = Duration::from_millis(10);
 /// When a caller may come back after a server did not run its request.
 const SERVER_RETRY: Duration = Duration::from_millis(100);
 /// Time for which a caller waits that names none.
@@ -253,21 +249,22 @@
     parts: &hyper::http::request::Parts,
     facts: &RequestFacts,
 ) -> Result<RouteChoice, Refusal> {
+    let retry = gateway.retry_elsewhere();
     let state = gateway.state.borrow();
     let Some(catalog) = &state.catalog else {
         let refusal = Refusal::not_run(NO_CONFIG, "this host knows no configuration yet");
-        return Err(refusal.retry_after(CONFIG_RETRY));
+        return Err(refusal.retry_after(retry));
     };
     if state.drain_end.is_some_and(|end| end.since(clock::now()).is_zero()) {
         let refusal = Refusal::not_run(Reason::Draining, "this host stops");
-        return Err(refusal.retry_after(DRAIN_RETRY));
+        return Err(refusal.retry_after(retry));
     }
     let host = parts.headers.get(HOST).and_then(|one| one.to_str().ok()).unwrap_or_default();
     let answer = catalog.answer(host, parts.uri.path(), facts.key.as_deref());
     let is_recent = state.evidence.is_recent(clock::now());
     if !is_recent && facts.key.is_some() {
         let refusal = Refusal::not_run(NO_CONFIG, "the configuration here may be old");
-        return Err(refusal.retry_after(CONFIG_RETRY));
+        return Err(refusal.retry_after(retry));
     }
     match answer {
         RouteAnswer::Serve { route, account, priority } => Ok((
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -58,6 +58,10 @@
 /// Time for which idle connections stay open while the host drains: callers that hold an older
 /// answer still use them.
 const LINGER: Duration = Duration::from_millis(2_500);
+/// When a caller may come back if another host is ready.
+const PEER_RETRY: Duration = Duration::from_millis(20);
+/// When a caller may come back if no host is: outages of the store last seconds.
+const STORE_RETRY: Duration = Duration::from_millis(2_500);
 /// Time between two sweeps of idle connections and gauges.
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
 /// Time between two looks at what is still open.
@@ -227,7 +231,6 @@
             let catalog = RouteCatalog::new(config);
             let services = catalog.services().clone();
             state.catalog = Some(Rc::new(catalog));
-            state.card.is_ready = state.drain_end.is_none();
             let age = clock::now().since(asked).as_millis() as u64;
             event!(self.log, CONFIG_TAKEN, "version" => version,
                 "from" => from.unwrap_or_default(), "age_ms" => age);
@@ -251,6 +254,13 @@
         self.note_evidence();
     }
 
+    /// When a caller may come back that this host turns away: at once if a peer is ready.
+    fn retry_elsewhere(&self) -> Duration {
+        let state = self.state.borrow();
+        let has_peer = state.roster.alive(clock::now()).any(|(_, card)| card.is_ready);
+        if has_peer { PEER_RETRY } else { STORE_RETRY }
+    }
+
     /// Whether requests with a key may be served.
     pub fn is_recent(&self) -> bool {
         self.state.borrow().evidence.is_recent(clock::now())
@@ -354,6 +364,8 @@
             let mut state = self.state.borrow_mut();
             let is_recent = state.evidence.is_recent(now);
             let was = std::mem::replace(&mut state.was_recent, is_recent);
+            // Callers go elsewhere as soon as the host cannot decide about their keys.
+            state.card.is_ready = is_recent && state.catalog.is_some() && state.drain_end.is_none();
             (is_recent, was, state.evidence.version(), state.evidence.age(now))
         };
         let age = age.map_or(u64::MAX, |age| age.as_millis() as u64);
