Bind proof of recency to the process that asked

Ruled out: the store (all three hosts were cut off from it until 24 s and never said that their configuration may be old). Change: evidence names the process whose clock it echoes, an echo from the future is refused, processes have random numbers and a replaced one is remembered.

--- a/crates/core/src/catalog/tests.rs
+++ b/crates/core/src/catalog/tests.rs
@@ -1,1 +1,75 @@
 use super::*;
+
+fn route(name: &str, host: &str, prefix: &str, is_anonymous: bool) -> ServingRoute {
+    ServingRoute {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        repeat: RepeatRule::Idempotent,
+        is_stream: false,
+        timeout: Duration::from_secs(1),
+        first_aim: Duration::from_millis(100),
+        gap_aim: None,
+        priority: 2,
+        attempts: 2,
+        is_anonymous,
+        services: vec![("one".into(), 9), ("two".into(), 1)],
+    }
+}
+
+fn catalog() -> RouteCatalog {
+    let account = |name: &str, key: &str, priority| AccountKeys {
+        name: name.into(),
+        keys: vec![key.into()],
+        priority,
+    };
+    RouteCatalog::new(ServingConfig {
+        version: 3,
+        routes: vec![
+            route("all", "a.example", "/", false),
+            route("deep", "a.example", "/x/y/", false),
+            route("open", "a.example", "/open/", true),
+        ],
+        services: Vec::new(),
+        accounts: Some(vec![account("north", "k1", None), account("south", "k2", Some(0))]),
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 4_096,
+            head_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        },
+    })
+}
+
+fn served(host: &str, path: &str, key: Option<&str>) -> (String, Option<String>, u8) {
+    match catalog().answer(host, path, key) {
+        RouteAnswer::Serve { route, account, priority } => {
+            (route.name.to_string(), account.map(|one| one.to_string()), priority)
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    assert_eq!(served("a.example", "/x/y/z", Some("k1")).0, "deep");
+    assert_eq!(served("a.example:8080", "/x/yz", Some("k1")).0, "all");
+    assert_eq!(catalog().answer("b.example", "/", Some("k1")), RouteAnswer::NotFound);
+}
+
+#[test]
+fn key_names_the_account_and_its_rank() {
+    assert_eq!(served("a.example", "/", Some("k1")), ("all".into(), Some("north".into()), 2));
+    assert_eq!(served("a.example", "/", Some("k2")), ("all".into(), Some("south".into()), 0));
+    assert_eq!(catalog().answer("a.example", "/", Some("k3")), RouteAnswer::Unauthenticated);
+    assert_eq!(catalog().answer("a.example", "/", None), RouteAnswer::Unauthenticated);
+    assert_eq!(served("a.example", "/open/", None), ("open".into(), None, 2));
+}
+
+#[test]
+fn services_are_drawn_by_weight() {
+    let route = route("all", "a.example", "/", false);
+    let mut rng = fastrand::Rng::with_seed(7);
+    let ones = (0..1_000).filter(|_| &**route.draw_service(&mut rng).unwrap() == "one").count();
+    assert!((860..940).contains(&ones), "{ones}");
+}
--- a/crates/core/src/evidence/mod.rs
+++ b/crates/core/src/evidence/mod.rs
@@ -24,7 +24,9 @@
     pub version: u64,
     /// Milliseconds since that version was known to be the newest, at the peer's send.
     pub age_ms: Option<u32>,
-    /// This host's clock in its last datagram that the peer received, in microseconds.
+    /// Process of this host whose datagram the peer received last.
+    pub incarnation: u64,
+    /// That process's clock in the datagram, in microseconds.
     pub echo: u64,
     /// Milliseconds from that receipt to the peer's send.
     pub held_ms: u32,
@@ -36,12 +38,14 @@
     version: u64,
     confirmed: Option<Time>,
     limit: Duration,
+    incarnation: u64,
 }
 
 impl EvidenceKeeper {
     /// A keeper that allows requests with a key for most of `revoke` after a confirmation.
-    pub fn new(revoke: Duration) -> EvidenceKeeper {
-        EvidenceKeeper { version: 0, confirmed: None, limit: revoke.mul_f64(1.0 - RESERVE_SHARE) }
+    pub fn new(revoke: Duration, incarnation: u64) -> EvidenceKeeper {
+        let limit = revoke.mul_f64(1.0 - RESERVE_SHARE);
+        EvidenceKeeper { version: 0, confirmed: None, limit, incarnation }
     }
 
     /// The version in force.
@@ -62,15 +66,17 @@
     /// Takes over what a peer says. Returns whether the peer has a newer version than this host.
     ///
     /// The peer received this host's datagram after `echo`, so its confirmation is no older than
-    /// `echo + held - age` on this host's clock, however long the answer was under way.
-    pub fn hear(&mut self, evidence: &PeerEvidence) -> bool {
+    /// `echo + held - age` on this host's clock, however long the answer was under way. An echo of
+    /// an earlier process proves nothing: the clock starts anew when a machine loses power.
+    pub fn hear(&mut self, now: Time, evidence: &PeerEvidence) -> bool {
         if evidence.version != self.version {
             return evidence.version > self.version;
         }
         let Some(age) = evidence.age_ms else { return false };
         let heard = Time(evidence.echo) + Duration::from_millis(evidence.held_ms.into());
         let age = Duration::from_millis(age.into());
-        if evidence.echo > 0 && heard.0 > age.as_micros() as u64 {
+        let is_own = evidence.incarnation == self.incarnation && evidence.echo > 0;
+        if is_own && heard <= now && heard - age > Time::ZERO {
             self.confirmed = self.confirmed.max(Some(heard - age));
         }
         false
--- a/crates/core/src/evidence/tests.rs
+++ b/crates/core/src/evidence/tests.rs
@@ -1,1 +1,96 @@
 use super::*;
+
+const REVOKE: Duration = Duration::from_secs(5);
+const ME: u64 = 77;
+
+fn at(millis: u64) -> Time {
+    Time(1_000_000_000 + millis * 1_000)
+}
+
+fn heard(version: u64, age_ms: u32, echo: Time, held_ms: u32) -> PeerEvidence {
+    PeerEvidence { version, age_ms: Some(age_ms), incarnation: ME, echo: echo.0, held_ms }
+}
+
+fn keeper() -> EvidenceKeeper {
+    let mut keeper = EvidenceKeeper::new(REVOKE, ME);
+    keeper.confirm(3, at(0));
+    keeper
+}
+
+/// A key that is taken away must run nothing once the revocation time is over.
+#[test]
+fn ends_before_the_revocation_time() {
+    let keeper = keeper();
+    assert!(keeper.is_recent(at(4_400)));
+    assert!(!keeper.is_recent(at(4_600)));
+}
+
+#[test]
+fn peer_extends_the_evidence_by_what_it_can_prove() {
+    let mut keeper = keeper();
+    // The peer held this host's datagram of second 3 for 200 ms and was confirmed 500 ms before.
+    assert!(!keeper.hear(at(3_300), &heard(3, 500, at(3_000), 200)));
+    assert_eq!(keeper.age(at(3_300)), Some(Duration::from_millis(600)));
+}
+
+/// A datagram that waited in a socket while this machine was suspended proves only the past.
+#[test]
+fn late_answer_proves_only_the_past() {
+    let mut keeper = keeper();
+    keeper.hear(at(60_000), &heard(3, 0, at(100), 50));
+    assert!(!keeper.is_recent(at(60_000)));
+}
+
+/// Found by a hunted day (mix, seed 361757511376): a machine that lost power starts its clock anew,
+/// and the echo of its earlier process lay far ahead of it. Evidence from then on never aged.
+#[test]
+fn echo_of_an_earlier_process_proves_nothing() {
+    let mut keeper = keeper();
+    let mut echoed = heard(3, 0, at(0) + Duration::from_secs(86_400), 10);
+    echoed.incarnation = ME - 1;
+    keeper.hear(at(100), &echoed);
+    assert!(!keeper.is_recent(at(10_000)));
+    echoed.incarnation = ME;
+    keeper.hear(at(100), &echoed);
+    assert!(!keeper.is_recent(at(10_000)), "an echo from the future is not this process's");
+}
+
+#[test]
+fn newer_version_of_a_peer_is_noticed_and_proves_nothing() {
+    let mut keeper = keeper();
+    assert!(keeper.hear(at(4_000), &heard(4, 0, at(3_990), 5)));
+    assert!(!keeper.is_recent(at(4_700)));
+    assert!(!keeper.hear(at(4_000), &heard(2, 0, at(3_990), 5)), "an older one is no news");
+}
+
+/// Hosts that are all cut off from the store must not renew each other's evidence.
+#[test]
+fn evidence_does_not_grow_between_hosts() {
+    crate::fixed_cases(200, |input| {
+        let mut first = EvidenceKeeper::new(REVOKE, 1);
+        let mut second = EvidenceKeeper::new(REVOKE, 2);
+        // The second host's clock runs this far ahead.
+        let ahead = Duration::from_millis(input.int_in_range(0..=100_000)?);
+        first.confirm(1, at(0));
+        second.confirm(1, at(0) + ahead);
+        let mut now = 0;
+        for _ in 0..20 {
+            let sent = now;
+            now += input.int_in_range(0..=300)?;
+            let received = now;
+            now += input.int_in_range(0..=300)?;
+            let (held, age) = (now - received, second.age(at(now) + ahead).unwrap());
+            let mut evidence = heard(1, age.as_millis() as u32 + 1, at(sent), held as u32);
+            evidence.incarnation = 1;
+            now += input.int_in_range(0..=300)?;
+            first.hear(at(now), &evidence);
+            let age = first.age(at(now)).unwrap().as_millis() as u32 + 1;
+            let mut back = heard(1, age, at(now) + ahead, 0);
+            back.incarnation = 2;
+            second.hear(at(now) + ahead, &back);
+        }
+        assert!(first.age(at(now)).unwrap() >= Duration::from_millis(now));
+        assert!(second.age(at(now) + ahead).unwrap() >= Duration::from_millis(now));
+        Ok(())
+    });
+}
--- a/crates/core/src/fleet/tests.rs
+++ b/crates/core/src/fleet/tests.rs
@@ -1,1 +1,88 @@
 use super::*;
+
+fn entry(id: &str, is_leaving: bool, born: u64) -> EngineEntry {
+    EngineEntry {
+        id: id.into(),
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 8_000).into(),
+        failure_domain: "a".into(),
+        slots: 16,
+        is_leaving,
+        born,
+    }
+}
+
+fn at(millis: u64) -> Time {
+    Time(1_000_000 + millis * 1_000)
+}
+
+fn usable(table: &FleetTable) -> Vec<Arc<str>> {
+    table.usable("s").map(|(_, record)| record.entry.id.clone()).collect()
+}
+
+#[test]
+fn leaving_server_gets_nothing_at_once() {
+    let mut table = FleetTable::default();
+    table.list(at(0), vec![entry("a", false, 1)]);
+    assert!(table.change(at(1), entry("a", true, 1)));
+    assert!(usable(&table).is_empty());
+    assert!(table.remove(at(2), entry("a", true, 1).tag()));
+}
+
+/// While the store was away entries lapse; they are back about 2 s after its return, else gone.
+#[test]
+fn lapsed_entries_may_return_for_a_while() {
+    let mut table = FleetTable::default();
+    let tag = entry("a", false, 1).tag();
+    table.list(at(0), vec![entry("a", false, 1), entry("b", false, 1)]);
+    table.note_store(at(1_000), true);
+    table.note_store(at(5_000), false);
+    assert!(table.list(at(5_010), vec![entry("b", false, 1)]).is_empty());
+    assert_eq!(usable(&table).len(), 2);
+    assert!(table.expire(at(6_000)).is_empty());
+    assert_eq!(table.expire(at(7_300)), [tag]);
+    assert!(table.remove(at(7_400), entry("b", false, 1).tag()), "gone at once in calm");
+}
+
+#[test]
+fn new_start_under_the_same_id_forgets_what_was_known() {
+    let mut table = FleetTable::default();
+    let tag = entry("a", false, 1).tag();
+    table.list(at(0), vec![entry("a", false, 1)]);
+    table.judge(at(1), tag, EngineVerdict::Silent);
+    assert!(table.get(tag).unwrap().failure_chance(at(1)) > 0.9);
+    assert!(table.change(at(2), entry("a", false, 2)));
+    assert_eq!(table.get(tag).unwrap().failure_chance(at(2)), 0.0);
+}
+
+#[test]
+fn failure_estimate_falls_with_time_so_that_a_server_is_tried_again() {
+    let mut table = FleetTable::default();
+    let tag = entry("a", false, 1).tag();
+    table.list(at(0), vec![entry("a", false, 1)]);
+    table.judge(at(0), tag, EngineVerdict::Silent);
+    let chances: Vec<_> =
+        [0, 4_000, 16_000].map(|ms| table.get(tag).unwrap().failure_chance(at(ms))).into();
+    assert!(chances[0] > 0.9 && chances[1] < 0.4 && chances[2] < NOTED_FAILURE, "{chances:?}");
+}
+
+#[test]
+fn peers_opinion_counts_until_an_own_answer() {
+    let mut table = FleetTable::default();
+    let tag = entry("a", false, 1).tag();
+    table.list(at(0), vec![entry("a", false, 1)]);
+    table.hear(at(0), &EngineOpinion { tag, failure_percent: 90, pace_percent: 100 });
+    assert!(table.get(tag).unwrap().failure_chance(at(0)) > 0.8);
+    (0..6).for_each(|_| _ = table.judge(at(10), tag, EngineVerdict::Good));
+    assert!(table.get(tag).unwrap().failure_chance(at(10)) < 0.1);
+    assert!(table.opinions(at(10)).is_empty(), "what peers said is not told on");
+}
+
+#[test]
+fn server_at_a_reused_address_gets_nothing_more() {
+    let mut table = FleetTable::default();
+    let tag = entry("a", false, 1).tag();
+    table.list(at(0), vec![entry("a", false, 1)]);
+    table.judge(at(1), tag, EngineVerdict::Replaced);
+    assert!(usable(&table).is_empty());
+}
--- a/crates/core/src/retry/tests.rs
+++ b/crates/core/src/retry/tests.rs
@@ -1,1 +1,32 @@
 use super::*;
+
+fn limit() -> RetryLimit {
+    RetryLimit { ratio: 0.2, window: Duration::from_secs(10), allowance: 100.0 }
+}
+
+fn at(millis: u64) -> Time {
+    Time(1_000_000 + millis * 1_000)
+}
+
+/// All hosts together stay below the limit, even if each restarts once in the window.
+#[test]
+fn hosts_together_stay_below_the_limit() {
+    for hosts in [1, 3, 9, 84] {
+        let mut spent = 0;
+        for _ in 0..hosts {
+            let mut budget = RetryBudget::new(limit());
+            (0..50).for_each(|step| budget.note_request(at(step)));
+            spent += (0..1_000).filter(|step| budget.spend(at(100 + step), hosts)).count();
+        }
+        let allowed = 100.0 + 0.2 * 50.0 * hosts as f64;
+        assert!(spent as f64 <= allowed, "{hosts} hosts spent {spent} of {allowed}");
+    }
+}
+
+#[test]
+fn what_was_spent_returns_after_the_window() {
+    let mut budget = RetryBudget::new(limit());
+    while budget.spend(at(0), 9) {}
+    assert!(!budget.spend(at(9_000), 9));
+    assert!(budget.spend(at(10_100), 9));
+}
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -27,6 +27,8 @@
 pub const ENTRY_PAUSE: Duration = Duration::from_millis(300);
 /// Time for which callers may keep an answer; a host that stops is told to none after it.
 pub const ANSWER_LIFETIME: Duration = Duration::from_secs(2);
+/// Earlier processes of a host that are remembered.
+const REPLACED_LIMIT: usize = 8;
 /// Most addresses in one answer.
 const MAX_ADDRESSES: usize = 64;
 /// Peers that one [`BEAT_PERIOD`] serves; with more, each hears less often.
@@ -51,7 +53,7 @@
     pub is_ready: bool,
     /// Processor share in thousandths of a core.
     pub capacity: u32,
-    /// Start of the process; a later one replaces an earlier one of the same host.
+    /// Random number of the process; it tells a process from an earlier one of the same host.
     pub incarnation: u64,
 }
 
@@ -62,11 +64,22 @@
     }
 }
 
+/// What a beat shows about its sender.
+#[key]
+pub enum PeerNews {
+    /// Nothing new.
+    Known,
+    /// The peer is new, was silent or has started again.
+    Back,
+}
+
 #[value]
 struct PeerRecord {
     card: HostCard,
     heard: Option<Time>,
     is_silent: bool,
+    /// Earlier processes, whose late datagrams are ignored.
+    replaced: Vec<u64>,
 }
 
 /// The known peers.
@@ -79,21 +92,45 @@
 impl PeerRoster {
     /// The store, or another peer, names a host that was not heard yet.
     pub fn introduce(&mut self, card: HostCard) {
-        self.peers.entry(card.tag()).or_insert(PeerRecord { card, heard: None, is_silent: false });
+        self.peers.entry(card.tag()).or_insert(PeerRecord {
+            card,
+            heard: None,
+            is_silent: false,
+            replaced: Vec::new(),
+        });
     }
 
-    /// A beat arrived. Returns whether the peer was silent or unknown before.
-    pub fn hear(&mut self, now: Time, card: HostCard) -> bool {
+    /// A beat arrived. Returns what is new about the peer; `None` if the beat comes from a process
+    /// that was replaced.
+    pub fn hear(&mut self, now: Time, card: HostCard) -> Option<PeerNews> {
         let tag = card.tag();
-        let is_alive = self.is_alive(now, tag);
-        if let Some(record) = self.peers.get(&tag)
-            && record.card.incarnation > card.incarnation
-        {
-            return false;
+        let was_alive = self.is_alive(now, tag);
+        let record = self.peers.entry(tag).or_insert_with(|| PeerRecord {
+            card: card.clone(),
+            heard: None,
+            is_silent: false,
+            replaced: Vec::new(),
+        });
+        if record.replaced.contains(&card.incarnation) {
+            return None;
+        }
+        let is_restarted = record.card.incarnation != card.incarnation;
+        if is_restarted {
+            record.replaced.push(record.card.incarnation);
+            if record.replaced.len() > REPLACED_LIMIT {
+                record.replaced.remove(0);
+            }
         }
-        self.peers.insert(tag, PeerRecord { card, heard: Some(now), is_silent: false });
+        record.card = card;
+        record.heard = Some(now);
+        record.is_silent = false;
         self.most_alive = self.most_alive.max(self.alive(now).count() + 1);
-        !is_alive
+        Some(if was_alive && !is_restarted { PeerNews::Known } else { PeerNews::Back })
+    }
+
+    /// The process of a peer.
+    pub fn incarnation(&self, tag: HostTag) -> Option<u64> {
+        self.peers.get(&tag).map(|record| record.card.incarnation)
     }
 
     /// Forgets peers that were silent for long and peers that another process replaced.
--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -1,1 +1,74 @@
 use super::*;
+
+fn card(name: &str, port: u16, incarnation: u64, is_ready: bool) -> HostCard {
+    HostCard {
+        name: name.into(),
+        failure_domain: "a".into(),
+        serving: ([127, 0, 0, 1], port).into(),
+        beats: ([127, 0, 0, 1], port + 1_000).into(),
+        is_ready,
+        capacity: 250,
+        incarnation,
+    }
+}
+
+fn at(millis: u64) -> Time {
+    Time(1_000_000 + millis * 1_000)
+}
+
+fn ports(roster: &PeerRoster, now: Time, me: &HostCard) -> Vec<u16> {
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut ports: Vec<_> =
+        roster.addresses(now, me, &mut rng).iter().map(SocketAddr::port).collect();
+    ports.sort_unstable();
+    ports
+}
+
+#[test]
+fn callers_are_told_ready_hosts_that_were_heard() {
+    let me = card("me", 1, 1, true);
+    let mut roster = PeerRoster::default();
+    roster.hear(at(0), card("b", 2, 1, true));
+    roster.hear(at(0), card("c", 3, 1, false));
+    roster.introduce(card("d", 4, 1, true));
+    assert_eq!(ports(&roster, at(100), &me), [1, 2]);
+    assert_eq!(ports(&roster, at(2_000), &me), [1], "silent peers are not told");
+}
+
+/// Callers must get some address in an outage of the store, in which no host is ready.
+#[test]
+fn hosts_that_run_are_told_when_none_is_ready() {
+    let me = card("me", 1, 1, false);
+    let mut roster = PeerRoster::default();
+    roster.hear(at(0), card("b", 2, 1, false));
+    assert_eq!(ports(&roster, at(100), &me), [1, 2]);
+}
+
+/// Found with the clock that starts anew after a loss of power: numbers of processes have no order.
+#[test]
+fn new_process_replaces_an_earlier_one_whatever_its_number() {
+    let mut roster = PeerRoster::default();
+    assert_eq!(roster.hear(at(0), card("b", 2, 900, true)), Some(PeerNews::Back));
+    assert_eq!(roster.hear(at(1), card("b", 2, 900, true)), Some(PeerNews::Known));
+    assert_eq!(roster.hear(at(2), card("b", 2, 5, true)), Some(PeerNews::Back));
+    assert_eq!(roster.hear(at(3), card("b", 2, 900, true)), None, "a late datagram");
+    assert_eq!(roster.incarnation(card("b", 2, 0, true).tag()), Some(5));
+}
+
+#[test]
+fn host_that_was_never_heard_goes_with_its_entry() {
+    let mut roster = PeerRoster::default();
+    roster.introduce(card("b", 2, 1, true));
+    roster.introduce(card("c", 3, 1, true));
+    roster.keep_named(&[card("c", 3, 1, true).tag()]);
+    assert_eq!(roster.targets(), [SocketAddr::from(([127, 0, 0, 1], 1_003))]);
+}
+
+#[test]
+fn silence_is_told_once() {
+    let mut roster = PeerRoster::default();
+    roster.hear(at(0), card("b", 2, 1, true));
+    assert!(roster.take_silent(at(1_000)).is_empty());
+    assert_eq!(roster.take_silent(at(2_000)).len(), 1);
+    assert!(roster.take_silent(at(3_000)).is_empty());
+}
--- a/crates/core/src/work/mod.rs
+++ b/crates/core/src/work/mod.rs
@@ -155,18 +155,15 @@
         WorkNews { is_full, entries, ended: changed }
     }
 
-    /// Takes over a peer's news.
+    /// Takes over a peer's news. Those of a process that was replaced are not to be given here.
     pub fn hear(&mut self, now: Time, host: HostTag, incarnation: u64, news: WorkNews) {
         let work = self.peers.entry(host).or_insert_with(|| PeerWork {
             incarnation,
             heard: now,
             entries: BTreeMap::new(),
         });
-        if incarnation < work.incarnation {
-            return;
-        }
         // What an earlier process of the host sent has ended with its connections.
-        if incarnation > work.incarnation || news.is_full {
+        if incarnation != work.incarnation || news.is_full {
             work.entries.clear();
         }
         work.incarnation = incarnation;
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -11,7 +11,7 @@
     dispatch::DispatchInput,
     evidence::PeerEvidence,
     fleet::EngineOpinion,
-    roster::{HostCard, HostTag, SILENCE_LIMIT},
+    roster::{HostCard, HostTag, PeerNews, SILENCE_LIMIT},
     work::WorkNews,
 };
 use parsley_macros::message;
@@ -134,6 +134,7 @@
         version: state.evidence.version(),
         // Rounded against the evidence.
         age_ms: state.evidence.age(now).map(|age| millis(age).saturating_add(1)),
+        incarnation: tag.and_then(|tag| state.roster.incarnation(tag)).unwrap_or_default(),
         echo,
         held_ms: millis(now.since(heard)),
     }
@@ -183,24 +184,24 @@
     let now = clock::now();
     match beat {
         PeerBeat::News { host, incarnation, news } => {
-            let is_known = gateway.state.borrow().roster.is_alive(now, host);
-            if is_known {
+            let known = gateway.state.borrow().roster.incarnation(host);
+            if known == Some(incarnation) {
                 let opinions = Vec::new();
                 gateway.dispatch(DispatchInput::Heard { host, incarnation, news, opinions });
             }
         }
         PeerBeat::Full { card, clock, evidence, news, opinions } => {
             let (host, incarnation) = (card.tag(), card.incarnation);
-            let (is_new, is_newer) = {
+            let (peer_news, is_newer) = {
                 let state = &mut *gateway.state.borrow_mut();
                 if host == state.card.tag() {
                     return;
                 }
-                let is_new = state.roster.hear(now, card.clone());
+                let Some(peer_news) = state.roster.hear(now, card.clone()) else { return };
                 state.peer_clocks.insert(host, (clock, now));
-                (is_new, state.evidence.hear(&evidence))
+                (peer_news, state.evidence.hear(now, &evidence))
             };
-            if is_new {
+            if peer_news == PeerNews::Back {
                 event!(gateway.log, PEER_HEARD, "peer" => &*card.name,
                     "incarnation" => incarnation, "ready" => card.is_ready);
             }
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -144,7 +144,7 @@
         let state = GatewayState {
             dispatcher: Dispatcher::new(settings.card.failure_domain.clone()),
             catalog: None,
-            evidence: EvidenceKeeper::new(settings.revoke),
+            evidence: EvidenceKeeper::new(settings.revoke, settings.card.incarnation),
             was_recent: false,
             roster: PeerRoster::default(),
             card: settings.card.clone(),
