--- a/crates/node/src/gateway/link.rs
+++ b/crates/node/src/gateway/link.rs
@@ -14,6 +14,7 @@
     header::{CONNECTION, HeaderMap},
 };
 use parsley_core::{fleet::EngineTag, time::Time};
+use rustix::net::sockopt;
 use smol_hyper::rt::FuturesIo;
 
 use super::clock;
@@ -25,9 +26,26 @@
 const IDLE_LIMIT: Duration = Duration::from_millis(3_500);
 /// Time before the server's own idle limit at which a connection is no longer used.
 const IDLE_RESERVE: Duration = Duration::from_millis(700);
+/// Silence after which a probe is sent, and time between two probes; the shortest that sockets take.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+/// Unanswered probes after which a connection is dead. Memory set aside for its request is returned
+/// before it counts as lost.
+const LOST_PROBES: u32 = 2;
 /// Idle connections kept for each server.
 const KEPT_LINKS: usize = 24;
 
+/// Lets the kernel end a connection whose other end fell silent, such as a machine without power.
+fn watch_peer(stream: &TcpStream) -> Result<(), NodeError> {
+    let seconds = PROBE_PERIOD;
+    sockopt::set_socket_keepalive(stream, true).map_err(io::Error::from)?;
+    sockopt::set_tcp_keepidle(stream, seconds).map_err(io::Error::from)?;
+    sockopt::set_tcp_keepintvl(stream, seconds).map_err(io::Error::from)?;
+    sockopt::set_tcp_keepcnt(stream, LOST_PROBES).map_err(io::Error::from)?;
+    let limit = seconds * LOST_PROBES;
+    sockopt::set_tcp_user_timeout(stream, limit.as_millis() as u32).map_err(io::Error::from)?;
+    Ok(())
+}
+
 /// One open connection.
 pub struct ServerLink {
     sender: SendRequest<Full<Bytes>>,
@@ -59,6 +77,7 @@
         };
         let stream = connect.or(limit).await?;
         stream.set_nodelay(true)?;
+        watch_peer(&stream)?;
         let (sender, connection) = handshake(FuturesIo::new(stream))
             .await
             .map_err(|err| NodeError::Http(err.to_string().into()))?;
