Let two hosts watch the store for all

Ruled out: engines' heartbeats (their entries change rarely). Change: the first two hosts that the store answers watch; others rest, are told servers by datagram, read a configuration when a peer has a newer one (a storm costs few reads), ask for a proof of their own when leads are silent, and compare their list of servers by a digest. Entries carry the store's revision, so late news bring nothing back. Leads beat at a fixed pace.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -101,11 +101,21 @@
         opinions: Vec<EngineOpinion>,
     },
     /// Discovery was read as a whole.
-    Listed(Vec<EngineEntry>),
+    Listed {
+        /// The entries.
+        entries: Vec<EngineEntry>,
+        /// The store's revision.
+        revision: u64,
+    },
     /// Discovery shows one entry.
     Changed(EngineEntry),
     /// Discovery no longer shows an instance.
-    Removed(Arc<str>),
+    Removed {
+        /// The instance.
+        id: Arc<str>,
+        /// The store's revision.
+        revision: u64,
+    },
     /// The store was lost or regained.
     Store {
         /// Whether it is lost.
@@ -262,10 +272,12 @@
                     self.fleet.hear(now, opinion);
                 }
             }
-            DispatchInput::Listed(entries) => {
+            DispatchInput::Listed { entries, revision } => {
                 let known: BTreeSet<_> = self.fleet.iter().map(|(tag, _)| tag).collect();
                 let tags: Vec<_> = entries.iter().map(EngineEntry::tag).collect();
-                outputs.extend(self.fleet.list(now, entries).into_iter().map(DispatchOutput::Gone));
+                outputs.extend(
+                    self.fleet.list(now, entries, revision).into_iter().map(DispatchOutput::Gone),
+                );
                 let new = tags.into_iter().filter(|tag| !known.contains(tag));
                 outputs.extend(new.map(DispatchOutput::EngineChanged));
             }
@@ -275,9 +287,9 @@
                     outputs.push(DispatchOutput::EngineChanged(tag));
                 }
             }
-            DispatchInput::Removed(id) => {
+            DispatchInput::Removed { id, revision } => {
                 let tag = EngineTag(hash_name(&id));
-                if self.fleet.remove(now, tag) {
+                if self.fleet.remove(now, tag, revision) {
                     outputs.push(DispatchOutput::Gone(tag));
                 }
             }
--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -1,8 +1,9 @@
-//! Decides how one part of the store is followed: read it, watch it, read it again.
+//! Decides how one part of the store is followed: read it, watch it, read it again or rest.
 //!
 //! Owns the revision up to which the part is known and whether the store answers. Its driver makes
-//! the calls. When the store stops answering, calls are repeated at growing intervals, and a
-//! connection that went silent is given up after a bounded time.
+//! the calls. Two hosts watch for all (the leads); the others rest while leads tell them what is
+//! new and prove that nothing else is, and ask the store themselves when leads fall silent. So the
+//! number of calls does not grow with the number of hosts.
 
 use std::time::Duration;
 
@@ -13,16 +14,44 @@
 #[cfg(test)]
 mod tests;
 
+/// Hosts that watch the store for all: one may be lost at any moment.
+pub const LEADS: usize = 2;
 /// Time for which a watch waits at the store. Its end also proves that the store still answers, so
 /// it stays below the time in which a change must be in force.
-pub const WATCH_WAIT: Duration = Duration::from_millis(1_000);
-/// Time for which a watch waits when its end is needed as a proof.
-const URGENT_WAIT: Duration = Duration::from_millis(30);
+pub const WATCH_WAIT: Duration = Duration::from_millis(800);
 /// Time beyond the wait after which a call counts as lost.
 pub const CALL_LIMIT: Duration = Duration::from_millis(700);
-/// First and longest pause after a failed call.
+/// Age of the proof that the configuration is the newest at which a host asks the store itself. It
+/// is above what a watch and two beats of a lead take, and well below the time after which keys
+/// are not decided about. Changes arrive sooner: leads that fall silent are replaced.
+pub const PROOF_AGE: Duration = Duration::from_millis(2_400);
+/// Time for which another list of servers than a lead's is suffered: news may be under way.
+pub const UNLIKE_TIME: Duration = Duration::from_millis(600);
+/// Time between two looks of a host that rests.
+pub const REST_TIME: Duration = Duration::from_millis(100);
+/// Time for which a watch waits when its end is needed as a proof.
+const URGENT_WAIT: Duration = Duration::from_millis(30);
+/// Time between two reads because of a lead's news, so that a storm of changes costs few reads.
+const READ_SPACING: Duration = Duration::from_millis(600);
+/// Time between two proofs that a host asks for itself.
+const PROOF_SPACING: Duration = Duration::from_millis(250);
+/// First and longest pause after a failed call of a lead.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause of the other hosts: the leads find out that the store is back.
+const LONGEST_PAUSE_OF_OTHERS: Duration = Duration::from_millis(2_000);
+
+/// What decides about the next call, besides the follower's own state.
+#[value]
+#[derive(Default)]
+pub struct FeedContext {
+    /// Whether this host watches for all.
+    pub is_lead: bool,
+    /// Whether a proof that nothing changed is wanted from the store.
+    pub needs_proof: bool,
+    /// Whether a lead is known to have something newer.
+    pub has_news: bool,
+}
 
 /// What to do next.
 #[value]
@@ -36,13 +65,8 @@
         /// Time the store may wait.
         wait: Duration,
     },
-}
-
-impl FeedAction {
-    /// Whether the call is given up when a peer knows something newer. A read already brings it.
-    pub fn yields_to_news(&self) -> bool {
-        matches!(self, FeedAction::Watch { .. })
-    }
+    /// Nothing for [`REST_TIME`], or until there is news.
+    Rest,
 }
 
 /// What came of a call.
@@ -66,41 +90,48 @@
 
 /// Follows one part of the store.
 #[value]
+#[derive(Default)]
 pub struct FeedFollower {
     revision: Option<u64>,
     failures: u32,
-    regained: Option<Time>,
-}
-
-impl Default for FeedFollower {
-    fn default() -> FeedFollower {
-        FeedFollower { revision: None, failures: 0, regained: None }
-    }
+    last_read: Option<Time>,
+    last_proof: Option<Time>,
 }
 
 impl FeedFollower {
-    /// The next call and the pause before it. `is_urgent`: a proof that nothing changed is wanted
-    /// soon.
-    pub fn next(&self, is_urgent: bool) -> (Duration, FeedAction) {
+    /// The next call and the pause before it.
+    pub fn next(&self, now: Time, context: &FeedContext) -> (Duration, FeedAction) {
+        let longest = if context.is_lead { LONGEST_PAUSE } else { LONGEST_PAUSE_OF_OTHERS };
         let pause = match self.failures {
             0 => Duration::ZERO,
-            count => (FIRST_PAUSE * (1 << (count - 1).min(4))).min(LONGEST_PAUSE),
-        };
-        let action = match self.revision {
-            Some(after) => {
-                let wait = if is_urgent { URGENT_WAIT } else { WATCH_WAIT };
-                FeedAction::Watch { after, wait }
-            }
-            None => FeedAction::Read,
+            count => (FIRST_PAUSE * (1 << (count - 1).min(8))).min(longest),
         };
-        (pause, action)
+        let Some(after) = self.revision else { return (pause, FeedAction::Read) };
+        let may_prove = self.last_proof.is_none_or(|at| now.since(at) >= PROOF_SPACING);
+        if self.failures > 0 || (context.needs_proof && may_prove) {
+            return (pause, FeedAction::Watch { after, wait: URGENT_WAIT });
+        }
+        if context.is_lead {
+            return (pause, FeedAction::Watch { after, wait: WATCH_WAIT });
+        }
+        let may_read = self.last_read.is_none_or(|at| now.since(at) >= READ_SPACING);
+        if context.has_news && may_read {
+            return (pause, FeedAction::Read);
+        }
+        (Duration::ZERO, FeedAction::Rest)
     }
 
     /// Takes a result. Returns whether the store was lost or regained by it.
     pub fn step(&mut self, now: Time, result: FeedResult) -> Option<bool> {
         let was_lost = self.failures > 0;
         match result {
-            FeedResult::Read { revision } | FeedResult::Watched { revision } => {
+            FeedResult::Read { revision } => {
+                self.revision = Some(revision);
+                self.last_read = Some(now);
+                self.failures = 0;
+            }
+            FeedResult::Watched { revision } => {
+                self.last_proof = Some(now);
                 self.revision = Some(self.revision.unwrap_or(0).max(revision));
                 self.failures = 0;
             }
@@ -112,9 +143,6 @@
             FeedResult::Failed => self.failures += 1,
         }
         let is_lost = self.failures > 0;
-        if was_lost && !is_lost {
-            self.regained = Some(now);
-        }
         (was_lost != is_lost).then_some(is_lost)
     }
 
@@ -122,9 +150,4 @@
     pub fn is_lost(&self) -> bool {
         self.failures > 0
     }
-
-    /// Reads the whole part next.
-    pub fn read_again(&mut self) {
-        self.revision = None;
-    }
 }
--- a/crates/core/src/feed/tests.rs
+++ b/crates/core/src/feed/tests.rs
@@ -1,47 +1,92 @@
 use super::*;
 
-#[test]
-fn reads_then_watches_from_the_first_page() {
+const LEAD: FeedContext = FeedContext { is_lead: true, needs_proof: false, has_news: false };
+const REST: FeedContext = FeedContext { is_lead: false, needs_proof: false, has_news: false };
+const WATCH: FeedAction = FeedAction::Watch { after: 40, wait: WATCH_WAIT };
+
+fn at(millis: u64) -> Time {
+    Time(1_000_000 + millis * 1_000)
+}
+
+fn follower() -> FeedFollower {
     let mut follower = FeedFollower::default();
-    assert_eq!(follower.next(false), (Duration::ZERO, FeedAction::Read));
-    follower.step(Time(1), FeedResult::Read { revision: 40 });
-    let watch = FeedAction::Watch { after: 40, wait: WATCH_WAIT };
-    assert_eq!(follower.next(false), (Duration::ZERO, watch));
+    assert_eq!(follower.next(at(0), &REST), (Duration::ZERO, FeedAction::Read));
+    follower.step(at(0), FeedResult::Read { revision: 40 });
+    follower
+}
+
+#[test]
+fn lead_watches_from_the_first_page() {
+    assert_eq!(follower().next(at(1), &LEAD), (Duration::ZERO, WATCH));
 }
 
 /// A call whose answer was lost may have brought changes, so the same revision is asked again.
 #[test]
 fn failed_watch_continues_after_the_same_revision() {
-    let mut follower = FeedFollower::default();
-    follower.step(Time(1), FeedResult::Read { revision: 40 });
-    assert_eq!(follower.step(Time(2), FeedResult::Failed), Some(true));
-    assert_eq!(follower.step(Time(3), FeedResult::Failed), None);
-    let (pause, action) = follower.next(false);
+    let mut follower = follower();
+    assert_eq!(follower.step(at(2), FeedResult::Failed), Some(true));
+    assert_eq!(follower.step(at(3), FeedResult::Failed), None);
+    let (pause, action) = follower.next(at(3), &LEAD);
     assert!(pause >= FIRST_PAUSE && pause <= LONGEST_PAUSE);
-    assert_eq!(action, FeedAction::Watch { after: 40, wait: WATCH_WAIT });
-    assert_eq!(follower.step(Time(4), FeedResult::Watched { revision: 41 }), Some(false));
+    let again = FeedAction::Watch { after: 40, wait: URGENT_WAIT };
+    assert_eq!(action, again, "soon, as the answer tells that the store is back");
+    assert_eq!(follower.step(at(4), FeedResult::Watched { revision: 41 }), Some(false));
 }
 
 #[test]
 fn lost_history_is_read_again() {
-    let mut follower = FeedFollower::default();
-    follower.step(Time(1), FeedResult::Read { revision: 40 });
-    follower.step(Time(2), FeedResult::Compacted);
-    assert_eq!(follower.next(false).1, FeedAction::Read);
+    let mut follower = follower();
+    follower.step(at(2), FeedResult::Compacted);
+    assert_eq!(follower.next(at(3), &LEAD).1, FeedAction::Read);
 }
 
+/// Calls to the store must not grow with the number of hosts.
 #[test]
-fn urgent_proof_shortens_the_wait() {
-    let mut follower = FeedFollower::default();
-    follower.step(Time(1), FeedResult::Read { revision: 40 });
-    let FeedAction::Watch { wait, .. } = follower.next(true).1 else { panic!("no watch") };
-    assert!(wait < WATCH_WAIT);
+fn other_hosts_rest_while_nothing_is_new() {
+    assert_eq!(follower().next(at(60_000), &REST).1, FeedAction::Rest);
+}
+
+/// Leads that fall silent, or a host that nobody tells anything, must not delay a change.
+#[test]
+fn host_without_proof_asks_the_store_itself() {
+    let needs = FeedContext { needs_proof: true, ..REST };
+    let (_, action) = follower().next(at(1), &needs);
+    assert_eq!(action, FeedAction::Watch { after: 40, wait: URGENT_WAIT });
+    assert!(PROOF_AGE > WATCH_WAIT * 2 + crate::roster::BEAT_PERIOD);
+    assert!(PROOF_AGE + CALL_LIMIT < Duration::from_secs(4));
+}
+
+/// In an outage all hosts ask again and again; only the leads may do so often.
+#[test]
+fn outage_costs_few_calls() {
+    let needs = FeedContext { needs_proof: true, ..REST };
+    let mut follower = follower();
+    (0..10).for_each(|step| _ = follower.step(at(step), FeedResult::Failed));
+    assert_eq!(follower.next(at(20), &LEAD).0, LONGEST_PAUSE);
+    assert_eq!(follower.next(at(20), &needs).0, LONGEST_PAUSE_OF_OTHERS);
+    // Once it failed, a host asks until the store answers, whatever leads say meanwhile.
+    assert_ne!(follower.next(at(20), &REST).1, FeedAction::Rest);
+}
+
+#[test]
+fn proofs_are_not_asked_for_without_pause() {
+    let needs = FeedContext { needs_proof: true, ..REST };
+    let mut follower = follower();
+    follower.step(at(10), FeedResult::Watched { revision: 40 });
+    assert_eq!(follower.next(at(20), &needs).1, FeedAction::Rest);
+    assert_ne!(follower.next(at(300), &needs).1, FeedAction::Rest);
 }
 
-/// Found on acie trouble-1: peers' beats ended each read before its answer came, so a host that
-/// the store had turned away never learned the configuration.
 #[test]
-fn read_does_not_yield_to_news() {
-    assert!(!FeedAction::Read.yields_to_news());
-    assert!(FeedAction::Watch { after: 1, wait: WATCH_WAIT }.yields_to_news());
+fn storm_of_news_costs_few_reads() {
+    let news = FeedContext { has_news: true, ..REST };
+    let mut follower = follower();
+    let mut reads = 0;
+    for millis in (700..4_700).step_by(10) {
+        if follower.next(at(millis), &news).1 == FeedAction::Read {
+            reads += 1;
+            follower.step(at(millis), FeedResult::Read { revision: 40 + millis });
+        }
+    }
+    assert!((5..=7).contains(&reads), "{reads}");
 }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -25,6 +25,8 @@
 const SILENT_FAILURE: f64 = 0.95;
 /// Weight of one measurement in the pace.
 const PACE_WEIGHT: f64 = 0.3;
+/// Gone servers that are remembered.
+const REMOVED_LIMIT: usize = 1_000;
 /// Bounds of the pace estimate.
 const PACE_RANGE: (f64, f64) = (0.5, 20.0);
 
@@ -39,7 +41,7 @@
 }
 
 /// What discovery says of a backend server.
-#[value]
+#[message]
 pub struct EngineEntry {
     /// Instance id.
     pub id: Arc<str>,
@@ -55,6 +57,8 @@
     pub is_leaving: bool,
     /// Start of the process, in milliseconds of its own clock; 0 if not told.
     pub born: u64,
+    /// Revision of the store at which the entry was written.
+    pub revision: u64,
 }
 
 impl EngineEntry {
@@ -152,6 +156,8 @@
 #[derive(Debug, Default)]
 pub struct FleetTable {
     engines: BTreeMap<EngineTag, EngineRecord>,
+    /// Revisions at which entries went, so that late news do not bring them back.
+    removed: BTreeMap<EngineTag, u64>,
     store_lost: bool,
     regained: Option<Time>,
 }
@@ -165,21 +171,25 @@
         }
     }
 
-    /// Discovery was read as a whole. Returns the servers that are gone.
-    pub fn list(&mut self, now: Time, entries: Vec<EngineEntry>) -> Vec<EngineTag> {
+    /// Discovery was read as a whole at a revision. Returns the servers that are gone.
+    pub fn list(&mut self, now: Time, entries: Vec<EngineEntry>, revision: u64) -> Vec<EngineTag> {
         let listed: Vec<_> = entries.iter().map(EngineEntry::tag).collect();
         for entry in entries {
             self.change(now, entry);
         }
         let missing: Vec<_> =
             self.engines.keys().filter(|tag| !listed.contains(tag)).copied().collect();
-        missing.into_iter().filter(|tag| self.remove(now, *tag)).collect()
+        missing.into_iter().filter(|tag| self.remove(now, *tag, revision)).collect()
     }
 
     /// Discovery shows an entry. Returns whether it is new, leaves or has started again.
     pub fn change(&mut self, now: Time, entry: EngineEntry) -> bool {
         let tag = entry.tag();
+        if self.removed.get(&tag).is_some_and(|removed| *removed >= entry.revision) {
+            return false;
+        }
         match self.engines.get_mut(&tag) {
+            Some(record) if record.entry.revision > entry.revision => false,
             Some(record)
                 if record.entry.born == entry.born && record.entry.address == entry.address =>
             {
@@ -195,19 +205,36 @@
         }
     }
 
-    /// Discovery no longer shows an entry. Returns whether the server is gone now.
-    pub fn remove(&mut self, now: Time, tag: EngineTag) -> bool {
+    /// Discovery no longer shows an entry since a revision. Returns whether the server is gone now.
+    pub fn remove(&mut self, now: Time, tag: EngineTag, revision: u64) -> bool {
         let may_return =
             self.store_lost || self.regained.is_some_and(|at| now.since(at) < RETURN_TIME);
         let Some(record) = self.engines.get_mut(&tag) else { return false };
+        if record.entry.revision > revision {
+            return false;
+        }
         if may_return && !record.entry.is_leaving {
             record.lapsed.get_or_insert(now);
             return false;
         }
         self.engines.remove(&tag);
+        self.removed.insert(tag, revision);
+        if self.removed.len() > REMOVED_LIMIT {
+            self.removed.pop_first();
+        }
         true
     }
 
+    /// A number that two hosts share if they have the same entries.
+    pub fn digest(&self) -> u64 {
+        let listed = self.engines.iter().filter(|(_, record)| record.lapsed.is_none());
+        let hashes = listed.map(|(tag, record)| {
+            let entry = &record.entry;
+            hash_name(&format!("{} {} {}", tag.0, entry.is_leaving, entry.born))
+        });
+        hashes.fold(0, u64::wrapping_add)
+    }
+
     /// Drops servers that did not return after the store did. Returns them.
     pub fn expire(&mut self, now: Time) -> Vec<EngineTag> {
         if self.store_lost || self.regained.is_some_and(|at| now.since(at) < RETURN_TIME) {
--- a/crates/core/src/fleet/tests.rs
+++ b/crates/core/src/fleet/tests.rs
@@ -9,6 +9,7 @@
         slots: 16,
         is_leaving,
         born,
+        revision: 5,
     }
 }
 
@@ -23,10 +24,10 @@
 #[test]
 fn leaving_server_gets_nothing_at_once() {
     let mut table = FleetTable::default();
-    table.list(at(0), vec![entry("a", false, 1)]);
+    table.list(at(0), vec![entry("a", false, 1)], 5);
     assert!(table.change(at(1), entry("a", true, 1)));
     assert!(usable(&table).is_empty());
-    assert!(table.remove(at(2), entry("a", true, 1).tag()));
+    assert!(table.remove(at(2), entry("a", true, 1).tag(), 6));
 }
 
 /// While the store was away entries lapse; they are back about 2 s after its return, else gone.
@@ -34,21 +35,21 @@
 fn lapsed_entries_may_return_for_a_while() {
     let mut table = FleetTable::default();
     let tag = entry("a", false, 1).tag();
-    table.list(at(0), vec![entry("a", false, 1), entry("b", false, 1)]);
+    table.list(at(0), vec![entry("a", false, 1), entry("b", false, 1)], 5);
     table.note_store(at(1_000), true);
     table.note_store(at(5_000), false);
-    assert!(table.list(at(5_010), vec![entry("b", false, 1)]).is_empty());
+    assert!(table.list(at(5_010), vec![entry("b", false, 1)], 5).is_empty());
     assert_eq!(usable(&table).len(), 2);
     assert!(table.expire(at(6_000)).is_empty());
     assert_eq!(table.expire(at(7_300)), [tag]);
-    assert!(table.remove(at(7_400), entry("b", false, 1).tag()), "gone at once in calm");
+    assert!(table.remove(at(7_400), entry("b", false, 1).tag(), 6), "gone at once in calm");
 }
 
 #[test]
 fn new_start_under_the_same_id_forgets_what_was_known() {
     let mut table = FleetTable::default();
     let tag = entry("a", false, 1).tag();
-    table.list(at(0), vec![entry("a", false, 1)]);
+    table.list(at(0), vec![entry("a", false, 1)], 5);
     table.judge(at(1), tag, EngineVerdict::Silent);
     assert!(table.get(tag).unwrap().failure_chance(at(1)) > 0.9);
     assert!(table.change(at(2), entry("a", false, 2)));
@@ -59,7 +60,7 @@
 fn failure_estimate_falls_with_time_so_that_a_server_is_tried_again() {
     let mut table = FleetTable::default();
     let tag = entry("a", false, 1).tag();
-    table.list(at(0), vec![entry("a", false, 1)]);
+    table.list(at(0), vec![entry("a", false, 1)], 5);
     table.judge(at(0), tag, EngineVerdict::Silent);
     let chances: Vec<_> =
         [0, 4_000, 16_000].map(|ms| table.get(tag).unwrap().failure_chance(at(ms))).into();
@@ -70,7 +71,7 @@
 fn peers_opinion_counts_until_an_own_answer() {
     let mut table = FleetTable::default();
     let tag = entry("a", false, 1).tag();
-    table.list(at(0), vec![entry("a", false, 1)]);
+    table.list(at(0), vec![entry("a", false, 1)], 5);
     table.hear(at(0), &EngineOpinion { tag, failure_percent: 90, pace_percent: 100 });
     assert!(table.get(tag).unwrap().failure_chance(at(0)) > 0.8);
     (0..6).for_each(|_| _ = table.judge(at(10), tag, EngineVerdict::Good));
@@ -82,7 +83,32 @@
 fn server_at_a_reused_address_gets_nothing_more() {
     let mut table = FleetTable::default();
     let tag = entry("a", false, 1).tag();
-    table.list(at(0), vec![entry("a", false, 1)]);
+    table.list(at(0), vec![entry("a", false, 1)], 5);
     table.judge(at(1), tag, EngineVerdict::Replaced);
     assert!(usable(&table).is_empty());
 }
+
+/// News from leads may overtake each other.
+#[test]
+fn late_news_do_not_bring_a_server_back() {
+    let mut table = FleetTable::default();
+    table.list(at(0), vec![entry("a", false, 1)], 5);
+    let leaving = EngineEntry { revision: 7, ..entry("a", true, 1) };
+    table.change(at(1), leaving.clone());
+    assert!(!table.change(at(2), entry("a", false, 1)));
+    assert!(usable(&table).is_empty());
+    assert!(!table.remove(at(3), leaving.tag(), 6), "an older list");
+    assert!(table.remove(at(4), leaving.tag(), 8));
+    assert!(!table.change(at(5), leaving));
+    assert!(usable(&table).is_empty());
+}
+
+#[test]
+fn digest_tells_whether_two_hosts_know_the_same_servers() {
+    let (mut one, mut other) = (FleetTable::default(), FleetTable::default());
+    one.list(at(0), vec![entry("a", false, 1), entry("b", false, 1)], 5);
+    other.list(at(9), vec![entry("b", false, 1), entry("a", false, 1)], 5);
+    assert_eq!(one.digest(), other.digest());
+    other.change(at(10), EngineEntry { revision: 6, ..entry("a", true, 1) });
+    assert_ne!(one.digest(), other.digest());
+}
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -1,7 +1,7 @@
 //! Decides which hosts callers are told to use.
 //!
 //! Owns what is known of each peer: its addresses, when it was last heard and whether it is leaving.
-//! A peer that was not heard for [`SILENCE_LIMIT`] is not told to callers; one that was not heard
+//! A peer that was silent for a few beats is not told to callers; one that was not heard
 //! for [`FORGET_LIMIT`] is forgotten unless the store still names it.
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
@@ -15,16 +15,16 @@
 
 /// Time between two full beats to a peer while there are few peers.
 pub const BEAT_PERIOD: Duration = Duration::from_millis(400);
-/// Silence after which a peer is not told to callers; three beats and a half.
-pub const SILENCE_LIMIT: Duration = Duration::from_millis(1_400);
+/// Silence, in beats, after which a peer is not told to callers: three may get lost.
+const SILENT_BEATS: f64 = 3.5;
 /// Silence after which a peer is forgotten.
 pub const FORGET_LIMIT: Duration = Duration::from_secs(60);
 /// Term of a host's entry in the store; a host that ended is forgotten after it.
-pub const ENTRY_TERM: Duration = Duration::from_secs(12);
+pub const ENTRY_TERM: Duration = Duration::from_secs(30);
 /// Time between two renewals of the entry, and two looks at the others'.
-pub const ENTRY_PERIOD: Duration = Duration::from_secs(4);
+pub const ENTRY_PERIOD: Duration = Duration::from_secs(9);
 /// Pause before a failed registration is tried again.
-pub const ENTRY_PAUSE: Duration = Duration::from_millis(300);
+pub const ENTRY_PAUSE: Duration = Duration::from_millis(1_500);
 /// Time for which callers may keep an answer; a host that stops is told to none after it.
 pub const ANSWER_LIFETIME: Duration = Duration::from_secs(2);
 /// Earlier processes of a host that are remembered.
@@ -32,7 +32,7 @@
 /// Most addresses in one answer.
 const MAX_ADDRESSES: usize = 64;
 /// Peers that one [`BEAT_PERIOD`] serves; with more, each hears less often.
-const PEERS_A_PERIOD: usize = 32;
+const PEERS_A_PERIOD: usize = 64;
 
 /// A host process: the hash of its name and address, so that a replacement is another host.
 #[key]
@@ -51,6 +51,8 @@
     pub beats: SocketAddr,
     /// Whether callers may be sent here.
     pub is_ready: bool,
+    /// Whether the store answers this host.
+    pub has_store: bool,
     /// Processor share in thousandths of a core.
     pub capacity: u32,
     /// Random number of the process; it tells a process from an earlier one of the same host.
@@ -147,19 +149,38 @@
 
     /// Whether the peer was heard recently.
     pub fn is_alive(&self, now: Time, tag: HostTag) -> bool {
-        self.peers.get(&tag).is_some_and(|record| Self::is_recent(now, record))
+        self.peers.get(&tag).is_some_and(|record| self.is_recent(now, record))
     }
 
-    fn is_recent(now: Time, record: &PeerRecord) -> bool {
-        record.heard.is_some_and(|at| now.since(at) <= SILENCE_LIMIT)
+    fn is_recent(&self, now: Time, record: &PeerRecord) -> bool {
+        record.heard.is_some_and(|at| now.since(at) <= self.silence_limit())
+    }
+
+    /// Silence after which a peer counts as gone.
+    pub fn silence_limit(&self) -> Duration {
+        self.beat_period(false).mul_f64(SILENT_BEATS)
     }
 
     /// Peers that were heard recently.
     pub fn alive(&self, now: Time) -> impl Iterator<Item = (HostTag, &HostCard)> {
-        let alive = self.peers.iter().filter(move |(_, record)| Self::is_recent(now, record));
+        let alive = self.peers.iter().filter(move |(_, record)| self.is_recent(now, record));
         alive.map(|(tag, record)| (*tag, &record.card))
     }
 
+    /// Whether this host is one of those that watch the store for all: the first by tag that the
+    /// store answers, or the first of all if it answers none.
+    pub fn is_lead(&self, now: Time, me: &HostCard, leads: usize) -> bool {
+        let cards: Vec<_> =
+            self.alive(now).map(|(tag, card)| (tag, card)).chain([(me.tag(), me)]).collect();
+        let any_store = cards.iter().any(|(_, card)| card.has_store);
+        if any_store && !me.has_store {
+            return false;
+        }
+        let before =
+            cards.iter().filter(|(tag, card)| *tag < me.tag() && (card.has_store || !any_store));
+        before.count() < leads
+    }
+
     /// Addresses for beats of all known peers.
     pub fn targets(&self) -> Vec<SocketAddr> {
         self.peers.values().map(|record| record.card.beats).collect()
@@ -173,8 +194,9 @@
 
     /// Peers that fell silent since the last call.
     pub fn take_silent(&mut self, now: Time) -> Vec<Arc<str>> {
+        let limit = self.silence_limit();
         let fallen = self.peers.values_mut().filter(|record| {
-            !record.is_silent && record.heard.is_some_and(|at| now.since(at) > SILENCE_LIMIT)
+            !record.is_silent && record.heard.is_some_and(|at| now.since(at) > limit)
         });
         let fallen = fallen.map(|record| {
             record.is_silent = true;
@@ -188,8 +210,12 @@
         self.most_alive.max(1)
     }
 
-    /// Time between two full beats at the present number of peers.
-    pub fn beat_period(&self) -> Duration {
+    /// Time between two full beats at the present number of peers. Leads beat as often as with few
+    /// peers, as their beats prove that the configuration is the newest.
+    pub fn beat_period(&self, is_lead: bool) -> Duration {
+        if is_lead {
+            return BEAT_PERIOD;
+        }
         BEAT_PERIOD * (1 + self.peers.len() as u32 / PEERS_A_PERIOD as u32)
     }
 
--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -7,6 +7,7 @@
         serving: ([127, 0, 0, 1], port).into(),
         beats: ([127, 0, 0, 1], port + 1_000).into(),
         is_ready,
+        has_store: true,
         capacity: 250,
         incarnation,
     }
@@ -72,3 +73,24 @@
     assert_eq!(roster.take_silent(at(2_000)).len(), 1);
     assert!(roster.take_silent(at(3_000)).is_empty());
 }
+
+/// Two hosts watch the store for all; when it turns one away, the next takes over.
+#[test]
+fn leads_are_the_first_hosts_that_the_store_answers() {
+    let mut cards: Vec<_> = (1..=5).map(|port| card("h", port, 1, true)).collect();
+    cards.sort_by_key(HostCard::tag);
+    let leads = |cards: &[HostCard]| -> Vec<usize> {
+        let is_lead = |index: &usize| {
+            let mut roster = PeerRoster::default();
+            let peers = cards.iter().enumerate().filter(|(other, _)| other != index);
+            peers.for_each(|(_, peer)| _ = roster.hear(at(0), peer.clone()));
+            roster.is_lead(at(1), &cards[*index], 2)
+        };
+        (0..cards.len()).filter(is_lead).collect()
+    };
+    assert_eq!(leads(&cards), [0, 1]);
+    cards[0].has_store = false;
+    assert_eq!(leads(&cards), [1, 2]);
+    cards.iter_mut().for_each(|card| card.has_store = false);
+    assert_eq!(leads(&cards), [0, 1], "somebody must notice that the store is back");
+}
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -4,6 +4,7 @@
 use std::{
     io,
     net::{SocketAddr, UdpSocket},
+    time::Duration,
 };
 
 use async_io::{Async, Timer};
@@ -11,16 +12,20 @@
     dispatch::DispatchInput,
     evidence::PeerEvidence,
     fleet::EngineOpinion,
-    roster::{HostCard, HostTag, PeerNews, SILENCE_LIMIT},
+    roster::{HostCard, HostTag, PeerNews},
     work::WorkNews,
 };
 use parsley_macros::message;
 
-use super::{Gateway, GatewayRef, clock};
+use super::{Gateway, GatewayRef, ServerNews, clock};
 use crate::{error::NodeError, event};
 
 /// Largest datagram that is read, in bytes.
 const DATAGRAM_BYTES: usize = 64 << 10;
+/// Pause after a failed receipt.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(100);
+/// Entries of servers in one datagram.
+const SERVERS_A_DATAGRAM: usize = 8;
 /// Work entries in one datagram; more go in further ones, below the size that networks carry.
 const ENTRIES_A_DATAGRAM: usize = 16;
 
@@ -35,7 +40,11 @@
         evidence: PeerEvidence,
         news: WorkNews,
         opinions: Vec<EngineOpinion>,
+        /// Number that stands for the sender's list of servers.
+        digest: u64,
     },
+    /// What a lead learned from the store about servers.
+    Servers(Vec<ServerNews>),
     /// What changed, sent to every peer.
     News { host: HostTag, incarnation: u64, news: WorkNews },
 }
@@ -58,7 +67,8 @@
     let (beating, to) = (gateway.clone(), socket);
     gateway.spawn(async move {
         loop {
-            let period = beating.state.borrow().roster.beat_period();
+            let is_lead = beating.feed_context(true).is_lead;
+            let period = beating.state.borrow().roster.beat_period(is_lead);
             send_beats(&beating, &to);
             Timer::after(period).await;
         }
@@ -68,14 +78,37 @@
 
 /// Tells every peer everything now, from a socket of its own.
 pub fn send_full(gateway: &GatewayRef) {
+    with_own_socket(gateway, |socket| send_beats(gateway, socket));
+}
+
+fn with_own_socket(gateway: &Gateway, work: impl FnOnce(&Async<UdpSocket>)) {
     let from = SocketAddr::new(gateway.settings.card.beats.ip(), 0);
     match Async::<UdpSocket>::bind(from) {
-        Ok(socket) => send_beats(gateway, &socket),
+        Ok(socket) => work(&socket),
         Err(err) => event!(gateway.log, DATAGRAM_REFUSED, "from" => from.to_string(),
             "error" => err.to_string()),
     }
 }
 
+/// Tells every peer what the store showed about servers.
+pub fn send_servers(gateway: &Gateway) {
+    let news = std::mem::take(&mut gateway.state.borrow_mut().server_news);
+    if news.is_empty() {
+        return;
+    }
+    with_own_socket(gateway, |socket| {
+        let now = clock::now();
+        let targets: Vec<_> = {
+            let state = gateway.state.borrow();
+            state.roster.alive(now).map(|(_, card)| card.beats).collect()
+        };
+        for part in news.chunks(SERVERS_A_DATAGRAM) {
+            let bytes = encode(&PeerBeat::Servers(part.to_vec()));
+            targets.iter().for_each(|target| send(gateway, socket, *target, &bytes));
+        }
+    });
+}
+
 fn send_news(gateway: &Gateway, socket: &Async<UdpSocket>) {
     let (bytes, targets) = {
         let mut state = gateway.state.borrow_mut();
@@ -96,11 +129,12 @@
 
 fn send_beats(gateway: &Gateway, socket: &Async<UdpSocket>) {
     let now = clock::now();
-    let (card, news, opinions, targets) = {
+    let (card, news, opinions, digest, targets) = {
         let mut state = gateway.state.borrow_mut();
         let news = state.dispatcher.view.take_news(now, true);
         let opinions = state.dispatcher.fleet.opinions(now);
-        (state.card.clone(), news, opinions, state.roster.targets())
+        let digest = state.dispatcher.fleet.digest();
+        (state.card.clone(), news, opinions, digest, state.roster.targets())
     };
     let (first, rest) = news.entries.split_at(news.entries.len().min(ENTRIES_A_DATAGRAM));
     for target in targets {
@@ -112,6 +146,7 @@
             evidence,
             news,
             opinions: opinions.clone(),
+            digest,
         };
         send(gateway, socket, target, &encode(&beat));
         for entries in rest.chunks(ENTRIES_A_DATAGRAM) {
@@ -129,7 +164,7 @@
     let tag = state.roster.tag_of(target);
     let (echo, heard) =
         tag.and_then(|tag| state.peer_clocks.get(&tag)).copied().unwrap_or((0, now));
-    let millis = |span: std::time::Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+    let millis = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
     PeerEvidence {
         version: state.evidence.version(),
         // Rounded against the evidence.
@@ -160,7 +195,7 @@
             Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => continue,
             Err(err) => {
                 log_refused(&gateway, socket.get_ref().local_addr().ok(), &err.to_string());
-                Timer::after(SILENCE_LIMIT / 10).await;
+                Timer::after(RECEIVE_PAUSE).await;
                 continue;
             }
         };
@@ -190,7 +225,15 @@
                 gateway.dispatch(DispatchInput::Heard { host, incarnation, news, opinions });
             }
         }
-        PeerBeat::Full { card, clock, evidence, news, opinions } => {
+        PeerBeat::Servers(news) => {
+            for one in news {
+                gateway.dispatch(match one {
+                    ServerNews::Changed(entry) => DispatchInput::Changed(entry),
+                    ServerNews::Removed { id, revision } => DispatchInput::Removed { id, revision },
+                });
+            }
+        }
+        PeerBeat::Full { card, clock, evidence, news, opinions, digest } => {
             let (host, incarnation) = (card.tag(), card.incarnation);
             let (peer_news, is_newer) = {
                 let state = &mut *gateway.state.borrow_mut();
@@ -199,6 +242,13 @@
                 }
                 let Some(peer_news) = state.roster.hear(now, card.clone()) else { return };
                 state.peer_clocks.insert(host, (clock, now));
+                state.newest_heard = state.newest_heard.max(evidence.version);
+                let is_unlike = digest != state.dispatcher.fleet.digest();
+                if card.has_store && is_unlike {
+                    state.unlike_since.get_or_insert(now);
+                } else if card.has_store {
+                    state.unlike_since = None;
+                }
                 (peer_news, state.evidence.hear(now, &evidence))
             };
             if peer_news == PeerNews::Back {
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -19,14 +19,15 @@
     catalog::{RouteCatalog, ServingConfig},
     dispatch::{DispatchInput, DispatchOutput, Dispatcher, HelperPart, PlaceReason, TICK_PERIOD},
     evidence::EvidenceKeeper,
-    fleet::{EngineTag, EngineVerdict},
+    feed::{FeedContext, LEADS, PROOF_AGE, UNLIKE_TIME},
+    fleet::{EngineEntry, EngineTag, EngineVerdict},
     refusal::{Reason, Refusal},
     retry::{RetryBudget, RetryLimit},
     roster::{HostCard, HostTag, PeerRoster},
     time::Time,
     work::WorkNumber,
 };
-use parsley_macros::value;
+use parsley_macros::{message, value};
 use slog::Logger;
 
 use crate::event;
@@ -92,6 +93,20 @@
     reason: PlaceReason,
 }
 
+/// What a lead learned from the store about a server.
+#[message]
+pub enum ServerNews {
+    /// Its entry is new or changed.
+    Changed(EngineEntry),
+    /// Its entry is gone.
+    Removed {
+        /// Instance.
+        id: Arc<str>,
+        /// The store's revision.
+        revision: u64,
+    },
+}
+
 /// What changes while a gateway runs.
 struct GatewayState {
     dispatcher: Dispatcher,
@@ -104,6 +119,14 @@
     waiters: BTreeMap<WorkNumber, Sender<Result<Placement, Refusal>>>,
     next_number: u32,
     drain_end: Option<Time>,
+    /// Whether the store does not answer for the configuration and for discovery.
+    store_lost: (bool, bool),
+    /// Newest version of the configuration that a peer has.
+    newest_heard: u64,
+    /// Since when a lead has another list of servers.
+    unlike_since: Option<Time>,
+    /// News for peers that are not sent yet.
+    server_news: Vec<ServerNews>,
     /// Clock of each peer's last full beat, and when it came.
     peer_clocks: BTreeMap<HostTag, (u64, Time)>,
     rng: fastrand::Rng,
@@ -125,7 +148,7 @@
     links: LinkPool,
     open: Cell<usize>,
     news: (Sender<()>, Receiver<()>),
-    /// Asks the driver to read the configuration again.
+    /// Wakes the driver when a peer has something newer.
     stale: (Sender<()>, Receiver<()>),
     closing: (RefCell<Option<Sender<()>>>, Receiver<()>),
 }
@@ -152,6 +175,10 @@
             waiters: BTreeMap::new(),
             next_number: 0,
             drain_end: None,
+            store_lost: (false, false),
+            newest_heard: 0,
+            unlike_since: None,
+            server_news: Vec::new(),
             peer_clocks: BTreeMap::new(),
             rng: fastrand::Rng::new(),
         };
@@ -237,6 +264,9 @@
             services
         };
         self.metrics.config_version.set(version as i64);
+        if self.feed_context(true).is_lead {
+            beats::send_full(self);
+        }
         self.dispatch(DispatchInput::Services(services));
         self.note_evidence();
     }
@@ -261,17 +291,39 @@
         if has_peer { PEER_RETRY } else { STORE_RETRY }
     }
 
-    /// Whether requests with a key may be served.
-    pub fn is_recent(&self) -> bool {
-        self.state.borrow().evidence.is_recent(clock::now())
+    /// What decides how the driver follows a part of the store.
+    pub fn feed_context(&self, is_config: bool) -> FeedContext {
+        let now = clock::now();
+        let state = self.state.borrow();
+        let proof = state.evidence.age(now);
+        let has_news = if is_config {
+            state.newest_heard > state.evidence.version()
+        } else {
+            state.unlike_since.is_some_and(|at| now.since(at) >= UNLIKE_TIME)
+        };
+        FeedContext {
+            is_lead: state.roster.is_lead(now, &state.card, LEADS),
+            needs_proof: state.catalog.is_some() && proof.is_none_or(|age| age >= PROOF_AGE),
+            has_news,
+        }
     }
 
-    /// Waits until a peer is known to have a newer configuration.
-    pub async fn config_is_stale(&self) {
+    /// Waits until a peer is known to have something newer.
+    pub async fn feed_news(&self) {
         // The channel closes only with the gateway.
         let _ = self.stale.1.recv().await;
     }
 
+    /// Keeps news of the store about a server for the peers.
+    pub fn tell_later(&self, news: ServerNews) {
+        self.state.borrow_mut().server_news.push(news);
+    }
+
+    /// Tells the peers what was kept for them.
+    pub fn tell_servers(&self) {
+        beats::send_servers(self);
+    }
+
     /// The store names a host.
     pub fn introduce(&self, card: HostCard) {
         let mut state = self.state.borrow_mut();
@@ -285,9 +337,17 @@
         self.state.borrow_mut().roster.keep_named(named);
     }
 
-    /// The store was lost or regained for discovery.
-    pub fn note_store(self: &Rc<Self>, is_lost: bool) {
-        self.dispatch(DispatchInput::Store { is_lost });
+    /// The store was lost or regained for the configuration or for discovery.
+    pub fn note_store(self: &Rc<Self>, is_config: bool, is_lost: bool) {
+        {
+            let mut state = self.state.borrow_mut();
+            let part = if is_config { &mut state.store_lost.0 } else { &mut state.store_lost.1 };
+            *part = is_lost;
+            state.card.has_store = state.store_lost == (false, false);
+        }
+        if !is_config {
+            self.dispatch(DispatchInput::Store { is_lost });
+        }
     }
 
     /// Gives the dispatcher an input and carries out what it decides.
