--- a/crates/core/src/dispatch/forecast.rs
+++ b/crates/core/src/dispatch/forecast.rs
@@ -94,6 +94,8 @@
     pub held: f64,
     /// Requests sent and not ended.
     pub requests: usize,
+    /// Time until all of them have ended, if their answers are as long as they may be.
+    pub busy_ms: f64,
 }
 
 /// What a request would meet on an engine.
@@ -130,7 +132,10 @@
             (false, true) => f64::from(need.prompt.saturating_add(need.answer)),
             (false, false) => 0.0,
         };
+        let write_ms = model.write_ms(need.prompt, need.answer) * pace;
+        let elapsed = now.since(entry.since).as_secs_f64() * 1e3;
         if entry.phase == WorkPhase::Writing {
+            self.busy_ms = self.busy_ms.max(write_ms - elapsed);
             if is_first {
                 self.writers.push(gap_ms);
                 self.context += f64::from(need.prompt) / if must_split { parts } else { 1.0 };
@@ -139,11 +144,11 @@
         }
         let read_ms = model.read_ms(need.prompt) / parts * pace;
         let before = self.readers.last().map_or(0.0, |reader| reader.left_ms);
-        let elapsed = now.since(entry.since).as_secs_f64() * 1e3;
         // A read starts when the one before it ends; what of that is over shortens this one.
         let left_ms = (before + read_ms - if before > 0.0 { 0.0 } else { elapsed })
             .max(before + read_ms * OVERDUE_SHARE);
         let pass_ms = read_ms * model.pass_share(f64::from(need.prompt) / parts);
+        self.busy_ms = self.busy_ms.max(left_ms + write_ms);
         self.readers.push(EngineReader { left_ms, priority: need.priority, gap_ms, pass_ms });
     }
 
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -326,7 +326,10 @@
             let excluded = work.as_ref().map_or(&[][..], |work| &work.excluded);
             let choice = self.choose(now, &service, &entry, excluded, &loads);
             let deadline = work.as_ref().map(|work| work.deadline);
-            let decision = self.weigh(now, &service, &entry, choice.as_ref(), deadline, ahead_ms);
+            let decision = {
+                let free_ms = self.free_after(&service, &entry.need, &loads) + ahead_ms;
+                self.weigh(now, &service, &entry, choice.as_ref(), deadline, free_ms)
+            };
             match (decision, choice) {
                 (PlaceDecision::Now, Some(choice)) => {
                     let placed = self.placed_entry(now, &entry, &choice);
@@ -355,7 +358,9 @@
                 }
                 _ => {
                     let model = self.models.get(&entry.need.service).and_then(Option::as_ref);
-                    ahead_ms += model.map_or(0.0, |model| model.read_ms(entry.need.prompt));
+                    let engines = self.fleet.usable(&service).count().max(1) as f64;
+                    ahead_ms +=
+                        model.map_or(0.0, |model| model.read_ms(entry.need.prompt)) / engines;
                 }
             }
         }
@@ -540,6 +545,23 @@
         }
     }
 
+    /// Time until an engine has room for a prompt that takes most of its memory; short prompts need
+    /// only one answer to end.
+    fn free_after(
+        &self,
+        service: &str,
+        need: &WorkNeed,
+        loads: &BTreeMap<EngineTag, EngineLoad>,
+    ) -> f64 {
+        let model = self.models.get(&need.service).and_then(Option::as_ref);
+        if model.is_none_or(|model| need.prompt < model.memory / 2) {
+            return 0.0;
+        }
+        let busy = |tag: EngineTag| loads.get(&tag).map_or(0.0, |load| load.busy_ms);
+        let least = self.fleet.usable(service).map(|(tag, _)| busy(tag)).min_by(f64::total_cmp);
+        least.unwrap_or(0.0)
+    }
+
     /// Whether a choice is taken now, or a better one is waited for, or there will be none.
     fn weigh(
         &self,
@@ -548,7 +570,7 @@
         entry: &WorkEntry,
         choice: Option<&PlaceChoice>,
         deadline: Option<Time>,
-        ahead_ms: f64,
+        free_ms: f64,
     ) -> PlaceDecision {
         let model = self.models.get(&entry.need.service).and_then(Option::as_ref);
         let read_ms = model.map_or(0.0, |model| model.read_ms(entry.need.prompt));
@@ -566,7 +588,7 @@
             };
         }
         let Some(choice) = choice else {
-            let queued = Duration::from_secs_f64((ahead_ms / engines as f64 + read_ms) / 1e3);
+            let queued = Duration::from_secs_f64((free_ms + read_ms) / 1e3);
             return if now + queued < limit { PlaceDecision::Later } else { PlaceDecision::Never };
         };
         if choice.cost - choice.failure < WAIT_COST {
--- a/crates/core/src/dispatch/tests.rs
+++ b/crates/core/src/dispatch/tests.rs
@@ -1,1 +1,305 @@
 use super::*;
+
+const SERVICE: &str = "model";
+const PLAIN: &str = "records";
+const PEER: HostTag = HostTag(7);
+
+/// Engines that read 256 tokens a millisecond, as the users publish theirs.
+fn model() -> PassModel {
+    PassModel {
+        slots: 16,
+        memory: 450_000,
+        step_ms: 0.925,
+        writer_ms: 0.00483,
+        context_ms: 0.00254,
+        read_per_ms: 256.0,
+        pairs_ms: 0.0917,
+        chunk: 2_048,
+        stride: 46,
+        hop_ms: 0.1,
+    }
+}
+
+fn at(millis: u64) -> Time {
+    Time(1_000_000_000 + millis * 1_000)
+}
+
+fn entry(index: usize, service: &str) -> EngineEntry {
+    EngineEntry {
+        id: format!("{service}-{index}").into(),
+        service: service.into(),
+        address: ([127, 0, 0, 1], 8_000 + index as u16).into(),
+        failure_domain: if index.is_multiple_of(2) { "a".into() } else { "b".into() },
+        slots: if service == PLAIN { 6 } else { 16 },
+        is_leaving: false,
+        born: 1,
+        revision: 1,
+    }
+}
+
+fn dispatcher(engines: usize, plain: usize) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new("a".into());
+    let service =
+        |name: &str, pass| ServingService { name: name.into(), max_connections: 400, pass };
+    let services = [service(SERVICE, Some(model())), service(PLAIN, None)];
+    let services = services.into_iter().map(|one| (one.name.clone(), one)).collect();
+    dispatcher.step(at(0), DispatchInput::Services(services));
+    let engines = (0..engines).map(|index| entry(index, SERVICE));
+    let entries = engines.chain((0..plain).map(|index| entry(index, PLAIN))).collect();
+    dispatcher.step(at(0), DispatchInput::Listed { entries, revision: 1 });
+    dispatcher
+}
+
+fn need(service: &str, prompt: u32, answer: u32, aim: u32, gap: u32, priority: u8) -> WorkNeed {
+    WorkNeed {
+        service: hash_name(service),
+        prompt,
+        answer,
+        first_aim_ms: aim,
+        gap_aim_ms: gap,
+        priority,
+    }
+}
+
+fn short() -> WorkNeed {
+    need(SERVICE, 5_000, 1_600, 250, 200, 0)
+}
+
+fn long(prompt: u32) -> WorkNeed {
+    need(SERVICE, prompt, 800, 6_000, 800, 2)
+}
+
+fn submit(
+    dispatcher: &mut Dispatcher,
+    now: Time,
+    number: u32,
+    need: WorkNeed,
+    patience_ms: u64,
+) -> Vec<DispatchOutput> {
+    let service = if need.service == hash_name(PLAIN) { PLAIN } else { SERVICE };
+    dispatcher.step(
+        now,
+        DispatchInput::Submit {
+            number: WorkNumber(number),
+            service: service.into(),
+            need,
+            arrived: now,
+            deadline: now + Duration::from_millis(patience_ms),
+            excluded: Vec::new(),
+        },
+    )
+}
+
+fn assigned(outputs: &[DispatchOutput]) -> Vec<(u32, EngineTag, Vec<HelperPart>)> {
+    let assigned = outputs.iter().filter_map(|output| match output {
+        DispatchOutput::Assign { number, engine, helpers, .. } => {
+            Some((number.0, *engine, helpers.clone()))
+        }
+        _ => None,
+    });
+    assigned.collect()
+}
+
+fn place(dispatcher: &mut Dispatcher, now: Time, number: u32, need: WorkNeed) -> EngineTag {
+    let outputs = submit(dispatcher, now, number, need, 10_000);
+    let placed = assigned(&outputs);
+    assert_eq!(placed.len(), 1, "{outputs:?}");
+    placed[0].1
+}
+
+fn begin(dispatcher: &mut Dispatcher, now: Time, number: u32) {
+    dispatcher.step(now, DispatchInput::Begun(WorkNumber(number)));
+}
+
+/// Puts steady short work on the fleet: `count` answers being written.
+fn steady_short(dispatcher: &mut Dispatcher, count: u32) -> Vec<EngineTag> {
+    let mut engines = Vec::new();
+    for number in 0..count {
+        let now = at(u64::from(number) * 30);
+        engines.push(place(dispatcher, now, number, short()));
+        begin(dispatcher, now + Duration::from_millis(25), number);
+    }
+    engines.sort_unstable();
+    engines.dedup();
+    engines
+}
+
+/// Pattern: steady short prompts, now and then a long one. The short ones gather, so that an engine
+/// is left on which a long one delays nobody.
+#[test]
+fn short_prompts_gather_and_leave_engines_to_long_ones() {
+    let mut dispatcher = dispatcher(14, 0);
+    let gathered = steady_short(&mut dispatcher, 40);
+    assert!(gathered.len() <= 5, "40 short answers are spread over {} engines", gathered.len());
+    let engine = place(&mut dispatcher, at(1_300), 100, long(210_000));
+    assert!(!gathered.contains(&engine));
+    // The next short prompts keep away from the engine that reads the long one.
+    for number in 101..120 {
+        assert_ne!(place(&mut dispatcher, at(1_310), number, short()), engine);
+    }
+}
+
+/// Pattern: a flood of the longest prompts with steady short ones. Long prompts wait for an engine
+/// of their own rather than stretch the pauses of short answers.
+#[test]
+fn flood_of_long_prompts_does_not_touch_short_answers() {
+    let mut dispatcher = dispatcher(6, 0);
+    let gathered = steady_short(&mut dispatcher, 20);
+    let now = at(700);
+    let mut used = Vec::new();
+    for number in 100..120 {
+        let outputs = submit(&mut dispatcher, now, number, long(210_000), 15_000);
+        used.extend(assigned(&outputs).into_iter().map(|(_, engine, _)| engine));
+    }
+    assert!(!used.is_empty() && used.iter().all(|engine| !gathered.contains(engine)));
+    assert!(dispatcher.waiting() > 0, "the rest waits");
+    // When an engine is free, the one that waited longest gets it.
+    dispatcher.step(at(2_000), DispatchInput::Ended(WorkNumber(100)));
+    let outputs = dispatcher.step(at(2_010), DispatchInput::Tick);
+    assert!(assigned(&outputs).len() <= 1);
+}
+
+/// Pattern: the same flood at many hosts. Each host places its own requests, in an order that all
+/// share, so an engine that becomes free is not taken by a younger request of another host.
+#[test]
+fn older_request_of_a_peer_goes_first() {
+    let mut dispatcher = dispatcher(1, 0);
+    place(&mut dispatcher, at(0), 1, long(200_000));
+    let waiting = WorkEntry {
+        need: long(200_000),
+        phase: WorkPhase::Waiting,
+        engines: Vec::new(),
+        arrived: Time(500_000),
+        since: Time(500_000),
+    };
+    let news =
+        WorkNews { is_full: true, entries: vec![(WorkNumber(1), waiting)], ended: Vec::new() };
+    let heard = DispatchInput::Heard { host: PEER, incarnation: 1, news, opinions: Vec::new() };
+    dispatcher.step(at(1_000), heard);
+    assert!(assigned(&submit(&mut dispatcher, at(1_000), 2, long(200_000), 15_000)).is_empty());
+    dispatcher.step(at(1_500), DispatchInput::Ended(WorkNumber(1)));
+    let outputs = dispatcher.step(at(1_510), DispatchInput::Tick);
+    assert!(assigned(&outputs).is_empty(), "the peer's request is older");
+}
+
+/// Pattern: prompts beyond one engine's memory.
+#[test]
+fn prompt_beyond_one_engine_is_shared_out() {
+    let mut dispatcher = dispatcher(6, 0);
+    let outputs = submit(&mut dispatcher, at(0), 1, long(900_000), 15_000);
+    let placed = assigned(&outputs);
+    let [(_, first, helpers)] = &placed[..] else { panic!("{outputs:?}") };
+    let shared: u32 = helpers.iter().map(|helper| helper.tokens.unwrap()).sum();
+    assert!(helpers.len() >= 2 && helpers.iter().all(|helper| helper.engine != *first));
+    assert!(900_800 - shared.min(900_800) <= 450_000, "the rest fits into the first engine");
+}
+
+/// What can never be served is refused at once, not held.
+#[test]
+fn prompt_that_the_fleet_cannot_hold_is_refused_at_once() {
+    let mut dispatcher = dispatcher(1, 0);
+    let outputs = submit(&mut dispatcher, at(0), 1, long(5_000_000), 15_000);
+    assert!(matches!(outputs[..], [DispatchOutput::Refuse { .. }]), "{outputs:?}");
+}
+
+#[test]
+fn long_prompt_that_cannot_begin_in_time_is_refused() {
+    let mut dispatcher = dispatcher(1, 0);
+    place(&mut dispatcher, at(0), 1, long(400_000));
+    let outputs = submit(&mut dispatcher, at(10), 2, long(400_000), 9_000);
+    assert!(matches!(outputs[..], [DispatchOutput::Refuse { .. }]), "{outputs:?}");
+}
+
+/// A list that is just being read, or a service whose servers are replaced, needs a moment.
+#[test]
+fn request_without_any_server_waits_shortly_and_is_refused() {
+    let mut dispatcher = dispatcher(0, 0);
+    assert!(submit(&mut dispatcher, at(0), 1, short(), 10_000).is_empty());
+    let outputs = dispatcher.step(at(600), DispatchInput::Tick);
+    let refused = matches!(outputs[..], [DispatchOutput::Refuse { reason: Reason::NoEngine, .. }]);
+    assert!(refused, "{outputs:?}");
+}
+
+/// Pattern: engines that fail part of their requests while their health is good.
+#[test]
+fn failing_engine_is_avoided_and_tried_again_later() {
+    let mut dispatcher = dispatcher(3, 0);
+    let bad = place(&mut dispatcher, at(0), 1, short());
+    dispatcher.step(at(5), DispatchInput::Ended(WorkNumber(1)));
+    let verdict = EngineVerdict::Failed;
+    dispatcher.step(at(10), DispatchInput::Judged { engine: bad, verdict });
+    dispatcher.step(at(10), DispatchInput::Judged { engine: bad, verdict });
+    for number in 2..12 {
+        assert_ne!(place(&mut dispatcher, at(20 + u64::from(number)), number, short()), bad);
+    }
+}
+
+/// Pattern: one plain service with few slots; requests go where the least of them are.
+#[test]
+fn plain_requests_fill_servers_evenly_and_wait_when_all_are_full() {
+    let mut dispatcher = dispatcher(0, 3);
+    let plain = || need(PLAIN, 0, 0, 150, 0, 2);
+    let mut counts: BTreeMap<EngineTag, u32> = BTreeMap::new();
+    for number in 0..18 {
+        *counts.entry(place(&mut dispatcher, at(0), number, plain())).or_default() += 1;
+    }
+    assert_eq!(counts.values().copied().collect::<Vec<_>>(), [6, 6, 6]);
+    assert!(submit(&mut dispatcher, at(1), 18, plain(), 800).is_empty());
+    let outputs = dispatcher.step(at(2), DispatchInput::Ended(WorkNumber(0)));
+    assert_eq!(assigned(&outputs).len(), 1);
+}
+
+#[test]
+fn leaving_server_gets_no_request() {
+    let mut dispatcher = dispatcher(0, 2);
+    let leaving = EngineEntry { is_leaving: true, revision: 2, ..entry(0, PLAIN) };
+    let tag = leaving.tag();
+    dispatcher.step(at(1), DispatchInput::Changed(leaving));
+    for number in 0..6 {
+        let plain = need(PLAIN, 0, 0, 150, 0, 2);
+        assert_ne!(place(&mut dispatcher, at(2), number, plain), tag);
+    }
+}
+
+/// Whatever arrives and ends, every request gets exactly one decision or still waits.
+#[test]
+fn every_request_is_decided_once() {
+    crate::fixed_cases(60, |input| {
+        let mut dispatcher = dispatcher(input.int_in_range(0..=4)?, 1);
+        let (mut now, mut open, mut decided) = (0, Vec::new(), BTreeSet::new());
+        for number in 0..40_u32 {
+            now += input.int_in_range(0..=400)?;
+            let work = match input.int_in_range(0..=2)? {
+                0 => short(),
+                1 => long(input.int_in_range(1_000..=1_200_000)?),
+                _ => need(PLAIN, 0, 0, 150, 0, 2),
+            };
+            let mut outputs = submit(&mut dispatcher, at(now), number, work, 8_000);
+            if input.ratio(1, 3)? && !open.is_empty() {
+                let ended = open.swap_remove(input.choose_index(open.len())?);
+                outputs.extend(dispatcher.step(at(now), DispatchInput::Ended(WorkNumber(ended))));
+            }
+            for output in outputs {
+                let (DispatchOutput::Assign { number, .. } | DispatchOutput::Refuse { number, .. }) =
+                    output
+                else {
+                    continue;
+                };
+                assert!(decided.insert(number.0), "{number:?} is decided twice");
+                if matches!(output, DispatchOutput::Assign { .. }) {
+                    open.push(number.0);
+                }
+            }
+        }
+        now += 60_000;
+        let outputs = dispatcher.step(at(now), DispatchInput::Tick);
+        decided.extend(outputs.iter().filter_map(|output| match output {
+            DispatchOutput::Assign { number, .. } | DispatchOutput::Refuse { number, .. } => {
+                Some(number.0)
+            }
+            _ => None,
+        }));
+        assert_eq!((decided.len(), dispatcher.waiting()), (40, 0));
+        Ok(())
+    });
+}
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -170,8 +170,7 @@
     /// Whether this host is one of those that watch the store for all: the first by tag that the
     /// store answers, or the first of all if it answers none.
     pub fn is_lead(&self, now: Time, me: &HostCard, leads: usize) -> bool {
-        let cards: Vec<_> =
-            self.alive(now).map(|(tag, card)| (tag, card)).chain([(me.tag(), me)]).collect();
+        let cards: Vec<_> = self.alive(now).chain([(me.tag(), me)]).collect();
         let any_store = cards.iter().any(|(_, card)| card.has_store);
         if any_store && !me.has_store {
             return false;
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -121,12 +121,12 @@
     };
 }
 
-/// The root logger to standard error. The guard writes out what is waiting when it is dropped.
+/// The root logger to standard output. The guard writes out what is waiting when it is dropped.
 pub fn root() -> (Logger, AsyncGuard) {
-    if std::io::stderr().is_terminal() {
-        return background(terminal(slog_term::TermDecorator::new().stderr().build()).fuse());
+    if std::io::stdout().is_terminal() {
+        return background(terminal(slog_term::TermDecorator::new().stdout().build()).fuse());
     }
-    background(json(std::io::stderr()).fuse())
+    background(json(std::io::stdout()).fuse())
 }
 
 /// One JSON object a line: `ts`, `level`, `event`, `msg` and the event's fields.
--- a/crates/standins/src/solo.rs
+++ b/crates/standins/src/solo.rs
@@ -116,13 +116,14 @@
         let path = base.with_extension("json");
         let log = base.with_extension("log");
         std::fs::write(&path, settings.to_string())?;
+        let output = std::fs::File::create(&log)?;
         let child = Command::new(&self.program)
             .args(&self.arguments)
             .arg(&path)
             .env(SETTINGS_VARIABLE, &path)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(std::fs::File::create(&log)?)
+            .stdout(output.try_clone()?)
+            .stderr(output)
             .spawn()?;
         let mut host = SoloHost {
             address,
