Catalogue the gateway's log events

Cause: the events of the gateway had no page, and a placement did not name the version of what it was decided with. Ruled out: a second catalogue beside the host's.

--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -404,11 +404,18 @@
             return;
         }
         let reason = &placement.reason;
+        let (revision, hosts) = {
+            let state = self.gateway.state.borrow();
+            let record = state.dispatcher.fleet.get(placement.engine);
+            let revision = record.map_or(0, |record| record.entry.revision);
+            (revision, state.roster.alive(now).count() + 1)
+        };
         event!(self.gateway.log, REQUEST_PLACED, "request" => &*self.id,
             "server" => placement.engine.0, "attempt" => attempt,
             "helpers" => placement.helpers.len(),
             "waited_ms" => now.since(waited).as_millis() as u64, "first_ms" => reason.first_ms,
             "harmed" => reason.harmed, "failure_percent" => reason.failure_percent,
-            "requests" => reason.requests, "weighed" => reason.weighed);
+            "requests" => reason.requests, "weighed" => reason.weighed, "revision" => revision,
+            "hosts" => hosts);
     }
 }
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -387,7 +387,7 @@
                 let entry = &record.entry;
                 event!(self.log, SERVER_CHANGED, "server" => tag.0, "id" => &*entry.id,
                     "service" => &*entry.service, "address" => entry.address.to_string(),
-                    "leaving" => entry.is_leaving);
+                    "leaving" => entry.is_leaving, "revision" => entry.revision);
             }
         }
     }
--- a/crates/node/src/gateway/tests.rs
+++ b/crates/node/src/gateway/tests.rs
@@ -1,1 +1,54 @@
-use super::*;
+use std::time::Duration;
+
+use parsley_core::{
+    refusal::{Outcome, Reason, Refusal},
+    time::Time,
+};
+
+use super::{body::EventSplitter, line_budget::LineBudget, refuse::status_of};
+
+#[test]
+fn events_are_cut_whole_whatever_the_pieces() {
+    let text = b"id: 7\ndata: a\n\nparsley-version: 2\nid: 8\ndata: b\r\n\r\n\n\ndata: rest";
+    for size in 1..text.len() {
+        let mut splitter = EventSplitter::default();
+        let events: Vec<_> =
+            text.chunks(size).flat_map(|piece| splitter.push(piece).unwrap()).collect();
+        let ids: Vec<_> = events.iter().map(|event| event.id).collect();
+        assert_eq!(ids, [Some(7), Some(8), None]);
+        let bytes: Vec<_> = events.iter().flat_map(|event| event.bytes.to_vec()).collect();
+        assert_eq!(bytes, &text[..text.len() - "data: rest".len()]);
+        assert!(splitter.has_rest());
+    }
+}
+
+#[test]
+fn endless_event_is_refused() {
+    let mut splitter = EventSplitter::default();
+    let result = (0..40).try_for_each(|_| splitter.push(&[b'x'; 64 << 10]).map(drop));
+    assert!(result.is_err());
+}
+
+/// Statuses that promise "not run" are given only if it is true.
+#[test]
+fn promise_needs_a_request_that_did_not_run() {
+    for reason in Reason::ALL {
+        for outcome in [Outcome::Ran, Outcome::Unknown] {
+            let refusal = Refusal { outcome, ..Refusal::not_run(reason, "x") };
+            let status = status_of(&refusal).as_u16();
+            assert!(![408, 421, 429, 503].contains(&status), "{reason:?} {outcome:?}: {status}");
+        }
+    }
+    let late = Refusal::not_run(Reason::DeadlineExceeded, "x");
+    assert_eq!(status_of(&late).as_u16(), 503);
+}
+
+#[test]
+fn failures_are_logged_when_routine_lines_are_not() {
+    let budget = LineBudget::default();
+    let now = Time(5_000_000);
+    let written = (0..1_000).filter(|_| budget.may_write(now, false)).count();
+    assert!(written < 1_000 && budget.may_write(now, true));
+    assert_eq!(budget.take_dropped(), 1_000 - written as u64);
+    assert!(budget.may_write(now + Duration::from_secs(1), false));
+}
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -89,7 +89,7 @@
     PEER_SILENT: "E2202" Warning "peer silent" ["peer"];
     DATAGRAM_REFUSED: "E2203" Warning "datagram not valid" ["from", "error"];
     SERVER_CHANGED: "E2301" Info "server in discovery"
-        ["server", "id", "service", "address", "leaving"];
+        ["server", "id", "service", "address", "leaving", "revision"];
     SERVER_GONE: "E2302" Info "server gone" ["server"];
     SERVER_JUDGED: "E2303" Warning "server failed an attempt"
         ["server", "verdict", "failure_percent", "request"];
@@ -98,7 +98,7 @@
         ["request", "route", "account", "priority", "prompt", "patience_ms", "config", "config_age_ms"];
     REQUEST_PLACED: "E2402" Info "request placed"
         ["request", "server", "attempt", "helpers", "waited_ms", "first_ms", "harmed", "failure_percent",
-            "requests", "weighed"];
+            "requests", "weighed", "revision", "hosts"];
     ATTEMPT_FAILED: "E2403" Warning "attempt failed"
         ["request", "server", "attempt", "fault", "may_have_run", "events"];
     REQUEST_ENDED: "E2404" Info "request ended"
--- a/crates/node/tests/events.rs
+++ b/crates/node/tests/events.rs
@@ -56,7 +56,8 @@
 fn every_use_has_the_fields_of_its_entry() {
     let mut used = BTreeSet::new();
     let catalogue_text = fs::read_to_string(root().join("src/log.rs")).unwrap();
-    for (path, text) in sources(&root().join("src")) {
+    let folders = [root().join("src"), root().join("../../platform/src")];
+    for (path, text) in folders.iter().flat_map(|folder| sources(folder)) {
         if path.ends_with("log.rs") {
             continue;
         }
