Serve long prompts on time or refuse them early

The oldest went first, late or not, and the forecast of a turn ignored what runs. Change: what can still be on time goes first; a turn is forecast from running and waiting work on engines without short answers, and what cannot begin in time is refused with that time to come back; short prompts gather closely only while long ones wait; plain requests are repeated after two aims.

--- a/crates/core/src/dispatch/forecast.rs
+++ b/crates/core/src/dispatch/forecast.rs
@@ -51,6 +51,11 @@
         tokens / self.read_per_ms.max(f64::MIN_POSITIVE) + pairs * self.pairs_ms
     }
 
+    /// Whether its read takes longer than the pauses between events may be.
+    pub fn is_long(&self, need: &WorkNeed) -> bool {
+        self.read_ms(need.prompt) > f64::from(need.gap_aim_ms)
+    }
+
     /// Time of a step.
     fn step_time(&self, writers: usize, context: f64) -> f64 {
         self.step_ms + self.writer_ms * writers as f64 + self.context_ms * context / 1e3
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -35,10 +35,11 @@
 pub const TICK_PERIOD: Duration = Duration::from_millis(20);
 /// Cost of a placement, in requests made late, from which on waiting for a better one pays.
 const WAIT_COST: f64 = 0.5;
-/// Part of the first aim that a short request's forecast may use when requests gather.
-const GATHER_SHARE: f64 = 0.5;
-/// Part of the slots that is filled before requests spread.
-const GATHER_SLOTS: f64 = 0.7;
+/// How closely short requests gather: the part of the first aim that their forecast may use, and the
+/// part of the slots that is filled, before they spread.
+const LOOSE_GATHERING: (f64, f64) = (0.4, 0.45);
+/// The same while long prompts wait for an engine.
+const CLOSE_GATHERING: (f64, f64) = (0.5, 0.7);
 /// Part of the first aim that reading on one engine may take before a prompt is split.
 const SPLIT_SHARE: f64 = 0.6;
 /// Most engines that read one prompt.
@@ -50,11 +51,15 @@
 /// Time before the last possible start at which a request that still waits is decided.
 const DECIDE_AHEAD: Duration = Duration::from_millis(150);
 /// Least time a first event is waited for beyond its forecast before another engine is asked.
-const FIRST_GRACE: Duration = Duration::from_millis(700);
+const FIRST_GRACE: Duration = Duration::from_millis(500);
+/// Aims of a plain request after which another server is asked.
+const PLAIN_AIMS: f64 = 2.0;
 /// Least pause between two events after which another engine is asked.
 const GAP_GRACE: Duration = Duration::from_millis(900);
 /// When a refused request may come back if nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Latest time to come back that is told: floods last seconds, and the forecast is no better.
+const LAST_RETRY_AFTER: Duration = Duration::from_secs(10);
 
 /// Input of [`Dispatcher::step`].
 #[value]
@@ -301,19 +306,19 @@
         outputs
     }
 
-    /// Goes through all waiting work, most urgent and oldest first, and places this host's.
+    /// Goes through all waiting work, most urgent first, and places this host's. Within a rank, what
+    /// can still be on time goes before what is late already: otherwise everyone is late as long as
+    /// more comes than can be served.
     fn decide(&mut self, now: Time, outputs: &mut Vec<DispatchOutput>) {
         let mut loads = collect_loads(now, &self.view, &self.fleet, &self.models);
-        let mut queue: Vec<_> = self
-            .view
-            .all()
-            .filter(|(_, _, entry)| entry.phase == WorkPhase::Waiting)
-            .map(|(host, number, entry)| (host, number, entry.clone()))
-            .collect();
-        queue.sort_by_key(|(host, number, entry)| {
-            (entry.need.priority, entry.arrived, *host, *number)
-        });
         let mut ahead_ms = 0.0;
+        let queue = self.queue(now);
+        let is_long = |need: &WorkNeed| {
+            let model = self.models.get(&need.service).and_then(Option::as_ref);
+            model.is_some_and(|model| model.is_long(need))
+        };
+        let has_long = queue.iter().any(|(_, _, entry)| is_long(&entry.need));
+        let gathering = if has_long { CLOSE_GATHERING } else { LOOSE_GATHERING };
         for (host, number, entry) in queue {
             let work = if host.is_none() { self.waiting.get(&number).cloned() } else { None };
             let service = match &work {
@@ -324,21 +329,13 @@
                 },
             };
             let excluded = work.as_ref().map_or(&[][..], |work| &work.excluded);
-            let choice = self.choose(now, &service, &entry, excluded, &loads);
+            let choice = self.choose(now, &service, &entry, excluded, &loads, gathering);
             let deadline = work.as_ref().map(|work| work.deadline);
-            let decision = {
-                let free_ms = self.free_after(&service, &entry.need, &loads) + ahead_ms;
-                self.weigh(now, &service, &entry, choice.as_ref(), deadline, free_ms)
-            };
+            let turn_ms = self.turn_after(&service, &entry.need, &loads, ahead_ms);
+            let decision = self.weigh(now, &service, &entry, choice.as_ref(), deadline, turn_ms);
             match (decision, choice) {
                 (PlaceDecision::Now, Some(choice)) => {
-                    let placed = self.placed_entry(now, &entry, &choice);
-                    let model = self.models.get(&entry.need.service).and_then(Option::as_ref);
-                    for (index, tag) in placed.engines.iter().enumerate() {
-                        let pace = self.fleet.get(*tag).map_or(1.0, |record| record.pace());
-                        let load = loads.entry(*tag).or_default();
-                        load.add(model, &placed, pace, index == 0, now);
-                    }
+                    let placed = self.add_placed(now, &entry, &choice, &mut loads);
                     if work.is_some() {
                         self.waiting.remove(&number);
                         self.view.set(number, placed);
@@ -346,26 +343,68 @@
                     }
                 }
                 (PlaceDecision::Never, _) if work.is_some() => {
-                    self.waiting.remove(&number);
-                    self.view.end(number);
-                    let has_server = self.fleet.usable(&service).next().is_some();
-                    let reason = if has_server { Reason::Overloaded } else { Reason::NoEngine };
-                    outputs.push(DispatchOutput::Refuse {
-                        number,
-                        reason,
-                        retry_after: RETRY_AFTER,
-                    });
-                }
-                _ => {
-                    let model = self.models.get(&entry.need.service).and_then(Option::as_ref);
-                    let engines = self.fleet.usable(&service).count().max(1) as f64;
-                    ahead_ms +=
-                        model.map_or(0.0, |model| model.read_ms(entry.need.prompt)) / engines;
+                    outputs.push(self.refuse(number, &service, turn_ms));
                 }
+                _ => ahead_ms += self.work_ms(&entry.need),
             }
         }
     }
 
+    /// All waiting work in the order in which it is placed.
+    fn queue(&self, now: Time) -> Vec<(Option<HostTag>, WorkNumber, WorkEntry)> {
+        let mut queue: Vec<_> = self
+            .view
+            .all()
+            .filter(|(_, _, entry)| entry.phase == WorkPhase::Waiting)
+            .map(|(host, number, entry)| (host, number, entry.clone()))
+            .collect();
+        let is_late = |entry: &WorkEntry| {
+            let model = self.models.get(&entry.need.service).and_then(Option::as_ref);
+            let read_ms = model.map_or(0.0, |model| model.read_ms(entry.need.prompt));
+            let waited_ms = now.since(entry.arrived).as_secs_f64() * 1e3;
+            waited_ms + read_ms > f64::from(entry.need.first_aim_ms)
+        };
+        queue.sort_by_key(|(host, number, entry)| {
+            (entry.need.priority, is_late(entry), entry.arrived, *host, *number)
+        });
+        queue
+    }
+
+    /// Time that one engine needs for a request.
+    fn work_ms(&self, need: &WorkNeed) -> f64 {
+        let model = self.models.get(&need.service).and_then(Option::as_ref);
+        model.map_or(0.0, |model| {
+            model.read_ms(need.prompt) + model.write_ms(need.prompt, need.answer)
+        })
+    }
+
+    fn refuse(&mut self, number: WorkNumber, service: &str, turn_ms: f64) -> DispatchOutput {
+        self.waiting.remove(&number);
+        self.view.end(number);
+        let has_server = self.fleet.usable(service).next().is_some();
+        let reason = if has_server { Reason::Overloaded } else { Reason::NoEngine };
+        let turn = Duration::from_secs_f64(turn_ms / 1e3);
+        let retry_after = turn.clamp(RETRY_AFTER, LAST_RETRY_AFTER);
+        DispatchOutput::Refuse { number, reason, retry_after }
+    }
+
+    /// Adds a request to the loads of its engines.
+    fn add_placed(
+        &self,
+        now: Time,
+        entry: &WorkEntry,
+        choice: &PlaceChoice,
+        loads: &mut BTreeMap<EngineTag, EngineLoad>,
+    ) -> WorkEntry {
+        let placed = self.placed_entry(now, entry, choice);
+        let model = self.models.get(&entry.need.service).and_then(Option::as_ref);
+        for (index, tag) in placed.engines.iter().enumerate() {
+            let pace = self.fleet.get(*tag).map_or(1.0, |record| record.pace());
+            loads.entry(*tag).or_default().add(model, &placed, pace, index == 0, now);
+        }
+        placed
+    }
+
     fn service_of(&self, hash: u64) -> Option<Arc<str>> {
         self.services.keys().find(|name| hash_name(name) == hash).cloned()
     }
@@ -388,6 +427,7 @@
         entry: &WorkEntry,
         excluded: &[EngineTag],
         loads: &BTreeMap<EngineTag, EngineLoad>,
+        gathering: (f64, f64),
     ) -> Option<PlaceChoice> {
         let service = self.services.get(service)?;
         let Some(model) = &service.pass else {
@@ -416,7 +456,7 @@
             };
             let forecast = load.forecast(model, need, parts, record.pace(), waited);
             let cost = forecast.harmed as f64 + f64::from(u8::from(forecast.is_late)) + failure;
-            let order = self.candidate_order(model, need, record, load, &forecast, cost);
+            let order = self.candidate_order(model, need, record, load, &forecast, cost, gathering);
             if best.as_ref().is_none_or(|(least, _)| order.is_before(least)) {
                 let requests = load.requests;
                 let choice = PlaceChoice {
@@ -521,6 +561,7 @@
         Some((helpers.collect(), parts))
     }
 
+    #[allow(clippy::too_many_arguments)] // All of it describes one candidate.
     fn candidate_order(
         &self,
         model: &PassModel,
@@ -529,11 +570,12 @@
         load: &EngineLoad,
         forecast: &EngineForecast,
         cost: f64,
+        gathering: (f64, f64),
     ) -> CandidateOrder {
         let gap = f64::from(need.gap_aim_ms);
-        let is_short = model.read_ms(need.prompt) <= gap;
-        let is_gathering = forecast.first_ms <= f64::from(need.first_aim_ms) * GATHER_SHARE
-            && (load.requests as f64) < f64::from(model.slots) * GATHER_SLOTS;
+        let is_short = !model.is_long(need);
+        let is_gathering = forecast.first_ms <= f64::from(need.first_aim_ms) * gathering.0
+            && (load.requests as f64) < f64::from(model.slots) * gathering.1;
         let alike = load.writers.iter().filter(|other| **other <= gap * 1.5).count();
         let tightest = load.writers.iter().copied().fold(f64::INFINITY, f64::min);
         let company = if is_short && is_gathering && tightest >= gap * 0.5 { alike } else { 0 };
@@ -545,21 +587,27 @@
         }
     }
 
-    /// Time until an engine has room for a prompt that takes most of its memory; short prompts need
-    /// only one answer to end.
-    fn free_after(
+    /// Time until it is a long prompt's turn: what is under way on the engines that may read it, and
+    /// the prompts before it, spread over them. Short prompts need only one answer to end.
+    fn turn_after(
         &self,
         service: &str,
         need: &WorkNeed,
         loads: &BTreeMap<EngineTag, EngineLoad>,
+        ahead_ms: f64,
     ) -> f64 {
         let model = self.models.get(&need.service).and_then(Option::as_ref);
-        if model.is_none_or(|model| need.prompt < model.memory / 2) {
+        if model.is_none_or(|model| !model.is_long(need)) {
             return 0.0;
         }
-        let busy = |tag: EngineTag| loads.get(&tag).map_or(0.0, |load| load.busy_ms);
-        let least = self.fleet.usable(service).map(|(tag, _)| busy(tag)).min_by(f64::total_cmp);
-        least.unwrap_or(0.0)
+        let gap = f64::from(need.gap_aim_ms);
+        let is_open = |load: &&EngineLoad| load.writers.iter().all(|other| *other >= gap / 2.0);
+        let idle_load = EngineLoad::default();
+        let engines = self.fleet.usable(service);
+        let open: Vec<_> =
+            engines.map(|(tag, _)| loads.get(&tag).unwrap_or(&idle_load)).filter(is_open).collect();
+        let busy: f64 = open.iter().map(|load| load.busy_ms).sum();
+        (busy + ahead_ms) / open.len().max(1) as f64
     }
 
     /// Whether a choice is taken now, or a better one is waited for, or there will be none.
@@ -600,12 +648,15 @@
         if choice.forecast.harmed == 0 {
             return PlaceDecision::Now;
         }
+        if now + Duration::from_secs_f64((free_ms + read_ms) / 1e3) > limit {
+            return PlaceDecision::Never;
+        }
         let aim = entry.arrived + Duration::from_millis(entry.need.first_aim_ms.into());
         let start_by = |end: Time| end - Duration::from_secs_f64(choice.forecast.first_ms / 1e3);
         if now + DECIDE_AHEAD < start_by(aim) {
             return PlaceDecision::Later;
         }
-        if read_ms <= f64::from(entry.need.gap_aim_ms) {
+        if model.is_some_and(|model| !model.is_long(&entry.need)) {
             return PlaceDecision::Now;
         }
         if now + DECIDE_AHEAD < start_by(limit) {
@@ -647,11 +698,16 @@
 fn assignment(number: WorkNumber, need: &WorkNeed, choice: PlaceChoice) -> DispatchOutput {
     let first = Duration::from_secs_f64(choice.forecast.first_ms / 1e3);
     let gap = Duration::from_millis(need.gap_aim_ms.into());
+    let first_limit = if need.gap_aim_ms == 0 {
+        Duration::from_millis(need.first_aim_ms.into()).mul_f64(PLAIN_AIMS)
+    } else {
+        first.mul_f64(1.5) + FIRST_GRACE.max(gap * 2)
+    };
     DispatchOutput::Assign {
         number,
         engine: choice.engine,
         helpers: choice.helpers,
-        first_limit: first.mul_f64(1.5) + FIRST_GRACE.max(gap * 2),
+        first_limit,
         gap_limit: GAP_GRACE.max(gap * 4),
         reason: PlaceReason {
             first_ms: choice.forecast.first_ms as u32,
--- a/crates/core/src/dispatch/tests.rs
+++ b/crates/core/src/dispatch/tests.rs
@@ -303,3 +303,57 @@
         Ok(())
     });
 }
+
+/// Pattern: more of the longest prompts than the fleet can read, for half a minute. Those that are
+/// served are on time, and the rest learns early that it is refused, instead of all being late.
+#[test]
+fn overload_of_long_prompts_serves_some_on_time_and_refuses_the_rest_early() {
+    const ENGINES: usize = 6;
+    let mut dispatcher = dispatcher(ENGINES, 0);
+    let read_ms = model().read_ms(210_000) as u64;
+    let write_ms = model().write_ms(210_000, 800) as u64;
+    let mut events: BTreeMap<(u64, u32), bool> = BTreeMap::new();
+    let mut arrived: BTreeMap<u32, u64> = BTreeMap::new();
+    let mut first_after = Vec::new();
+    let mut refused_after = Vec::new();
+    for now in (0..45_000_u64).step_by(10) {
+        let mut outputs = dispatcher.step(at(now), DispatchInput::Tick);
+        if now < 30_000 && now % 250 == 0 {
+            let number = (now / 250) as u32;
+            arrived.insert(number, now);
+            outputs.extend(submit(&mut dispatcher, at(now), number, long(210_000), 15_000));
+        }
+        while let Some(((due, number), is_begun)) = events.pop_first() {
+            if due > now {
+                events.insert((due, number), is_begun);
+                break;
+            }
+            let input = if is_begun {
+                DispatchInput::Ended(WorkNumber(number))
+            } else {
+                first_after.push(due - arrived[&number]);
+                events.insert((due + write_ms, number), true);
+                DispatchInput::Begun(WorkNumber(number))
+            };
+            outputs.extend(dispatcher.step(at(now), input));
+        }
+        for output in outputs {
+            match output {
+                DispatchOutput::Assign { number, .. } => {
+                    events.insert((now + read_ms, number.0), false);
+                }
+                DispatchOutput::Refuse { number, .. } => {
+                    refused_after.push(now - arrived[&number.0]);
+                }
+                _ => {}
+            }
+        }
+    }
+    let on_time = first_after.iter().filter(|after| **after <= 6_000).count();
+    let capacity = 30_000 / (read_ms + write_ms) as usize * ENGINES;
+    assert!(on_time * 10 >= capacity * 8, "{on_time} on time of {capacity}");
+    assert!(on_time * 10 >= first_after.len() * 8, "{on_time} on time of {}", first_after.len());
+    refused_after.sort_unstable();
+    let median = refused_after[refused_after.len() / 2];
+    assert!(median <= 6_000, "half of the refusals come after {median} ms");
+}
