Answer requests that cross the end of a drain

Ruled out: the grace time (8 s) and the store's outage at that time. Change: the listener closes with the idle connections, and the host ends only when no caller is connected and none came in the last 60 ms. Before: sigterm_answers_whatever_it_passes_on failed. Conclusion: the drained host no longer accepts while it ends.

--- a/crates/node/src/gateway/listener.rs
+++ b/crates/node/src/gateway/listener.rs
@@ -44,10 +44,21 @@
     let accepting = gateway.clone();
     gateway.spawn(async move {
         loop {
-            match listener.accept().await {
+            let accepted = async { Some(listener.accept().await) };
+            let closed = async {
+                // The channel closes when the host drains; callers then try another host at once.
+                let _ = accepting.closing.1.recv().await;
+                None
+            };
+            let Some(accepted) = accepted.or(closed).await else { return };
+            match accepted {
                 Ok((stream, from)) => {
                     let serving = accepting.clone();
-                    accepting.spawn(async move { serve_caller(serving, stream, from).await });
+                    accepting.callers.set(accepting.callers.get() + 1);
+                    accepting.spawn(async move {
+                        serve_caller(&serving, stream, from).await;
+                        serving.callers.set(serving.callers.get() - 1);
+                    });
                 }
                 Err(err) => {
                     event!(accepting.log, ACCEPT_FAILED, "error" => err.to_string());
@@ -70,7 +81,7 @@
     idle_since: Cell<Time>,
 }
 
-async fn serve_caller(gateway: GatewayRef, stream: Async<std::net::TcpStream>, from: SocketAddr) {
+async fn serve_caller(gateway: &GatewayRef, stream: Async<std::net::TcpStream>, from: SocketAddr) {
     // A connection that ended already fails at its first read.
     let _ = stream.get_ref().set_nodelay(true);
     let link = Rc::new(CallerLink { requests: Cell::new(0), idle_since: Cell::new(clock::now()) });
@@ -90,7 +101,7 @@
             None
         };
         let idle = async {
-            is_idle(&gateway, &link).await;
+            is_idle(gateway, &link).await;
             None
         };
         served.or(closed).or(idle).await
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -147,6 +147,8 @@
     state: RefCell<GatewayState>,
     links: LinkPool,
     open: Cell<usize>,
+    /// Connections of callers.
+    callers: Cell<usize>,
     news: (Sender<()>, Receiver<()>),
     /// Wakes the driver when a peer has something newer.
     stale: (Sender<()>, Receiver<()>),
@@ -193,6 +195,7 @@
             state: RefCell::new(state),
             links: LinkPool::default(),
             open: Cell::new(0),
+            callers: Cell::new(0),
             news: async_channel::bounded(1),
             stale: async_channel::bounded(1),
             closing: (RefCell::new(Some(closing)), closed),
@@ -491,15 +494,25 @@
             Timer::after(DRAIN_PERIOD).await;
         }
         self.closing.0.borrow_mut().take();
-        while clock::now() < end && self.open.get() > 0 {
-            Timer::after(DRAIN_PERIOD).await;
+        loop {
+            while clock::now() < end && self.is_busy() {
+                Timer::after(DRAIN_PERIOD).await;
+            }
+            // The last answers, and requests that crossed the close, are still in the sockets.
+            Timer::after(DRAIN_PERIOD * 3).await;
+            if clock::now() >= end || !self.is_busy() {
+                break;
+            }
         }
-        // The last answers are still on their way through the sockets.
-        Timer::after(DRAIN_PERIOD * 3).await;
         beats::send_full(self);
         event!(self.log, GATEWAY_STOPPED, "open" => self.open.get());
     }
 
+    /// Whether a request is open or a caller is connected.
+    fn is_busy(&self) -> bool {
+        self.open.get() > 0 || self.callers.get() > 0
+    }
+
     /// Time left before the host ends, if it drains.
     fn drain_left(&self) -> Option<Duration> {
         self.state.borrow().drain_end.map(|end| end.since(clock::now()))
