Explain failed requests from their id

Cause: a refusal did not name the version and age of the configuration it was decided with, and the metrics had no address on the platform. Ruled out: a line for each poll of the store (E2101 and E2102 mark the changes). Before: no such path.

--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -142,12 +142,13 @@
     let total_ms = now.since(arrived).as_millis() as u64;
     let attempts = progress.attempts.get();
     let failed = |refusal: &Refusal, status: u16| {
+        let (version, age_ms) = gateway.config_age(now);
         gateway.metrics.count_end(refusal.outcome.name(), Some(refusal.reason));
         if gateway.lines.may_write(now, true) {
             event!(gateway.log, REQUEST_FAILED, "request" => id,
                 "reason" => refusal.reason.name(), "outcome" => refusal.outcome.name(),
                 "status" => status, "attempts" => attempts, "total_ms" => total_ms,
-                "detail" => &*refusal.detail);
+                "config" => version, "config_age_ms" => age_ms, "detail" => &*refusal.detail);
         }
     };
     match end {
@@ -207,12 +208,12 @@
     };
     let patience = facts.patience.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
     if gateway.lines.may_write(arrived, false) {
-        let age = gateway.state.borrow().evidence.age(arrived);
+        let (_, age_ms) = gateway.config_age(arrived);
         event!(gateway.log, REQUEST_ARRIVED, "request" => &*id, "route" => &*route.name,
             "account" => account.as_deref().unwrap_or_default(), "priority" => priority,
             "prompt" => facts.prompt, "patience_ms" => patience.as_millis() as u64,
             "config" => version,
-            "config_age_ms" => age.map_or(u64::MAX, |age| age.as_millis() as u64));
+            "config_age_ms" => age_ms);
     }
     let read = within(patience, Limited::new(body, limit).collect()).await;
     let body = match read {
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -79,8 +79,6 @@
     pub grace: Duration,
     /// Limit on repeats over all hosts.
     pub retry: RetryLimit,
-    /// Address of the metrics.
-    pub metrics: Option<SocketAddr>,
 }
 
 /// Where a request goes.
@@ -287,6 +285,13 @@
         self.note_evidence();
     }
 
+    /// Version of the configuration and milliseconds since it was known to be the newest.
+    fn config_age(&self, now: Time) -> (u64, u64) {
+        let state = self.state.borrow();
+        let age = state.evidence.age(now);
+        (state.evidence.version(), age.map_or(u64::MAX, |age| age.as_millis() as u64))
+    }
+
     /// When a caller may come back that this host turns away: at once if a peer is ready.
     fn retry_elsewhere(&self) -> Duration {
         let state = self.state.borrow();
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -104,7 +104,7 @@
     REQUEST_ENDED: "E2404" Info "request ended"
         ["request", "outcome", "status", "attempts", "first_ms", "total_ms"];
     REQUEST_FAILED: "E2405" Warning "request failed"
-        ["request", "reason", "outcome", "status", "attempts", "total_ms", "detail"];
+        ["request", "reason", "outcome", "status", "attempts", "total_ms", "config", "config_age_ms", "detail"];
     REQUEST_LEFT: "E2406" Info "caller left" ["request", "attempts", "total_ms"];
     LINES_DROPPED: "E2407" Warning "log lines not written" ["count"];
     CALLER_LINK_BROKE: "E2408" Info "connection of a caller broke" ["from", "error"];
