Measure engines' pace by the gaps between events

Cause: the pace of an engine was never measured, so half of the engines at a quarter of their speed got work as before. Ruled out: the pace in engines' reports: each look is priced as a probe.

--- a/crates/core/src/dispatch/forecast.rs
+++ b/crates/core/src/dispatch/forecast.rs
@@ -204,6 +204,15 @@
     }
 }
 
+impl EngineLoad {
+    /// Time between two events of an answer, if no prompt is read meanwhile.
+    pub fn pass_ms(&self, model: &PassModel) -> Option<f64> {
+        let is_calm = self.readers.is_empty() && !self.writers.is_empty();
+        let step = model.step_time(self.writers.len(), self.context);
+        is_calm.then_some(step * f64::from(model.stride))
+    }
+}
+
 /// The loads of all engines, from the work of all hosts.
 pub fn collect_loads(
     now: Time,
@@ -221,7 +230,7 @@
     for entry in sent {
         let model = models.get(&entry.need.service).and_then(Option::as_ref);
         for (index, tag) in entry.engines.iter().enumerate() {
-            let pace = fleet.get(*tag).map_or(1.0, |record| record.pace());
+            let pace = fleet.get(*tag).map_or(1.0, |record| record.pace(now));
             loads.entry(*tag).or_default().add(model, entry, pace, index == 0, now);
         }
     }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -94,6 +94,13 @@
         /// How.
         verdict: EngineVerdict,
     },
+    /// Time between two events of an answer.
+    Paced {
+        /// Server.
+        engine: EngineTag,
+        /// The time.
+        gap: Duration,
+    },
     /// A peer's news arrived.
     Heard {
         /// Peer.
@@ -271,6 +278,7 @@
             DispatchInput::Judged { engine, verdict } => {
                 self.fleet.judge(now, engine, verdict);
             }
+            DispatchInput::Paced { engine, gap } => self.note_pace(now, engine, gap),
             DispatchInput::Heard { host, incarnation, news, opinions } => {
                 self.view.hear(now, host, incarnation, news);
                 for opinion in &opinions {
@@ -306,6 +314,18 @@
         outputs
     }
 
+    /// Compares a gap between events with the model. While prompts are read the gap tells nothing.
+    fn note_pace(&mut self, now: Time, engine: EngineTag, gap: Duration) {
+        let Some(record) = self.fleet.get(engine) else { return };
+        let service = hash_name(&record.entry.service);
+        let Some(model) = self.models.get(&service).and_then(Option::as_ref) else { return };
+        let loads = collect_loads(now, &self.view, &self.fleet, &self.models);
+        let expected = loads.get(&engine).and_then(|load| load.pass_ms(model));
+        if let Some(expected) = expected {
+            self.fleet.measure(now, engine, gap.as_secs_f64() * 1e3 / expected);
+        }
+    }
+
     /// Goes through all waiting work, most urgent first, and places this host's. Within a rank, what
     /// can still be on time goes before what is late already: otherwise everyone is late as long as
     /// more comes than can be served.
@@ -399,7 +419,7 @@
         let placed = self.placed_entry(now, entry, choice);
         let model = self.models.get(&entry.need.service).and_then(Option::as_ref);
         for (index, tag) in placed.engines.iter().enumerate() {
-            let pace = self.fleet.get(*tag).map_or(1.0, |record| record.pace());
+            let pace = self.fleet.get(*tag).map_or(1.0, |record| record.pace(now));
             loads.entry(*tag).or_default().add(model, &placed, pace, index == 0, now);
         }
         placed
@@ -454,7 +474,7 @@
             else {
                 continue;
             };
-            let forecast = load.forecast(model, need, parts, record.pace(), waited);
+            let forecast = load.forecast(model, need, parts, record.pace(now), waited);
             let cost = forecast.harmed as f64 + f64::from(u8::from(forecast.is_late)) + failure;
             let order = self.candidate_order(model, need, record, load, &forecast, cost, gathering);
             if best.as_ref().is_none_or(|(least, _)| order.is_before(least)) {
--- a/crates/core/src/dispatch/tests.rs
+++ b/crates/core/src/dispatch/tests.rs
@@ -357,3 +357,19 @@
     let median = refused_after[refused_after.len() / 2];
     assert!(median <= 6_000, "half of the refusals come after {median} ms");
 }
+
+/// Pattern: engines that work several times as long. Gaps between events show it, and requests go
+/// elsewhere.
+#[test]
+fn slow_engine_is_left_to_others() {
+    let mut dispatcher = dispatcher(3, 0);
+    let slow = place(&mut dispatcher, at(0), 1, short());
+    begin(&mut dispatcher, at(25), 1);
+    for step in 1..10 {
+        let gap = Duration::from_millis(400);
+        dispatcher.step(at(25 + step * 400), DispatchInput::Paced { engine: slow, gap });
+    }
+    for number in 2..12 {
+        assert_ne!(place(&mut dispatcher, at(4_000), number, short()), slow);
+    }
+}
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -21,6 +21,8 @@
 const FAILURE_MEMORY: Duration = Duration::from_secs(4);
 /// Estimate under which failures are taken for chance and not told to peers.
 pub const NOTED_FAILURE: f64 = 0.05;
+/// Pace from which a server is told to peers as slow.
+const NOTED_PACE: f64 = 1.5;
 /// Estimate of a server whose requests all go unanswered.
 const SILENT_FAILURE: f64 = 0.95;
 /// Weight of one measurement in the pace.
@@ -106,9 +108,12 @@
     judged: Time,
     /// The same, as peers tell it.
     heard_failure: f64,
+    /// Pace as peers tell it.
+    heard_pace: f64,
     heard: Time,
     /// Measured time in relation to the model.
     pace: f64,
+    paced: Time,
     /// When it vanished from discovery while the store was away.
     lapsed: Option<Time>,
     replaced: bool,
@@ -121,8 +126,10 @@
             failure: 0.0,
             judged: now,
             heard_failure: 0.0,
+            heard_pace: 1.0,
             heard: now,
             pace: 1.0,
+            paced: now,
             lapsed: None,
             replaced: false,
         }
@@ -137,9 +144,15 @@
         faded(self.failure, now.since(self.judged))
     }
 
-    /// Time it takes in relation to its model.
-    pub fn pace(&self) -> f64 {
-        self.pace
+    /// Time it takes in relation to its model. What peers tell counts for a while.
+    pub fn pace(&self, now: Time) -> f64 {
+        let heard = 1.0 + faded(self.heard_pace - 1.0, now.since(self.heard));
+        self.own_pace(now).max(heard)
+    }
+
+    /// The measured pace; it returns to the model's, so that a slow server is tried again.
+    fn own_pace(&self, now: Time) -> f64 {
+        1.0 + faded(self.pace - 1.0, now.since(self.paced))
     }
 
     /// Whether it may get new work.
@@ -274,9 +287,11 @@
     }
 
     /// A step took `ratio` times as long as the model says.
-    pub fn measure(&mut self, tag: EngineTag, ratio: f64) {
+    pub fn measure(&mut self, now: Time, tag: EngineTag, ratio: f64) {
         let Some(record) = self.engines.get_mut(&tag) else { return };
-        let pace = record.pace + (ratio - record.pace) * PACE_WEIGHT;
+        let before = record.own_pace(now);
+        let pace = before + (ratio - before) * PACE_WEIGHT;
+        record.paced = now;
         record.pace = pace.clamp(PACE_RANGE.0, PACE_RANGE.1);
     }
 
@@ -284,17 +299,20 @@
     pub fn hear(&mut self, now: Time, opinion: &EngineOpinion) {
         let Some(record) = self.engines.get_mut(&opinion.tag) else { return };
         record.heard_failure = f64::from(opinion.failure_percent) / 100.0;
+        record.heard_pace = f64::from(opinion.pace_percent) / 100.0;
         record.heard = now;
     }
 
     /// What this host has seen of failing servers, for its peers.
     pub fn opinions(&self, now: Time) -> Vec<EngineOpinion> {
-        let noted = self.engines.iter().filter(|(_, one)| one.own_failure(now) >= NOTED_FAILURE);
+        let noted = self.engines.iter().filter(|(_, one)| {
+            one.own_failure(now) >= NOTED_FAILURE || one.own_pace(now) >= NOTED_PACE
+        });
         noted
             .map(|(tag, record)| EngineOpinion {
                 tag: *tag,
                 failure_percent: (record.own_failure(now) * 100.0) as u8,
-                pace_percent: (record.pace * 100.0) as u16,
+                pace_percent: (record.own_pace(now) * 100.0) as u16,
             })
             .collect()
     }
--- a/crates/core/src/fleet/tests.rs
+++ b/crates/core/src/fleet/tests.rs
@@ -112,3 +112,21 @@
     other.change(at(10), EngineEntry { revision: 6, ..entry("a", true, 1) });
     assert_ne!(one.digest(), other.digest());
 }
+
+/// Pattern: some engines work several times as long. Peers that have not met them learn it.
+#[test]
+fn slow_server_is_measured_and_told() {
+    let (mut table, mut peer) = (FleetTable::default(), FleetTable::default());
+    let tag = entry("a", false, 1).tag();
+    table.list(at(0), vec![entry("a", false, 1)], 5);
+    peer.list(at(0), vec![entry("a", false, 1)], 5);
+    (0..10).for_each(|_| table.measure(at(0), tag, 4.0));
+    assert!(table.get(tag).unwrap().pace(at(0)) > 3.5);
+    let opinions = table.opinions(at(0));
+    assert_eq!(opinions.len(), 1);
+    peer.hear(at(0), &opinions[0]);
+    assert!(peer.get(tag).unwrap().pace(at(100)) > 3.0);
+    assert!(peer.get(tag).unwrap().pace(at(30_000)) < 1.1);
+    assert!(table.get(tag).unwrap().pace(at(30_000)) < 1.1, "it is tried again");
+    assert!(peer.opinions(at(100)).is_empty(), "what peers said is not told on");
+}
--- a/crates/core/src/work/mod.rs
+++ b/crates/core/src/work/mod.rs
@@ -134,25 +134,21 @@
         !self.changed.is_empty()
     }
 
-    /// What changed since the last call, or everything.
-    pub fn take_news(&mut self, now: Time, is_full: bool) -> WorkNews {
+    /// What changed since the last call.
+    pub fn take_news(&mut self, now: Time) -> WorkNews {
         let mut changed = std::mem::take(&mut self.changed);
         changed.sort_unstable();
         changed.dedup();
-        let aged = |number: &WorkNumber, entry: &WorkEntry| {
-            let mut entry = entry.clone();
-            entry.arrived = Time(now.0.saturating_sub(entry.arrived.0));
-            entry.since = Time(now.0.saturating_sub(entry.since.0));
-            (*number, entry)
-        };
-        if is_full {
-            let entries = self.own.iter().map(|(number, entry)| aged(number, entry)).collect();
-            return WorkNews { is_full, entries, ended: Vec::new() };
-        }
-        let entries = changed.iter().filter_map(|one| Some(aged(one, self.own.get(one)?)));
+        let entries = changed.iter().filter_map(|one| Some(aged(now, *one, self.own.get(one)?)));
         let entries = entries.collect();
         changed.retain(|number| !self.own.contains_key(number));
-        WorkNews { is_full, entries, ended: changed }
+        WorkNews { is_full: false, entries, ended: changed }
+    }
+
+    /// All entries of this host.
+    pub fn all_news(&self, now: Time) -> WorkNews {
+        let entries = self.own.iter().map(|(number, entry)| aged(now, *number, entry)).collect();
+        WorkNews { is_full: true, entries, ended: Vec::new() }
     }
 
     /// Takes over a peer's news. Those of a process that was replaced are not to be given here.
@@ -183,3 +179,11 @@
         self.peers.retain(|_, work| now.since(work.heard) <= ORPHAN_TIME);
     }
 }
+
+/// An entry with its times as ages.
+fn aged(now: Time, number: WorkNumber, entry: &WorkEntry) -> (WorkNumber, WorkEntry) {
+    let mut entry = entry.clone();
+    entry.arrived = Time(now.0.saturating_sub(entry.arrived.0));
+    entry.since = Time(now.0.saturating_sub(entry.since.0));
+    (number, entry)
+}
--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -33,6 +33,8 @@
 const FRESH_LINK: Duration = Duration::from_millis(1_500);
 /// Idle time up to which a kept connection carries a request that may be repeated.
 const KEPT_LINK: Duration = Duration::from_secs(60);
+/// One gap of so many is measured: each costs a look at all work.
+const GAP_SAMPLE: u32 = 4;
 /// Ranks that an engine's own queue tells apart, per rank of ours.
 const URGENCY_STEP: u8 = 3;
 /// Lowest rank of an engine's own queue.
@@ -316,6 +318,7 @@
         }
         let mut splitter = EventSplitter::default();
         let mut has_event = false;
+        let mut last_event = clock::now();
         loop {
             let limit = self.next_limit(has_event);
             let frame = match within(limit, body.frame()).await {
@@ -346,7 +349,10 @@
                 if !has_event {
                     has_event = true;
                     self.begin_writing();
+                } else {
+                    self.note_gap(last_event);
                 }
+                last_event = clock::now();
                 if let (Some(id), Some(last)) = (event.id, self.stream.last_event)
                     && id <= last
                 {
@@ -390,6 +396,15 @@
         self.exchange.gateway.dispatch(DispatchInput::Begun(self.exchange.number));
     }
 
+    /// Measures the engine by some of the gaps between events.
+    fn note_gap(&self, last_event: Time) {
+        if self.stream.events.is_multiple_of(GAP_SAMPLE) {
+            let gap = clock::now().since(last_event);
+            let engine = self.placement.engine;
+            self.exchange.gateway.dispatch(DispatchInput::Paced { engine, gap });
+        }
+    }
+
     /// Time for the next event before another server is asked, or before the end.
     fn next_limit(&self, has_event: bool) -> Duration {
         let left = self.exchange.time_left();
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -113,7 +113,7 @@
     let (bytes, targets) = {
         let mut state = gateway.state.borrow_mut();
         let now = clock::now();
-        let news = state.dispatcher.view.take_news(now, false);
+        let news = state.dispatcher.view.take_news(now);
         if news.entries.is_empty() && news.ended.is_empty() {
             return;
         }
@@ -128,32 +128,30 @@
 }
 
 fn send_beats(gateway: &Gateway, socket: &Async<UdpSocket>) {
+    let targets = gateway.state.borrow().roster.targets();
+    for target in targets {
+        send_beat(gateway, socket, target);
+    }
+}
+
+/// Tells one peer everything.
+fn send_beat(gateway: &Gateway, socket: &Async<UdpSocket>, target: SocketAddr) {
     let now = clock::now();
-    let (card, news, opinions, digest, targets) = {
-        let mut state = gateway.state.borrow_mut();
-        let news = state.dispatcher.view.take_news(now, true);
+    let evidence = evidence_for(gateway, target);
+    let (card, news, opinions, digest) = {
+        let state = gateway.state.borrow();
         let opinions = state.dispatcher.fleet.opinions(now);
         let digest = state.dispatcher.fleet.digest();
-        (state.card.clone(), news, opinions, digest, state.roster.targets())
+        (state.card.clone(), state.dispatcher.view.all_news(now), opinions, digest)
     };
+    let (host, incarnation) = (card.tag(), card.incarnation);
     let (first, rest) = news.entries.split_at(news.entries.len().min(ENTRIES_A_DATAGRAM));
-    for target in targets {
-        let evidence = evidence_for(gateway, target);
-        let news = WorkNews { is_full: true, entries: first.to_vec(), ended: Vec::new() };
-        let beat = PeerBeat::Full {
-            card: card.clone(),
-            clock: now.0,
-            evidence,
-            news,
-            opinions: opinions.clone(),
-            digest,
-        };
-        send(gateway, socket, target, &encode(&beat));
-        for entries in rest.chunks(ENTRIES_A_DATAGRAM) {
-            let news = WorkNews { is_full: false, entries: entries.to_vec(), ended: Vec::new() };
-            let (host, incarnation) = (card.tag(), card.incarnation);
-            send(gateway, socket, target, &encode(&PeerBeat::News { host, incarnation, news }));
-        }
+    let news = WorkNews { is_full: true, entries: first.to_vec(), ended: Vec::new() };
+    let beat = PeerBeat::Full { card, clock: now.0, evidence, news, opinions, digest };
+    send(gateway, socket, target, &encode(&beat));
+    for entries in rest.chunks(ENTRIES_A_DATAGRAM) {
+        let news = WorkNews { is_full: false, entries: entries.to_vec(), ended: Vec::new() };
+        send(gateway, socket, target, &encode(&PeerBeat::News { host, incarnation, news }));
     }
 }
 
@@ -252,6 +250,8 @@
                 (peer_news, state.evidence.hear(now, &evidence))
             };
             if peer_news == PeerNews::Back {
+                // A host that starts learns at once what is in flight.
+                with_own_socket(gateway, |socket| send_beat(gateway, socket, card.beats));
                 event!(gateway.log, PEER_HEARD, "peer" => &*card.name,
                     "incarnation" => incarnation, "ready" => card.is_ready);
             }
