Split the dispatcher and the gateway by duty

Ruled out: a change of decisions: the tests of placement are the same. Change: choose and message beside forecast; feed and drain beside the gateway's core; thresholds have names; four idle connections are kept. Before/after: cargo test -p parsley-core dispatch, 13 tests pass on both.

--- /dev/null
+++ b/crates/core/src/dispatch/choose.rs
@@ -0,0 +1,255 @@
+//! Compares the backend servers on which a request could be placed.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use parsley_macros::value;
+
+use super::{Dispatcher, EngineForecast, EngineLoad, HelperPart, PassModel, WAIT_COST};
+use crate::{
+    catalog::ServingService,
+    fleet::{EngineRecord, EngineTag},
+    time::Time,
+    work::WorkNeed,
+};
+
+/// How closely short requests gather before they spread.
+#[value]
+#[derive(Copy)]
+pub(super) struct GatherLimit {
+    /// Part of the first aim that their forecast may use.
+    first_share: f64,
+    /// Part of the slots that is filled.
+    slot_share: f64,
+}
+
+/// In calm.
+pub(super) const LOOSE_GATHERING: GatherLimit = GatherLimit { first_share: 0.4, slot_share: 0.45 };
+/// While long prompts wait for an engine.
+pub(super) const CLOSE_GATHERING: GatherLimit = GatherLimit { first_share: 0.5, slot_share: 0.7 };
+/// Part of the first aim that reading on one engine may take before a prompt is split.
+const SPLIT_SHARE: f64 = 0.6;
+/// Most engines that read one prompt.
+const MAX_PARTS: usize = 6;
+/// Part of an engine's memory that is planned with.
+const MEMORY_SHARE: f64 = 0.96;
+/// Weight of a plain server's chance of failure against the part of its slots that is taken.
+const PLAIN_FAILURE_WEIGHT: f64 = 4.0;
+/// What a server in another failure domain counts more, in parts of its slots.
+const FAR_FILL: f64 = 0.01;
+/// Writers whose pause aim is at most so many times this one's are company.
+const ALIKE_GAP: f64 = 1.5;
+/// Short requests do not join writers whose pause aim is below this part of theirs.
+const TIGHTEST_GAP: f64 = 0.5;
+
+/// What is known about a request when servers are compared.
+pub(super) struct ChoiceInput<'a> {
+    /// Now.
+    pub now: Time,
+    /// What it asks for.
+    pub need: &'a WorkNeed,
+    /// Time since its arrival.
+    pub waited: Duration,
+    /// Servers that must not get it.
+    pub excluded: &'a [EngineTag],
+    /// What all servers have to do.
+    pub loads: &'a BTreeMap<EngineTag, EngineLoad>,
+    /// How closely short requests gather.
+    pub gathering: GatherLimit,
+}
+
+impl ChoiceInput<'_> {
+    fn load(&self, tag: EngineTag) -> EngineLoad {
+        self.loads.get(&tag).cloned().unwrap_or_default()
+    }
+
+    fn is_idle(&self, tag: EngineTag) -> bool {
+        self.loads.get(&tag).is_none_or(|load| load.requests == 0 && load.readers.is_empty())
+    }
+}
+
+/// A server with what speaks for and against it.
+#[value]
+pub(super) struct PlaceChoice {
+    pub engine: EngineTag,
+    pub helpers: Vec<HelperPart>,
+    pub forecast: EngineForecast,
+    pub cost: f64,
+    pub failure: f64,
+    pub requests: usize,
+    pub weighed: usize,
+}
+
+impl Dispatcher {
+    /// The server with the least cost, or `None` if none has room.
+    pub(super) fn choose(&self, service: &str, input: &ChoiceInput) -> Option<PlaceChoice> {
+        let service = self.services.get(service)?;
+        let Some(model) = &service.pass else { return self.choose_plain(service, input) };
+        let parts = wanted_parts(model, input.need);
+        let mut best: Option<(CandidateOrder, PlaceChoice)> = None;
+        let mut weighed = 0;
+        for (tag, record) in self.fleet.usable(&service.name) {
+            let load = input.load(tag);
+            let slots = record.entry.slots.min(model.slots) as usize;
+            if input.excluded.contains(&tag) || load.requests >= slots {
+                continue;
+            }
+            weighed += 1;
+            let helpers = self.find_helpers(service, model, input, tag, parts);
+            let Some((helpers, parts)) = helpers else { continue };
+            let failure = record.failure_chance(input.now);
+            let pace = record.pace(input.now);
+            let forecast = load.forecast(model, input.need, parts, pace, input.waited);
+            let cost = forecast.harmed as f64 + f64::from(u8::from(forecast.is_late)) + failure;
+            let order = self.candidate_order(model, input, record, &load, &forecast, cost);
+            if best.as_ref().is_none_or(|(least, _)| order.is_before(least)) {
+                let requests = load.requests;
+                let engine = tag;
+                let choice =
+                    PlaceChoice { engine, helpers, forecast, cost, failure, requests, weighed: 0 };
+                best = Some((order, choice));
+            }
+        }
+        best.map(|(_, choice)| PlaceChoice { weighed, ..choice })
+    }
+
+    /// Plain servers are filled evenly; those that failed lately count as fuller.
+    fn choose_plain(&self, service: &ServingService, input: &ChoiceInput) -> Option<PlaceChoice> {
+        let mut best: Option<(f64, PlaceChoice)> = None;
+        let mut weighed = 0;
+        for (engine, record) in self.fleet.usable(&service.name) {
+            if input.excluded.contains(&engine) {
+                continue;
+            }
+            weighed += 1;
+            let requests = input.load(engine).requests;
+            if requests >= record.entry.slots as usize {
+                continue;
+            }
+            let failure = record.failure_chance(input.now);
+            let is_far = record.entry.failure_domain != self.failure_domain;
+            let fill = requests as f64 / f64::from(record.entry.slots)
+                + failure * PLAIN_FAILURE_WEIGHT
+                + if is_far { FAR_FILL } else { 0.0 };
+            if best.as_ref().is_none_or(|(least, _)| fill < *least) {
+                let forecast = EngineForecast { first_ms: 0.0, harmed: 0, is_late: false };
+                let helpers = Vec::new();
+                let choice = PlaceChoice {
+                    engine,
+                    helpers,
+                    forecast,
+                    cost: 0.0,
+                    failure,
+                    requests,
+                    weighed: 0,
+                };
+                best = Some((fill, choice));
+            }
+        }
+        best.map(|(_, choice)| PlaceChoice { weighed, ..choice })
+    }
+
+    /// Idle engines for the other parts of a prompt, and the number of parts: fewer if there are not
+    /// as many, `None` if memory lacks.
+    fn find_helpers(
+        &self,
+        service: &ServingService,
+        model: &PassModel,
+        input: &ChoiceInput,
+        first: EngineTag,
+        parts: usize,
+    ) -> Option<(Vec<HelperPart>, usize)> {
+        let wanted = input.need.prompt.saturating_add(input.need.answer);
+        let memory = (f64::from(model.memory) * MEMORY_SHARE) as u32;
+        let room = memory.saturating_sub(input.load(first).held as u32);
+        if parts <= 1 {
+            return (wanted <= room).then(|| (Vec::new(), 1));
+        }
+        let fits = |tag: EngineTag, record: &EngineRecord| {
+            tag != first
+                && !input.excluded.contains(&tag)
+                && input.is_idle(tag)
+                && record.failure_chance(input.now) < WAIT_COST
+        };
+        let engines = self.fleet.usable(&service.name);
+        let helpers: Vec<_> = engines
+            .filter(|(tag, record)| fits(*tag, record))
+            .map(|(tag, _)| tag)
+            .take(parts - 1)
+            .collect();
+        let parts = helpers.len() + 1;
+        let lacking = wanted.saturating_sub(room);
+        let tokens = match lacking {
+            0 => None,
+            _ if helpers.is_empty() => return None,
+            _ => Some(lacking.div_ceil(helpers.len() as u32).max(wanted / parts as u32)),
+        };
+        if tokens.is_some_and(|tokens| tokens > memory) {
+            return None;
+        }
+        let helpers = helpers.into_iter().map(|engine| HelperPart { engine, tokens });
+        Some((helpers.collect(), parts))
+    }
+
+    fn candidate_order(
+        &self,
+        model: &PassModel,
+        input: &ChoiceInput,
+        record: &EngineRecord,
+        load: &EngineLoad,
+        forecast: &EngineForecast,
+        cost: f64,
+    ) -> CandidateOrder {
+        let need = input.need;
+        let gap = f64::from(need.gap_aim_ms);
+        let first_limit = f64::from(need.first_aim_ms) * input.gathering.first_share;
+        let slot_limit = f64::from(model.slots) * input.gathering.slot_share;
+        let is_gathering = forecast.first_ms <= first_limit && (load.requests as f64) < slot_limit;
+        let alike = load.writers.iter().filter(|other| **other <= gap * ALIKE_GAP).count();
+        let tightest = load.writers.iter().copied().fold(f64::INFINITY, f64::min);
+        let joins = !model.is_long(need) && is_gathering && tightest >= gap * TIGHTEST_GAP;
+        CandidateOrder {
+            cost,
+            company: if joins { alike } else { 0 },
+            first_ms: forecast.first_ms,
+            is_far: record.entry.failure_domain != self.failure_domain,
+        }
+    }
+}
+
+/// Number of engines that should read a prompt.
+fn wanted_parts(model: &PassModel, need: &WorkNeed) -> usize {
+    let aim = f64::from(need.first_aim_ms) * SPLIT_SHARE;
+    let by_time = (model.read_ms(need.prompt) / aim.max(1.0)).ceil();
+    let memory = f64::from(model.memory) * MEMORY_SHARE;
+    let by_memory = (f64::from(need.prompt.saturating_add(need.answer)) / memory).ceil();
+    (by_time.max(by_memory).max(1.0) as usize).min(MAX_PARTS)
+}
+
+/// Order of candidates: least cost, then most company, then the earliest first event.
+#[value]
+struct CandidateOrder {
+    cost: f64,
+    company: usize,
+    first_ms: f64,
+    is_far: bool,
+}
+
+impl CandidateOrder {
+    /// Difference of cost that decides; smaller ones are noise of the estimates.
+    const COST_STEP: f64 = 0.05;
+    /// Difference of first events for which a nearer server is taken.
+    const FIRST_STEP_MS: f64 = 3.0;
+
+    fn is_before(&self, other: &CandidateOrder) -> bool {
+        if (self.cost - other.cost).abs() > Self::COST_STEP {
+            return self.cost < other.cost;
+        }
+        if self.company != other.company {
+            return self.company > other.company;
+        }
+        if (self.first_ms - other.first_ms).abs() > Self::FIRST_STEP_MS {
+            return self.first_ms < other.first_ms;
+        }
+        !self.is_far && other.is_far
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/message.rs
@@ -0,0 +1,145 @@
+//! Inputs and outputs of the dispatcher.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use parsley_macros::{message, value};
+
+use crate::{
+    catalog::ServingService,
+    fleet::{EngineEntry, EngineOpinion, EngineTag, EngineVerdict},
+    refusal::Reason,
+    roster::HostTag,
+    time::Time,
+    work::{WorkNeed, WorkNews, WorkNumber},
+};
+
+/// Input of [`super::Dispatcher::step`].
+#[value]
+pub enum DispatchInput {
+    /// Time passed.
+    Tick,
+    /// The services in force.
+    Services(BTreeMap<Arc<str>, ServingService>),
+    /// A request arrived or needs another attempt.
+    Submit {
+        /// Its number.
+        number: WorkNumber,
+        /// Service.
+        service: Arc<str>,
+        /// What it asks for.
+        need: WorkNeed,
+        /// When its caller sent it first to this host.
+        arrived: Time,
+        /// When its answer must have begun.
+        deadline: Time,
+        /// Backend servers that must not get it.
+        excluded: Vec<EngineTag>,
+    },
+    /// The first part of the answer came.
+    Begun(WorkNumber),
+    /// The request ended, however.
+    Ended(WorkNumber),
+    /// An attempt at a backend server ended.
+    Judged {
+        /// Server.
+        engine: EngineTag,
+        /// How.
+        verdict: EngineVerdict,
+    },
+    /// Time between two events of an answer.
+    Paced {
+        /// Server.
+        engine: EngineTag,
+        /// The time.
+        gap: Duration,
+    },
+    /// A peer's news arrived.
+    Heard {
+        /// Peer.
+        host: HostTag,
+        /// Its process.
+        incarnation: u64,
+        /// Its work.
+        news: WorkNews,
+        /// What it thinks of backend servers.
+        opinions: Vec<EngineOpinion>,
+    },
+    /// Discovery was read as a whole.
+    Listed {
+        /// The entries.
+        entries: Vec<EngineEntry>,
+        /// The store's revision.
+        revision: u64,
+    },
+    /// Discovery shows one entry.
+    Changed(EngineEntry),
+    /// Discovery no longer shows an instance.
+    Removed {
+        /// The instance.
+        id: Arc<str>,
+        /// The store's revision.
+        revision: u64,
+    },
+    /// The store was lost or regained.
+    Store {
+        /// Whether it is lost.
+        is_lost: bool,
+    },
+}
+
+/// One engine beside the first that reads a part of a prompt.
+#[message]
+pub struct HelperPart {
+    /// Engine.
+    pub engine: EngineTag,
+    /// Memory to set aside there, in tokens, if the first engine's does not suffice.
+    pub tokens: Option<u32>,
+}
+
+/// Why a place was chosen; for the log.
+#[value]
+pub struct PlaceReason {
+    /// Forecast of the time to the first event.
+    pub first_ms: u32,
+    /// Requests that it makes late.
+    pub harmed: u32,
+    /// Estimated chance that the server fails.
+    pub failure_percent: u32,
+    /// Requests on the server.
+    pub requests: u32,
+    /// Servers that were weighed.
+    pub weighed: u32,
+}
+
+/// Output of [`super::Dispatcher::step`].
+#[value]
+pub enum DispatchOutput {
+    /// Send the request.
+    Assign {
+        /// Request.
+        number: WorkNumber,
+        /// Backend server.
+        engine: EngineTag,
+        /// Engines that read parts.
+        helpers: Vec<HelperPart>,
+        /// Time for the first event, after which another engine may be asked.
+        first_limit: Duration,
+        /// Longest pause between events, after which another engine may be asked.
+        gap_limit: Duration,
+        /// Why.
+        reason: PlaceReason,
+    },
+    /// Refuse the request; it was not sent.
+    Refuse {
+        /// Request.
+        number: WorkNumber,
+        /// Why.
+        reason: Reason,
+        /// When it may come back.
+        retry_after: Duration,
+    },
+    /// A backend server is gone; its connections are of no use.
+    Gone(EngineTag),
+    /// A backend server is new, leaves or started again.
+    EngineChanged(EngineTag),
+}
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -14,38 +14,31 @@
     time::Duration,
 };
 
-use parsley_macros::{key, message, value};
+use parsley_macros::{key, value};
 
 use crate::{
     catalog::ServingService,
-    fleet::{EngineEntry, EngineOpinion, EngineTag, EngineVerdict, FleetTable, hash_name},
+    fleet::{EngineEntry, EngineTag, FleetTable, hash_name},
     refusal::Reason,
     roster::HostTag,
     time::Time,
-    work::{WorkEntry, WorkNeed, WorkNews, WorkNumber, WorkPhase, WorkView},
+    work::{WorkEntry, WorkNeed, WorkNumber, WorkPhase, WorkView},
 };
 
+mod choose;
 mod forecast;
+mod message;
 #[cfg(test)]
 mod tests;
 
+use choose::{CLOSE_GATHERING, ChoiceInput, LOOSE_GATHERING, PlaceChoice};
 pub use forecast::{EngineForecast, EngineLoad, PassModel, collect_loads};
+pub use message::{DispatchInput, DispatchOutput, HelperPart, PlaceReason};
 
 /// Time between two [`DispatchInput::Tick`].
 pub const TICK_PERIOD: Duration = Duration::from_millis(20);
 /// Cost of a placement, in requests made late, from which on waiting for a better one pays.
 const WAIT_COST: f64 = 0.5;
-/// How closely short requests gather: the part of the first aim that their forecast may use, and the
-/// part of the slots that is filled, before they spread.
-const LOOSE_GATHERING: (f64, f64) = (0.4, 0.45);
-/// The same while long prompts wait for an engine.
-const CLOSE_GATHERING: (f64, f64) = (0.5, 0.7);
-/// Part of the first aim that reading on one engine may take before a prompt is split.
-const SPLIT_SHARE: f64 = 0.6;
-/// Most engines that read one prompt.
-const MAX_PARTS: usize = 6;
-/// Part of an engine's memory that is planned with.
-const MEMORY_SHARE: f64 = 0.96;
 /// Requests made late that a long prompt may cost when it cannot wait any longer.
 const LAST_COST: f64 = 3.0;
 /// Time before the last possible start at which a request that still waits is decided.
@@ -61,137 +54,6 @@
 /// Latest time to come back that is told: floods last seconds, and the forecast is no better.
 const LAST_RETRY_AFTER: Duration = Duration::from_secs(10);
 
-/// Input of [`Dispatcher::step`].
-#[value]
-pub enum DispatchInput {
-    /// Time passed.
-    Tick,
-    /// The services in force.
-    Services(BTreeMap<Arc<str>, ServingService>),
-    /// A request arrived or needs another attempt.
-    Submit {
-        /// Its number.
-        number: WorkNumber,
-        /// Service.
-        service: Arc<str>,
-        /// What it asks for.
-        need: WorkNeed,
-        /// When its caller sent it first to this host.
-        arrived: Time,
-        /// When its answer must have begun.
-        deadline: Time,
-        /// Backend servers that must not get it.
-        excluded: Vec<EngineTag>,
-    },
-    /// The first part of the answer came.
-    Begun(WorkNumber),
-    /// The request ended, however.
-    Ended(WorkNumber),
-    /// An attempt at a backend server ended.
-    Judged {
-        /// Server.
-        engine: EngineTag,
-        /// How.
-        verdict: EngineVerdict,
-    },
-    /// Time between two events of an answer.
-    Paced {
-        /// Server.
-        engine: EngineTag,
-        /// The time.
-        gap: Duration,
-    },
-    /// A peer's news arrived.
-    Heard {
-        /// Peer.
-        host: HostTag,
-        /// Its process.
-        incarnation: u64,
-        /// Its work.
-        news: WorkNews,
-        /// What it thinks of backend servers.
-        opinions: Vec<EngineOpinion>,
-    },
-    /// Discovery was read as a whole.
-    Listed {
-        /// The entries.
-        entries: Vec<EngineEntry>,
-        /// The store's revision.
-        revision: u64,
-    },
-    /// Discovery shows one entry.
-    Changed(EngineEntry),
-    /// Discovery no longer shows an instance.
-    Removed {
-        /// The instance.
-        id: Arc<str>,
-        /// The store's revision.
-        revision: u64,
-    },
-    /// The store was lost or regained.
-    Store {
-        /// Whether it is lost.
-        is_lost: bool,
-    },
-}
-
-/// One engine beside the first that reads a part of a prompt.
-#[message]
-pub struct HelperPart {
-    /// Engine.
-    pub engine: EngineTag,
-    /// Memory to set aside there, in tokens, if the first engine's does not suffice.
-    pub tokens: Option<u32>,
-}
-
-/// Why a place was chosen; for the log.
-#[value]
-pub struct PlaceReason {
-    /// Forecast of the time to the first event.
-    pub first_ms: u32,
-    /// Requests that it makes late.
-    pub harmed: u32,
-    /// Estimated chance that the server fails.
-    pub failure_percent: u32,
-    /// Requests on the server.
-    pub requests: u32,
-    /// Servers that were weighed.
-    pub weighed: u32,
-}
-
-/// Output of [`Dispatcher::step`].
-#[value]
-pub enum DispatchOutput {
-    /// Send the request.
-    Assign {
-        /// Request.
-        number: WorkNumber,
-        /// Backend server.
-        engine: EngineTag,
-        /// Engines that read parts.
-        helpers: Vec<HelperPart>,
-        /// Time for the first event, after which another engine may be asked.
-        first_limit: Duration,
-        /// Longest pause between events, after which another engine may be asked.
-        gap_limit: Duration,
-        /// Why.
-        reason: PlaceReason,
-    },
-    /// Refuse the request; it was not sent.
-    Refuse {
-        /// Request.
-        number: WorkNumber,
-        /// Why.
-        reason: Reason,
-        /// When it may come back.
-        retry_after: Duration,
-    },
-    /// A backend server is gone; its connections are of no use.
-    Gone(EngineTag),
-    /// A backend server is new, leaves or started again.
-    EngineChanged(EngineTag),
-}
-
 #[value]
 struct WaitingWork {
     service: Arc<str>,
@@ -206,17 +68,6 @@
     Never,
 }
 
-#[value]
-struct PlaceChoice {
-    engine: EngineTag,
-    helpers: Vec<HelperPart>,
-    forecast: EngineForecast,
-    cost: f64,
-    failure: f64,
-    requests: usize,
-    weighed: usize,
-}
-
 /// Places requests on backend servers.
 #[derive(Default)]
 pub struct Dispatcher {
@@ -349,7 +200,15 @@
                 },
             };
             let excluded = work.as_ref().map_or(&[][..], |work| &work.excluded);
-            let choice = self.choose(now, &service, &entry, excluded, &loads, gathering);
+            let input = ChoiceInput {
+                now,
+                need: &entry.need,
+                waited: now.since(entry.arrived),
+                excluded,
+                loads: &loads,
+                gathering,
+            };
+            let choice = self.choose(&service, &input);
             let deadline = work.as_ref().map(|work| work.deadline);
             let turn_ms = self.turn_after(&service, &entry.need, &loads, ahead_ms);
             let decision = self.weigh(now, &service, &entry, choice.as_ref(), deadline, turn_ms);
@@ -439,174 +298,6 @@
         }
     }
 
-    /// The server with the least cost, or `None` if none has room.
-    fn choose(
-        &self,
-        now: Time,
-        service: &str,
-        entry: &WorkEntry,
-        excluded: &[EngineTag],
-        loads: &BTreeMap<EngineTag, EngineLoad>,
-        gathering: (f64, f64),
-    ) -> Option<PlaceChoice> {
-        let service = self.services.get(service)?;
-        let Some(model) = &service.pass else {
-            return self.choose_plain(now, service, excluded, loads);
-        };
-        let need = &entry.need;
-        let waited = now.since(entry.arrived);
-        let parts = self.wanted_parts(model, need);
-        let idle_load = EngineLoad::default();
-        let mut best: Option<(CandidateOrder, PlaceChoice)> = None;
-        let mut weighed = 0;
-        for (tag, record) in self.fleet.usable(&service.name) {
-            if excluded.contains(&tag) {
-                continue;
-            }
-            let load = loads.get(&tag).unwrap_or(&idle_load);
-            if load.requests >= record.entry.slots.min(model.slots) as usize {
-                continue;
-            }
-            weighed += 1;
-            let failure = record.failure_chance(now);
-            let Some((helpers, parts)) =
-                self.find_helpers(now, service, model, need, parts, tag, excluded, loads)
-            else {
-                continue;
-            };
-            let forecast = load.forecast(model, need, parts, record.pace(now), waited);
-            let cost = forecast.harmed as f64 + f64::from(u8::from(forecast.is_late)) + failure;
-            let order = self.candidate_order(model, need, record, load, &forecast, cost, gathering);
-            if best.as_ref().is_none_or(|(least, _)| order.is_before(least)) {
-                let requests = load.requests;
-                let choice = PlaceChoice {
-                    engine: tag,
-                    helpers,
-                    forecast,
-                    cost,
-                    failure,
-                    requests,
-                    weighed: 0,
-                };
-                best = Some((order, choice));
-            }
-        }
-        best.map(|(_, choice)| PlaceChoice { weighed, ..choice })
-    }
-
-    fn choose_plain(
-        &self,
-        now: Time,
-        service: &ServingService,
-        excluded: &[EngineTag],
-        loads: &BTreeMap<EngineTag, EngineLoad>,
-    ) -> Option<PlaceChoice> {
-        let usable: Vec<_> =
-            self.fleet.usable(&service.name).filter(|(tag, _)| !excluded.contains(tag)).collect();
-        let weighed = usable.len();
-        let rate = |tag: EngineTag, slots: u32, failure: f64, is_near: bool| {
-            let requests = loads.get(&tag).map_or(0, |load| load.requests);
-            let fill = requests as f64 / f64::from(slots.max(1));
-            (requests, fill + failure * 4.0 + if is_near { 0.0 } else { 0.01 })
-        };
-        let rated = usable.into_iter().map(|(tag, record)| {
-            let is_near = record.entry.failure_domain == self.failure_domain;
-            let failure = record.failure_chance(now);
-            let (requests, score) = rate(tag, record.entry.slots, failure, is_near);
-            (tag, record.entry.slots, requests, failure, score)
-        });
-        let free = rated.filter(|(_, slots, requests, _, _)| *requests < *slots as usize);
-        let (engine, _, requests, failure, _) =
-            free.min_by(|left, right| left.4.total_cmp(&right.4))?;
-        let forecast = EngineForecast { first_ms: 0.0, harmed: 0, is_late: false };
-        let helpers = Vec::new();
-        Some(PlaceChoice { engine, helpers, forecast, cost: 0.0, failure, requests, weighed })
-    }
-
-    /// Number of engines that should read a prompt.
-    fn wanted_parts(&self, model: &PassModel, need: &WorkNeed) -> usize {
-        let aim = f64::from(need.first_aim_ms) * SPLIT_SHARE;
-        let by_time = (model.read_ms(need.prompt) / aim.max(1.0)).ceil();
-        let memory = f64::from(model.memory) * MEMORY_SHARE;
-        let by_memory = (f64::from(need.prompt.saturating_add(need.answer)) / memory).ceil();
-        (by_time.max(by_memory).max(1.0) as usize).min(MAX_PARTS)
-    }
-
-    /// Idle engines for the other parts; fewer if there are not as many, `None` if memory lacks.
-    #[allow(clippy::too_many_arguments)] // All of it describes one candidate.
-    fn find_helpers(
-        &self,
-        now: Time,
-        service: &ServingService,
-        model: &PassModel,
-        need: &WorkNeed,
-        parts: usize,
-        first: EngineTag,
-        excluded: &[EngineTag],
-        loads: &BTreeMap<EngineTag, EngineLoad>,
-    ) -> Option<(Vec<HelperPart>, usize)> {
-        let wanted = need.prompt.saturating_add(need.answer);
-        let memory = (f64::from(model.memory) * MEMORY_SHARE) as u32;
-        let held = loads.get(&first).map_or(0.0, |load| load.held) as u32;
-        let room = memory.saturating_sub(held);
-        if parts <= 1 {
-            return (wanted <= room).then(|| (Vec::new(), 1));
-        }
-        let idle = |tag: EngineTag| {
-            loads.get(&tag).is_none_or(|load| load.requests == 0 && load.readers.is_empty())
-        };
-        let helpers: Vec<_> = self
-            .fleet
-            .usable(&service.name)
-            .filter(|(tag, record)| {
-                *tag != first
-                    && !excluded.contains(tag)
-                    && idle(*tag)
-                    && record.failure_chance(now) < WAIT_COST
-            })
-            .map(|(tag, _)| tag)
-            .take(parts - 1)
-            .collect();
-        let parts = helpers.len() + 1;
-        let lacking = wanted.saturating_sub(room);
-        if lacking == 0 {
-            let helpers = helpers.into_iter().map(|engine| HelperPart { engine, tokens: None });
-            return Some((helpers.collect(), parts));
-        }
-        let share = lacking.div_ceil(helpers.len().max(1) as u32).max(wanted / parts as u32);
-        if helpers.is_empty() || share > memory {
-            return None;
-        }
-        let helpers = helpers.into_iter().map(|engine| HelperPart { engine, tokens: Some(share) });
-        Some((helpers.collect(), parts))
-    }
-
-    #[allow(clippy::too_many_arguments)] // All of it describes one candidate.
-    fn candidate_order(
-        &self,
-        model: &PassModel,
-        need: &WorkNeed,
-        record: &crate::fleet::EngineRecord,
-        load: &EngineLoad,
-        forecast: &EngineForecast,
-        cost: f64,
-        gathering: (f64, f64),
-    ) -> CandidateOrder {
-        let gap = f64::from(need.gap_aim_ms);
-        let is_short = !model.is_long(need);
-        let is_gathering = forecast.first_ms <= f64::from(need.first_aim_ms) * gathering.0
-            && (load.requests as f64) < f64::from(model.slots) * gathering.1;
-        let alike = load.writers.iter().filter(|other| **other <= gap * 1.5).count();
-        let tightest = load.writers.iter().copied().fold(f64::INFINITY, f64::min);
-        let company = if is_short && is_gathering && tightest >= gap * 0.5 { alike } else { 0 };
-        CandidateOrder {
-            cost,
-            company,
-            first_ms: forecast.first_ms,
-            is_far: record.entry.failure_domain != self.failure_domain,
-        }
-    }
-
     /// Time until it is a long prompt's turn: what is under way on the engines that may read it, and
     /// the prompts before it, spread over them. Short prompts need only one answer to end.
     fn turn_after(
@@ -686,35 +377,6 @@
     }
 }
 
-/// Order of candidates: least cost, then most company, then the earliest first event.
-#[value]
-struct CandidateOrder {
-    cost: f64,
-    company: usize,
-    first_ms: f64,
-    is_far: bool,
-}
-
-impl CandidateOrder {
-    /// Difference of cost that decides; smaller ones are noise of the estimates.
-    const COST_STEP: f64 = 0.05;
-    /// Difference of first events for which a nearer server is taken.
-    const FIRST_STEP_MS: f64 = 3.0;
-
-    fn is_before(&self, other: &CandidateOrder) -> bool {
-        if (self.cost - other.cost).abs() > Self::COST_STEP {
-            return self.cost < other.cost;
-        }
-        if self.company != other.company {
-            return self.company > other.company;
-        }
-        if (self.first_ms - other.first_ms).abs() > Self::FIRST_STEP_MS {
-            return self.first_ms < other.first_ms;
-        }
-        !self.is_far && other.is_far
-    }
-}
-
 fn assignment(number: WorkNumber, need: &WorkNeed, choice: PlaceChoice) -> DispatchOutput {
     let first = Duration::from_secs_f64(choice.forecast.first_ms / 1e3);
     let gap = Duration::from_millis(need.gap_aim_ms.into());
--- a/crates/core/src/dispatch/tests.rs
+++ b/crates/core/src/dispatch/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::{fleet::EngineVerdict, work::WorkNews};
 
 const SERVICE: &str = "model";
 const PLAIN: &str = "records";
--- /dev/null
+++ b/crates/node/src/gateway/feed.rs
@@ -0,0 +1,155 @@
+//! What a driver tells the gateway from the store, and what it asks before the next call.
+
+use std::{rc::Rc, sync::Arc};
+
+use parsley_core::{
+    catalog::{RouteCatalog, ServingConfig},
+    dispatch::DispatchInput,
+    feed::{FeedContext, LEADS, PROOF_AGE, UNLIKE_TIME},
+    fleet::EngineEntry,
+    roster::{HostCard, HostTag},
+    time::Time,
+};
+use parsley_macros::message;
+
+use super::{Gateway, beats, clock};
+use crate::event;
+
+/// What a lead learned from the store about a server.
+#[message]
+pub enum ServerNews {
+    /// Its entry is new or changed.
+    Changed(EngineEntry),
+    /// Its entry is gone.
+    Removed {
+        /// Instance.
+        id: Arc<str>,
+        /// The store's revision.
+        revision: u64,
+    },
+}
+
+impl Gateway {
+    /// Takes a configuration that the store showed in a call sent at `asked`. An older one than
+    /// that in force is ignored.
+    pub fn take_config(self: &Rc<Self>, config: ServingConfig, asked: Time) {
+        let version = config.version;
+        let services = {
+            let mut state = self.state.borrow_mut();
+            let from = state.catalog.as_ref().map(|catalog| catalog.version());
+            state.evidence.confirm(version, asked);
+            if from.is_some_and(|from| from >= version) {
+                return;
+            }
+            let catalog = RouteCatalog::new(config);
+            let services = catalog.services().clone();
+            state.catalog = Some(Rc::new(catalog));
+            let age = clock::now().since(asked).as_millis() as u64;
+            event!(self.log, CONFIG_TAKEN, "version" => version,
+                "from" => from.unwrap_or_default(), "age_ms" => age);
+            services
+        };
+        self.metrics.config_version.set(version as i64);
+        if self.feed_context(true).is_lead {
+            beats::send_full(self);
+        }
+        self.dispatch(DispatchInput::Services(services));
+        self.note_evidence();
+    }
+
+    /// The store showed, in a call sent at `asked`, that nothing is newer than the configuration
+    /// in force.
+    pub fn confirm_config(&self, asked: Time) {
+        {
+            let mut state = self.state.borrow_mut();
+            let version = state.evidence.version();
+            if state.catalog.is_some() {
+                state.evidence.confirm(version, asked);
+            }
+        }
+        self.note_evidence();
+    }
+
+    /// The store names a host.
+    pub fn introduce(&self, card: HostCard) {
+        let mut state = self.state.borrow_mut();
+        if card.tag() != state.card.tag() {
+            state.roster.introduce(card);
+        }
+    }
+
+    /// The store names just these hosts.
+    pub fn keep_hosts(&self, named: &[HostTag]) {
+        self.state.borrow_mut().roster.keep_named(named);
+    }
+
+    /// The store was lost or regained for the configuration or for discovery.
+    pub fn note_store(self: &Rc<Self>, is_config: bool, is_lost: bool) {
+        {
+            let mut state = self.state.borrow_mut();
+            let part = if is_config { &mut state.store_lost.0 } else { &mut state.store_lost.1 };
+            *part = is_lost;
+            state.card.has_store = state.store_lost == (false, false);
+        }
+        if !is_config {
+            self.dispatch(DispatchInput::Store { is_lost });
+        }
+    }
+
+    /// Logs when keys can no longer be decided about, and when they can again.
+    pub(super) fn note_evidence(&self) {
+        let now = clock::now();
+        let (is_recent, was_recent, version, age) = {
+            let mut state = self.state.borrow_mut();
+            let is_recent = state.evidence.is_recent(now);
+            let was = std::mem::replace(&mut state.was_recent, is_recent);
+            // Callers go elsewhere as soon as the host cannot decide about their keys.
+            state.card.is_ready = is_recent && state.catalog.is_some() && state.drain_end.is_none();
+            (is_recent, was, state.evidence.version(), state.evidence.age(now))
+        };
+        let age = age.map_or(u64::MAX, |age| age.as_millis() as u64);
+        self.metrics.config_age.set(i64::try_from(age).unwrap_or(i64::MAX));
+        match (was_recent, is_recent) {
+            (true, false) => {
+                event!(self.log, EVIDENCE_STALE, "version" => version, "age_ms" => age)
+            }
+            (false, true) => {
+                event!(self.log, EVIDENCE_RECENT, "version" => version, "age_ms" => age)
+            }
+            _ => {}
+        }
+    }
+
+    /// What decides how the driver follows a part of the store.
+    pub fn feed_context(&self, is_config: bool) -> FeedContext {
+        let now = clock::now();
+        let state = self.state.borrow();
+        let proof = state.evidence.age(now);
+        let has_news = if is_config {
+            state.newest_heard > state.evidence.version()
+        } else {
+            state.unlike_since.is_some_and(|at| now.since(at) >= UNLIKE_TIME)
+        };
+        FeedContext {
+            is_lead: state.roster.is_lead(now, &state.card, LEADS),
+            needs_proof: state.catalog.is_some() && proof.is_none_or(|age| age >= PROOF_AGE),
+            has_news,
+        }
+    }
+
+    /// Waits until a peer is known to have something newer.
+    pub async fn feed_news(&self) {
+        // The channel closes only with the gateway.
+        let _ = self.stale.1.recv().await;
+    }
+
+    /// Keeps news of the store about a server for the peers.
+    pub fn tell_later(&self, news: ServerNews) {
+        self.state.borrow_mut().server_news.push(news);
+    }
+
+    /// Tells the peers what was kept for them.
+    pub fn tell_servers(&self) {
+        beats::send_servers(self);
+    }
+}
--- a/crates/node/src/gateway/link.rs
+++ b/crates/node/src/gateway/link.rs
@@ -31,8 +31,9 @@
 /// Unanswered probes after which a connection is dead. Memory set aside for its request is returned
 /// before it counts as lost.
 const LOST_PROBES: u32 = 2;
-/// Idle connections kept for each server.
-const KEPT_LINKS: usize = 24;
+/// Idle connections kept for each server: all hosts share what a server accepts, and few of a
+/// host's requests meet on one server.
+const KEPT_LINKS: usize = 4;
 
 /// Lets the kernel end a connection whose other end fell silent, such as a machine without power.
 fn watch_peer(stream: &TcpStream) -> Result<(), NodeError> {
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -16,18 +16,17 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use parsley_core::{
-    catalog::{RouteCatalog, ServingConfig},
+    catalog::RouteCatalog,
     dispatch::{DispatchInput, DispatchOutput, Dispatcher, HelperPart, PlaceReason, TICK_PERIOD},
     evidence::EvidenceKeeper,
-    feed::{FeedContext, LEADS, PROOF_AGE, UNLIKE_TIME},
-    fleet::{EngineEntry, EngineTag, EngineVerdict},
+    fleet::{EngineTag, EngineVerdict},
     refusal::{Reason, Refusal},
     retry::{RetryBudget, RetryLimit},
     roster::{HostCard, HostTag, PeerRoster},
     time::Time,
     work::WorkNumber,
 };
-use parsley_macros::{message, value};
+use parsley_macros::value;
 use slog::Logger;
 
 use crate::event;
@@ -36,8 +35,10 @@
 mod beats;
 mod body;
 pub mod clock;
+mod drain;
 pub mod edge;
 mod exchange;
+mod feed;
 pub mod line_budget;
 pub mod link;
 mod listener;
@@ -48,25 +49,19 @@
 mod tests;
 
 pub use edge::WireEdge;
+pub use feed::ServerNews;
 pub use listener::{serve_pages, within};
 pub use metrics::GatewayMetrics;
 
 use line_budget::LineBudget;
 use link::LinkPool;
 
-/// Part of the grace time after which requests that are still open are given up.
-const GRACE_SHARE: f64 = 0.93;
-/// Time for which idle connections stay open while the host drains: callers that hold an older
-/// answer still use them.
-const LINGER: Duration = Duration::from_millis(2_500);
 /// When a caller may come back if another host is ready.
 const PEER_RETRY: Duration = Duration::from_millis(20);
 /// When a caller may come back if no host is: outages of the store last seconds.
 const STORE_RETRY: Duration = Duration::from_millis(2_500);
 /// Time between two sweeps of idle connections and gauges.
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
-/// Time between two looks at what is still open.
-const DRAIN_PERIOD: Duration = Duration::from_millis(20);
 
 /// What a gateway is started with.
 #[value]
@@ -91,20 +86,6 @@
     reason: PlaceReason,
 }
 
-/// What a lead learned from the store about a server.
-#[message]
-pub enum ServerNews {
-    /// Its entry is new or changed.
-    Changed(EngineEntry),
-    /// Its entry is gone.
-    Removed {
-        /// Instance.
-        id: Arc<str>,
-        /// The store's revision.
-        revision: u64,
-    },
-}
-
 /// What changes while a gateway runs.
 struct GatewayState {
     dispatcher: Dispatcher,
@@ -245,46 +226,6 @@
         self.state.borrow().card.clone()
     }
 
-    /// Takes a configuration that the store showed in a call sent at `asked`. An older one than
-    /// that in force is ignored.
-    pub fn take_config(self: &Rc<Self>, config: ServingConfig, asked: Time) {
-        let version = config.version;
-        let services = {
-            let mut state = self.state.borrow_mut();
-            let from = state.catalog.as_ref().map(|catalog| catalog.version());
-            state.evidence.confirm(version, asked);
-            if from.is_some_and(|from| from >= version) {
-                return;
-            }
-            let catalog = RouteCatalog::new(config);
-            let services = catalog.services().clone();
-            state.catalog = Some(Rc::new(catalog));
-            let age = clock::now().since(asked).as_millis() as u64;
-            event!(self.log, CONFIG_TAKEN, "version" => version,
-                "from" => from.unwrap_or_default(), "age_ms" => age);
-            services
-        };
-        self.metrics.config_version.set(version as i64);
-        if self.feed_context(true).is_lead {
-            beats::send_full(self);
-        }
-        self.dispatch(DispatchInput::Services(services));
-        self.note_evidence();
-    }
-
-    /// The store showed, in a call sent at `asked`, that nothing is newer than the configuration
-    /// in force.
-    pub fn confirm_config(&self, asked: Time) {
-        {
-            let mut state = self.state.borrow_mut();
-            let version = state.evidence.version();
-            if state.catalog.is_some() {
-                state.evidence.confirm(version, asked);
-            }
-        }
-        self.note_evidence();
-    }
-
     /// Version of the configuration and milliseconds since it was known to be the newest.
     fn config_age(&self, now: Time) -> (u64, u64) {
         let state = self.state.borrow();
@@ -299,65 +240,6 @@
         if has_peer { PEER_RETRY } else { STORE_RETRY }
     }
 
-    /// What decides how the driver follows a part of the store.
-    pub fn feed_context(&self, is_config: bool) -> FeedContext {
-        let now = clock::now();
-        let state = self.state.borrow();
-        let proof = state.evidence.age(now);
-        let has_news = if is_config {
-            state.newest_heard > state.evidence.version()
-        } else {
-            state.unlike_since.is_some_and(|at| now.since(at) >= UNLIKE_TIME)
-        };
-        FeedContext {
-            is_lead: state.roster.is_lead(now, &state.card, LEADS),
-            needs_proof: state.catalog.is_some() && proof.is_none_or(|age| age >= PROOF_AGE),
-            has_news,
-        }
-    }
-
-    /// Waits until a peer is known to have something newer.
-    pub async fn feed_news(&self) {
-        // The channel closes only with the gateway.
-        let _ = self.stale.1.recv().await;
-    }
-
-    /// Keeps news of the store about a server for the peers.
-    pub fn tell_later(&self, news: ServerNews) {
-        self.state.borrow_mut().server_news.push(news);
-    }
-
-    /// Tells the peers what was kept for them.
-    pub fn tell_servers(&self) {
-        beats::send_servers(self);
-    }
-
-    /// The store names a host.
-    pub fn introduce(&self, card: HostCard) {
-        let mut state = self.state.borrow_mut();
-        if card.tag() != state.card.tag() {
-            state.roster.introduce(card);
-        }
-    }
-
-    /// The store names just these hosts.
-    pub fn keep_hosts(&self, named: &[HostTag]) {
-        self.state.borrow_mut().roster.keep_named(named);
-    }
-
-    /// The store was lost or regained for the configuration or for discovery.
-    pub fn note_store(self: &Rc<Self>, is_config: bool, is_lost: bool) {
-        {
-            let mut state = self.state.borrow_mut();
-            let part = if is_config { &mut state.store_lost.0 } else { &mut state.store_lost.1 };
-            *part = is_lost;
-            state.card.has_store = state.store_lost == (false, false);
-        }
-        if !is_config {
-            self.dispatch(DispatchInput::Store { is_lost });
-        }
-    }
-
     /// Gives the dispatcher an input and carries out what it decides.
     pub fn dispatch(self: &Rc<Self>, input: DispatchInput) {
         let (outputs, has_news) = {
@@ -425,30 +307,6 @@
         }
     }
 
-    /// Logs when keys can no longer be decided about, and when they can again.
-    fn note_evidence(&self) {
-        let now = clock::now();
-        let (is_recent, was_recent, version, age) = {
-            let mut state = self.state.borrow_mut();
-            let is_recent = state.evidence.is_recent(now);
-            let was = std::mem::replace(&mut state.was_recent, is_recent);
-            // Callers go elsewhere as soon as the host cannot decide about their keys.
-            state.card.is_ready = is_recent && state.catalog.is_some() && state.drain_end.is_none();
-            (is_recent, was, state.evidence.version(), state.evidence.age(now))
-        };
-        let age = age.map_or(u64::MAX, |age| age.as_millis() as u64);
-        self.metrics.config_age.set(i64::try_from(age).unwrap_or(i64::MAX));
-        match (was_recent, is_recent) {
-            (true, false) => {
-                event!(self.log, EVIDENCE_STALE, "version" => version, "age_ms" => age)
-            }
-            (false, true) => {
-                event!(self.log, EVIDENCE_RECENT, "version" => version, "age_ms" => age)
-            }
-            _ => {}
-        }
-    }
-
     fn sweep(&self) {
         self.links.sweep();
         self.note_evidence();
@@ -481,48 +339,6 @@
         budget.is_some_and(|budget| budget.spend(clock::now(), hosts))
     }
 
-    /// Leaves the addresses told to callers, finishes what is open and returns at the end of the
-    /// grace time at the latest.
-    pub async fn drain(self: &Rc<Self>) {
-        let start = clock::now();
-        let end = start + self.settings.grace.mul_f64(GRACE_SHARE);
-        {
-            let mut state = self.state.borrow_mut();
-            state.card.is_ready = false;
-            state.drain_end = Some(end);
-        }
-        beats::send_full(self);
-        event!(self.log, GATEWAY_DRAINING, "open" => self.open.get(),
-            "grace_ms" => self.settings.grace.as_millis() as u64);
-        let linger = start + LINGER;
-        while clock::now() < linger {
-            Timer::after(DRAIN_PERIOD).await;
-        }
-        self.closing.0.borrow_mut().take();
-        loop {
-            while clock::now() < end && self.is_busy() {
-                Timer::after(DRAIN_PERIOD).await;
-            }
-            // The last answers, and requests that crossed the close, are still in the sockets.
-            Timer::after(DRAIN_PERIOD * 3).await;
-            if clock::now() >= end || !self.is_busy() {
-                break;
-            }
-        }
-        beats::send_full(self);
-        event!(self.log, GATEWAY_STOPPED, "open" => self.open.get());
-    }
-
-    /// Whether a request is open or a caller is connected.
-    fn is_busy(&self) -> bool {
-        self.open.get() > 0 || self.callers.get() > 0
-    }
-
-    /// Time left before the host ends, if it drains.
-    fn drain_left(&self) -> Option<Duration> {
-        self.state.borrow().drain_end.map(|end| end.since(clock::now()))
-    }
-
     fn new_number(&self) -> WorkNumber {
         let mut state = self.state.borrow_mut();
         state.next_number = state.next_number.wrapping_add(1);
