--- a/crates/node/src/command/mod.rs
+++ b/crates/node/src/command/mod.rs
@@ -50,6 +50,25 @@
     }
 }
 
+/// Reads the name of the command; the parser is left at its arguments. `Err` after the usage or the
+/// version was printed. A wrong word gives an empty name.
+pub fn read_name(program: &str, usage: &str) -> Result<(String, lexopt::Parser), ExitCode> {
+    let mut parser = lexopt::Parser::from_env();
+    let name = match parser.next() {
+        Ok(Some(lexopt::Arg::Value(name))) => name.to_string_lossy().into_owned(),
+        Ok(Some(lexopt::Arg::Long("version") | lexopt::Arg::Short('V'))) => {
+            println!("{program} {}", env!("CARGO_PKG_VERSION"));
+            return Err(ExitCode::SUCCESS);
+        }
+        Ok(Some(lexopt::Arg::Long("help") | lexopt::Arg::Short('h'))) => {
+            print!("{usage}");
+            return Err(ExitCode::SUCCESS);
+        }
+        _ => String::new(),
+    };
+    Ok((name, parser))
+}
+
 /// The error of a wrong command line.
 pub fn usage_error(usage: &str) -> NodeError {
     NodeError::Usage(Arc::from(usage))
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -17,18 +17,9 @@
 ";
 
 fn main() -> ExitCode {
-    let mut parser = lexopt::Parser::from_env();
-    let name = match parser.next() {
-        Ok(Some(lexopt::Arg::Value(name))) => name.to_string_lossy().into_owned(),
-        Ok(Some(lexopt::Arg::Long("version") | lexopt::Arg::Short('V'))) => {
-            println!("parsleystage {}", env!("CARGO_PKG_VERSION"));
-            return ExitCode::SUCCESS;
-        }
-        Ok(Some(lexopt::Arg::Long("help") | lexopt::Arg::Short('h'))) => {
-            print!("{USAGE}");
-            return ExitCode::SUCCESS;
-        }
-        _ => String::new(),
+    let (name, parser) = match command::read_name("parsleystage", USAGE) {
+        Ok(found) => found,
+        Err(code) => return code,
     };
     let result = match name.as_str() {
         "serve" => serve::run(parser),
