--- a/crates/core/src/dispatch/choose.rs
+++ b/crates/core/src/dispatch/choose.rs
@@ -42,6 +42,8 @@
 const PLAIN_FAILURE_WEIGHT: f64 = 4.0;
 /// What a server in another failure domain counts more, in parts of its slots.
 const FAR_FILL: f64 = 0.01;
+/// The load of an engine without work.
+static IDLE_LOAD: EngineLoad = EngineLoad::IDLE;
 /// Writers whose pause aim is at most so many times this one's are company.
 const ALIKE_GAP: f64 = 1.5;
 /// Short requests do not join writers whose pause aim is below this part of theirs.
@@ -66,8 +68,8 @@
 }
 
 impl ChoiceInput<'_> {
-    fn load(&self, tag: EngineTag) -> EngineLoad {
-        self.loads.get(&tag).cloned().unwrap_or_default()
+    fn load(&self, tag: EngineTag) -> &EngineLoad {
+        self.loads.get(&tag).unwrap_or(&IDLE_LOAD)
     }
 
     /// Whether a request may be placed on a server at all.
@@ -123,7 +125,7 @@
             let pace = record.pace(input.now);
             let forecast = load.forecast(model, input.need, parts, pace, input.waited);
             let cost = forecast.harmed as f64 + f64::from(u8::from(forecast.is_late)) + failure;
-            let order = self.candidate_order(model, input, record, &load, &forecast, cost);
+            let order = self.candidate_order(model, input, record, load, &forecast, cost);
             if best.as_ref().is_none_or(|(least, _)| order.is_before(least)) {
                 let requests = load.requests;
                 let engine = tag;
@@ -175,7 +177,7 @@
         };
         let loaded = entry.engines.iter().enumerate().map(|(index, tag)| {
             let pace = self.fleet.get(*tag).map_or(1.0, |record| record.pace(input.now));
-            let mut load = input.load(*tag);
+            let mut load = input.load(*tag).clone();
             load.add(Some(model), &entry, pace, index == 0, input.now);
             (*tag, load)
         });
--- a/crates/core/src/dispatch/forecast.rs
+++ b/crates/core/src/dispatch/forecast.rs
@@ -128,6 +128,16 @@
 }
 
 impl EngineLoad {
+    /// An engine without work.
+    pub const IDLE: EngineLoad = EngineLoad {
+        writers: Vec::new(),
+        context: 0.0,
+        readers: Vec::new(),
+        held: 0.0,
+        requests: 0,
+        busy_ms: 0.0,
+    };
+
     /// Adds a request that was sent to several engines, of which this is one.
     pub fn add(
         &mut self,
@@ -214,11 +224,13 @@
             .filter(|reader| reader.gap_ms > 0.0 && pass_ms + own_pass > reader.gap_ms * GAP_SHARE);
         let harmed_ranks = harmed_writers.map(|writer| writer.priority);
         let harmed_ranks = harmed_ranks.chain(harmed_readers.map(|reader| reader.priority));
-        let harmed_ranks: Vec<_> = harmed_ranks.collect();
+        let (harmed, harmed_above) = harmed_ranks.fold((0, 0), |(all, above), rank| {
+            (all + 1, above + usize::from(rank < need.priority))
+        });
         EngineForecast {
             first_ms,
-            harmed: harmed_ranks.len(),
-            harmed_above: harmed_ranks.iter().filter(|rank| **rank < need.priority).count(),
+            harmed,
+            harmed_above,
             is_late: waited.as_secs_f64() * 1e3 + first_ms > f64::from(need.first_aim_ms),
         }
     }
@@ -240,14 +252,8 @@
     fleet: &FleetTable,
     models: &BTreeMap<u64, Option<PassModel>>,
 ) -> BTreeMap<EngineTag, EngineLoad> {
-    let mut sent: Vec<_> = view
-        .all()
-        .map(|(_, _, entry)| entry)
-        .filter(|one| one.phase != WorkPhase::Waiting)
-        .collect();
-    sent.sort_by_key(|entry| entry.since);
     let mut loads: BTreeMap<EngineTag, EngineLoad> = BTreeMap::new();
-    for entry in sent {
+    for entry in sent_work(view, |_| true) {
         let model = models.get(&entry.need.service).and_then(Option::as_ref);
         for (index, tag) in entry.engines.iter().enumerate() {
             let pace = fleet.get(*tag).map_or(1.0, |record| record.pace(now));
@@ -256,3 +262,28 @@
     }
     loads
 }
+
+/// The load of one engine.
+pub fn collect_load(
+    now: Time,
+    view: &WorkView,
+    fleet: &FleetTable,
+    model: &PassModel,
+    engine: EngineTag,
+) -> EngineLoad {
+    let pace = fleet.get(engine).map_or(1.0, |record| record.pace(now));
+    let mut load = EngineLoad::default();
+    for entry in sent_work(view, |entry| entry.engines.contains(&engine)) {
+        load.add(Some(model), entry, pace, entry.engines.first() == Some(&engine), now);
+    }
+    load
+}
+
+/// Work that was sent, in the order in which it was.
+fn sent_work(view: &WorkView, is_wanted: impl Fn(&WorkEntry) -> bool) -> Vec<&WorkEntry> {
+    let sent = view.all().map(|(_, _, entry)| entry);
+    let mut sent: Vec<_> =
+        sent.filter(|one| one.phase != WorkPhase::Waiting && is_wanted(one)).collect();
+    sent.sort_by_key(|entry| entry.since);
+    sent
+}
--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -82,7 +82,7 @@
     /// Discovery no longer shows an instance.
     Removed {
         /// The instance.
-        id: Arc<str>,
+        tag: EngineTag,
         /// The store's revision.
         revision: u64,
     },
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -36,12 +36,21 @@
 mod tests;
 
 use choose::{CLOSE_GATHERING, ChoiceInput, LOOSE_GATHERING, MAX_PARTS, PlaceChoice, memory_parts};
-pub use forecast::{EngineForecast, EngineLoad, PassModel, collect_loads};
+pub use forecast::{EngineForecast, EngineLoad, PassModel, collect_load, collect_loads};
 pub use headroom::UrgentAim;
 pub use message::{DispatchInput, DispatchOutput, HelperPart, PlaceReason};
 
 /// Time between two [`DispatchInput::Tick`].
 pub const TICK_PERIOD: Duration = Duration::from_millis(20);
+/// The same while no request waits: many hosts are idle.
+pub const IDLE_TICK_PERIOD: Duration = Duration::from_millis(500);
+/// Waiting requests that are weighed at every opportunity. With more, decisions are spaced, so that
+/// a flood does not take the processor that answers need.
+const QUICK_QUEUE: usize = 256;
+/// Least time between a decision and one that is made because of news of peers.
+const HEARD_SPACING: Duration = Duration::from_millis(5);
+/// Longest time between two decisions, in ticks: urgent requests wait for the next one, too.
+const MAX_SPACING_TICKS: usize = 3;
 /// Cost of a placement, in requests made late, from which on waiting for a better one pays.
 const WAIT_COST: f64 = 0.5;
 /// Requests made late that a long prompt may cost when it cannot wait any longer.
@@ -92,6 +101,9 @@
     counts: BTreeMap<u64, usize>,
     /// Requests of the most urgent rank of each service, counted likewise.
     urgent_work: BTreeMap<u64, usize>,
+    last_decision: Time,
+    /// When waiting requests are weighed again at the earliest.
+    next_decision: Time,
 }
 
 impl Dispatcher {
@@ -100,6 +112,12 @@
         Dispatcher { failure_domain, ..Dispatcher::default() }
     }
 
+    /// Requests that the usable backend servers run at once.
+    pub fn places(&self) -> u32 {
+        let usable = self.fleet.iter().filter(|(_, record)| record.is_usable());
+        usable.map(|(_, record)| record.entry.slots).sum()
+    }
+
     /// Requests of this host that wait.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
@@ -108,6 +126,14 @@
     /// Takes an input and decides.
     pub fn step(&mut self, now: Time, input: DispatchInput) -> Vec<DispatchOutput> {
         let mut outputs = Vec::new();
+        // News of peers come often, and only what ends makes room.
+        let is_due = match &input {
+            DispatchInput::Heard { news, .. } if news.is_full || !news.ended.is_empty() => {
+                now.since(self.last_decision) >= HEARD_SPACING
+            }
+            DispatchInput::Heard { .. } | DispatchInput::Paced { .. } => false,
+            _ => now >= self.next_decision,
+        };
         match input {
             DispatchInput::Tick => {
                 self.view.forget(now);
@@ -167,15 +193,14 @@
                     outputs.push(DispatchOutput::EngineChanged(tag));
                 }
             }
-            DispatchInput::Removed { id, revision } => {
-                let tag = EngineTag(hash_name(&id));
+            DispatchInput::Removed { tag, revision } => {
                 if self.fleet.remove(now, tag, revision) {
                     outputs.push(DispatchOutput::Gone(tag));
                 }
             }
             DispatchInput::Store { is_lost } => self.fleet.note_store(now, is_lost),
         }
-        if !self.waiting.is_empty() {
+        if !self.waiting.is_empty() && is_due {
             self.decide(now, &mut outputs);
         }
         outputs
@@ -186,8 +211,8 @@
         let Some(record) = self.fleet.get(engine) else { return };
         let service = hash_name(&record.entry.service);
         let Some(model) = self.models.get(&service).and_then(Option::as_ref) else { return };
-        let loads = collect_loads(now, &self.view, &self.fleet, &self.models);
-        let expected = loads.get(&engine).and_then(|load| load.pass_ms(model));
+        let load = collect_load(now, &self.view, &self.fleet, model, engine);
+        let expected = load.pass_ms(model);
         if let Some(expected) = expected {
             self.fleet.measure(now, engine, gap.as_secs_f64() * 1e3 / expected);
         }
@@ -217,7 +242,13 @@
         let mut loads = collect_loads(now, &self.view, &self.fleet, &self.models);
         self.count();
         let mut ahead_ms = 0.0;
-        let queue = self.queue(now);
+        let mut queue = self.queue(now);
+        // What peers have behind the last request of this host is theirs to place.
+        let last_own = queue.iter().rposition(|(host, _, _)| host.is_none());
+        queue.truncate(last_own.map_or(0, |last| last + 1));
+        let spacing = (queue.len() / QUICK_QUEUE).min(MAX_SPACING_TICKS);
+        self.last_decision = now;
+        self.next_decision = now + TICK_PERIOD * spacing as u32;
         let is_long = |need: &WorkNeed| {
             let model = self.models.get(&need.service).and_then(Option::as_ref);
             model.is_some_and(|model| model.is_long(need))
--- a/crates/core/src/dispatch/tests.rs
+++ b/crates/core/src/dispatch/tests.rs
@@ -370,18 +370,18 @@
         arrived: Time(500_000),
         since: Time(400_000),
     };
-    let hear = |dispatcher: &mut Dispatcher, work: Vec<(WorkNumber, WorkEntry)>| {
+    let hear = |dispatcher: &mut Dispatcher, now: Time, work: Vec<(WorkNumber, WorkEntry)>| {
         let news = WorkNews { is_full: true, entries: work, ended: Vec::new() };
         let heard = DispatchInput::Heard { host: PEER, incarnation: 1, news, opinions: Vec::new() };
-        dispatcher.step(at(1_000), heard)
+        dispatcher.step(now, heard)
     };
-    hear(&mut dispatcher, vec![(WorkNumber(1), running(9_000_000))]);
+    hear(&mut dispatcher, at(1_000), vec![(WorkNumber(1), running(9_000_000))]);
     for (number, account) in [(1, 1), (2, 2)] {
         let need = of_account(account, long(200_000));
         let outputs = submit(&mut dispatcher, at(1_000 + u64::from(number)), number, need, 15_000);
         assert!(assigned(&outputs).is_empty(), "the engine reads another prompt");
     }
-    let outputs = hear(&mut dispatcher, Vec::new());
+    let outputs = hear(&mut dispatcher, at(1_010), Vec::new());
     let placed: Vec<_> = assigned(&outputs).into_iter().map(|(number, _, _)| number).collect();
     assert_eq!(placed, [2], "the account that was not served goes first");
 }
--- a/crates/core/src/evidence/mod.rs
+++ b/crates/core/src/evidence/mod.rs
@@ -63,6 +63,12 @@
         self.confirmed = self.confirmed.max(Some(asked));
     }
 
+    /// A version is in force of which it is not known whether it is the newest. What was known
+    /// of an earlier one holds on, as this one takes away at least as much.
+    pub fn adopt(&mut self, version: u64) {
+        self.version = self.version.max(version);
+    }
+
     /// Takes over what a peer says. Returns whether the peer has a newer version than this host.
     ///
     /// The peer received this host's datagram after `echo`, so its confirmation is no older than
--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -27,8 +27,17 @@
 pub const PROOF_AGE: Duration = Duration::from_millis(2_400);
 /// Time for which another list of servers than a lead's is suffered: news may be under way.
 pub const UNLIKE_TIME: Duration = Duration::from_millis(600);
-/// Time between two looks of a host that rests.
-pub const REST_TIME: Duration = Duration::from_millis(100);
+/// The same for a host that stands by, which members tell the changes now and then.
+pub const UNLIKE_TIME_OF_OTHERS: Duration = Duration::from_secs(3);
+/// Time for which a host that stands by leaves news alone, until stale answers have it, too.
+pub const STALE_TIME: Duration = Duration::from_millis(1_200);
+/// Age of the proof from which a host that stands by reads news at once and exactly: a change may
+/// have been in the store for as long, and must be in force four seconds after it.
+pub const URGENT_AGE: Duration = Duration::from_millis(2_000);
+/// Time between two watches of a lead that bring changes: servers write all the time.
+const WATCH_SPACING: Duration = Duration::from_millis(300);
+/// Time between two looks of a host that rests; news of the configuration end it.
+pub const REST_TIME: Duration = Duration::from_millis(250);
 /// Time for which a watch waits when its end is needed as a proof.
 const URGENT_WAIT: Duration = Duration::from_millis(30);
 /// Time between two reads because of a lead's news, so that a storm of changes costs few reads.
@@ -51,13 +60,18 @@
     pub needs_proof: bool,
     /// Whether a lead is known to have something newer.
     pub has_news: bool,
+    /// Whether a read may first be tried with an answer that may be seconds old.
+    pub may_be_stale: bool,
 }
 
 /// What to do next.
 #[value]
 pub enum FeedAction {
     /// Read the whole part.
-    Read,
+    Read {
+        /// Whether an answer may be seconds old, which costs the store a tenth.
+        is_stale: bool,
+    },
     /// Wait for changes after a revision.
     Watch {
         /// The revision.
@@ -76,11 +90,15 @@
     Read {
         /// The store's revision at the first page.
         revision: u64,
+        /// Whether the answer may be seconds old.
+        is_stale: bool,
     },
     /// The watch ended, with or without events, at a revision.
     Watched {
         /// The revision to continue from.
         revision: u64,
+        /// Whether it brought changes.
+        has_changes: bool,
     },
     /// The history after the revision is gone.
     Compacted,
@@ -95,7 +113,11 @@
     revision: Option<u64>,
     failures: u32,
     last_read: Option<Time>,
+    /// Whether the last read was a stale one.
+    was_stale: bool,
     last_proof: Option<Time>,
+    /// When a watch last brought changes.
+    last_change: Option<Time>,
 }
 
 impl FeedFollower {
@@ -106,17 +128,23 @@
             0 => Duration::ZERO,
             count => (FIRST_PAUSE * (1 << (count - 1).min(8))).min(longest),
         };
-        let Some(after) = self.revision else { return (pause, FeedAction::Read) };
+        let Some(after) = self.revision else {
+            return (pause, FeedAction::Read { is_stale: false });
+        };
         let may_prove = self.last_proof.is_none_or(|at| now.since(at) >= PROOF_SPACING);
         if self.failures > 0 || (context.needs_proof && may_prove) {
             return (pause, FeedAction::Watch { after, wait: URGENT_WAIT });
         }
         if context.is_lead {
+            let since = self.last_change.map_or(WATCH_SPACING, |at| now.since(at));
+            let pause = WATCH_SPACING.saturating_sub(since);
             return (pause, FeedAction::Watch { after, wait: WATCH_WAIT });
         }
         let may_read = self.last_read.is_none_or(|at| now.since(at) >= READ_SPACING);
         if context.has_news && may_read {
-            return (pause, FeedAction::Read);
+            // A stale answer without the news is followed by an exact one.
+            let is_stale = context.may_be_stale && !self.was_stale;
+            return (pause, FeedAction::Read { is_stale });
         }
         (Duration::ZERO, FeedAction::Rest)
     }
@@ -125,13 +153,18 @@
     pub fn step(&mut self, now: Time, result: FeedResult) -> Option<bool> {
         let was_lost = self.failures > 0;
         match result {
-            FeedResult::Read { revision } => {
-                self.revision = Some(revision);
+            FeedResult::Read { revision, is_stale } => {
+                // An older answer must not turn a later watch back.
+                self.revision = Some(self.revision.unwrap_or(0).max(revision));
                 self.last_read = Some(now);
+                self.was_stale = is_stale;
                 self.failures = 0;
             }
-            FeedResult::Watched { revision } => {
+            FeedResult::Watched { revision, has_changes } => {
                 self.last_proof = Some(now);
+                if has_changes {
+                    self.last_change = Some(now);
+                }
                 self.revision = Some(self.revision.unwrap_or(0).max(revision));
                 self.failures = 0;
             }
--- a/crates/core/src/feed/tests.rs
+++ b/crates/core/src/feed/tests.rs
@@ -1,8 +1,12 @@
 use super::*;
 
-const LEAD: FeedContext = FeedContext { is_lead: true, needs_proof: false, has_news: false };
-const REST: FeedContext = FeedContext { is_lead: false, needs_proof: false, has_news: false };
+const LEAD: FeedContext =
+    FeedContext { is_lead: true, needs_proof: false, has_news: false, may_be_stale: false };
+const REST: FeedContext =
+    FeedContext { is_lead: false, needs_proof: false, has_news: false, may_be_stale: false };
 const WATCH: FeedAction = FeedAction::Watch { after: 40, wait: WATCH_WAIT };
+const EXACT: FeedAction = FeedAction::Read { is_stale: false };
+const STALE: FeedAction = FeedAction::Read { is_stale: true };
 
 fn at(millis: u64) -> Time {
     Time(1_000_000 + millis * 1_000)
@@ -10,8 +14,8 @@
 
 fn follower() -> FeedFollower {
     let mut follower = FeedFollower::default();
-    assert_eq!(follower.next(at(0), &REST), (Duration::ZERO, FeedAction::Read));
-    follower.step(at(0), FeedResult::Read { revision: 40 });
+    assert_eq!(follower.next(at(0), &REST), (Duration::ZERO, EXACT));
+    follower.step(at(0), FeedResult::Read { revision: 40, is_stale: false });
     follower
 }
 
@@ -30,14 +34,17 @@
     assert!(pause >= FIRST_PAUSE && pause <= LONGEST_PAUSE);
     let again = FeedAction::Watch { after: 40, wait: URGENT_WAIT };
     assert_eq!(action, again, "soon, as the answer tells that the store is back");
-    assert_eq!(follower.step(at(4), FeedResult::Watched { revision: 41 }), Some(false));
+    assert_eq!(
+        follower.step(at(4), FeedResult::Watched { revision: 41, has_changes: false }),
+        Some(false)
+    );
 }
 
 #[test]
 fn lost_history_is_read_again() {
     let mut follower = follower();
     follower.step(at(2), FeedResult::Compacted);
-    assert_eq!(follower.next(at(3), &LEAD).1, FeedAction::Read);
+    assert_eq!(follower.next(at(3), &LEAD).1, EXACT);
 }
 
 /// Calls to the store must not grow with the number of hosts.
@@ -72,7 +79,7 @@
 fn proofs_are_not_asked_for_without_pause() {
     let needs = FeedContext { needs_proof: true, ..REST };
     let mut follower = follower();
-    follower.step(at(10), FeedResult::Watched { revision: 40 });
+    follower.step(at(10), FeedResult::Watched { revision: 40, has_changes: false });
     assert_eq!(follower.next(at(20), &needs).1, FeedAction::Rest);
     assert_ne!(follower.next(at(300), &needs).1, FeedAction::Rest);
 }
@@ -83,10 +90,40 @@
     let mut follower = follower();
     let mut reads = 0;
     for millis in (700..4_700).step_by(10) {
-        if follower.next(at(millis), &news).1 == FeedAction::Read {
+        if let FeedAction::Read { is_stale } = follower.next(at(millis), &news).1 {
             reads += 1;
-            follower.step(at(millis), FeedResult::Read { revision: 40 + millis });
+            follower.step(at(millis), FeedResult::Read { revision: 40 + millis, is_stale });
         }
     }
     assert!((5..=7).contains(&reads), "{reads}");
 }
+
+/// Hundreds of hosts read each configuration; a stale answer costs a tenth and mostly has it.
+#[test]
+fn news_is_read_stale_first_and_then_exactly() {
+    let news = FeedContext { has_news: true, may_be_stale: true, ..REST };
+    let mut follower = follower();
+    assert_eq!(follower.next(at(700), &news).1, STALE);
+    follower.step(at(700), FeedResult::Read { revision: 39, is_stale: true });
+    assert_eq!(follower.next(at(1_400), &news).1, EXACT, "the news was not in it");
+    follower.step(at(1_400), FeedResult::Read { revision: 45, is_stale: false });
+    assert_eq!(follower.next(at(2_100), &news).1, STALE);
+}
+
+/// The revision of a stale answer is behind the host's own.
+#[test]
+fn stale_read_does_not_turn_a_watch_back() {
+    let mut follower = follower();
+    follower.step(at(700), FeedResult::Read { revision: 12, is_stale: true });
+    assert_eq!(follower.next(at(701), &LEAD).1, WATCH);
+}
+
+/// Servers write their entries again and again, and each call of a lead is paid for.
+#[test]
+fn watch_with_changes_is_followed_by_a_pause() {
+    let mut follower = follower();
+    follower.step(at(10), FeedResult::Watched { revision: 41, has_changes: true });
+    let (pause, _) = follower.next(at(60), &LEAD);
+    assert_eq!(pause, WATCH_SPACING - Duration::from_millis(50));
+    assert_eq!(follower.next(at(400), &LEAD).0, Duration::ZERO);
+}
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -36,6 +36,13 @@
 #[key]
 pub struct EngineTag(pub u64);
 
+impl EngineTag {
+    /// The tag of an instance.
+    pub fn of(id: &str) -> EngineTag {
+        EngineTag(hash_name(id))
+    }
+}
+
 /// A stable hash of a name that hosts share instead of the name.
 pub fn hash_name(name: &str) -> u64 {
     let hash = blake3::hash(name.as_bytes());
@@ -66,7 +73,40 @@
 impl EngineEntry {
     /// The tag of the instance.
     pub fn tag(&self) -> EngineTag {
-        EngineTag(hash_name(&self.id))
+        EngineTag::of(&self.id)
+    }
+
+    /// Whether two entries differ in nothing but their revision.
+    fn says_the_same(&self, other: &EngineEntry) -> bool {
+        EngineEntry { revision: other.revision, ..self.clone() } == *other
+    }
+
+    fn digest(&self) -> u64 {
+        hash_name(&format!("{} {} {}", self.tag().0, self.is_leaving, self.born))
+    }
+}
+
+/// A change of the table, as other hosts are told.
+#[value]
+pub enum FleetChange {
+    /// An entry is new or changed.
+    Entry(EngineEntry),
+    /// An entry is gone.
+    Removed {
+        /// Instance.
+        tag: EngineTag,
+        /// The store's revision.
+        revision: u64,
+    },
+}
+
+impl FleetChange {
+    /// The store's revision at the change.
+    fn revision(&self) -> u64 {
+        match self {
+            FleetChange::Entry(entry) => entry.revision,
+            FleetChange::Removed { revision, .. } => *revision,
+        }
     }
 }
 
@@ -103,6 +143,11 @@
 pub struct EngineRecord {
     /// What discovery says.
     pub entry: EngineEntry,
+    /// Part of the table's digest.
+    digest: u64,
+    /// The store's revision at the last change of anything but the revision: servers write their
+    /// entries again and again.
+    changed: u64,
     /// Chance of failure at `judged`; falls with time.
     failure: f64,
     judged: Time,
@@ -122,6 +167,8 @@
 impl EngineRecord {
     fn new(entry: EngineEntry, now: Time) -> EngineRecord {
         EngineRecord {
+            digest: entry.digest(),
+            changed: entry.revision,
             entry,
             failure: 0.0,
             judged: now,
@@ -207,6 +254,10 @@
                 if record.entry.born == entry.born && record.entry.address == entry.address =>
             {
                 let is_news = record.entry.is_leaving != entry.is_leaving;
+                if !record.entry.says_the_same(&entry) {
+                    record.changed = entry.revision;
+                }
+                record.digest = entry.digest();
                 record.entry = entry;
                 record.lapsed = None;
                 is_news
@@ -241,11 +292,33 @@
     /// A number that two hosts share if they have the same entries.
     pub fn digest(&self) -> u64 {
         let listed = self.engines.iter().filter(|(_, record)| record.lapsed.is_none());
-        let hashes = listed.map(|(tag, record)| {
-            let entry = &record.entry;
-            hash_name(&format!("{} {} {}", tag.0, entry.is_leaving, entry.born))
+        listed.map(|(_, record)| record.digest).fold(0, u64::wrapping_add)
+    }
+
+    /// Revision of the newest change that is known.
+    pub fn newest_revision(&self) -> u64 {
+        let entries = self.engines.values().map(|record| record.changed);
+        entries.chain(self.removed.values().copied()).max().unwrap_or_default()
+    }
+
+    /// Changes after a revision, oldest first.
+    pub fn changes_after(&self, revision: u64) -> Vec<FleetChange> {
+        let listed = self.engines.values().filter(|record| record.lapsed.is_none());
+        let entries = listed.filter(|record| record.changed > revision).map(|record| {
+            let entry = EngineEntry { revision: record.changed, ..record.entry.clone() };
+            FleetChange::Entry(entry)
         });
-        hashes.fold(0, u64::wrapping_add)
+        let removed = self.removed.iter().filter(|(_, at)| **at > revision);
+        let removed = removed.map(|(tag, at)| FleetChange::Removed { tag: *tag, revision: *at });
+        let mut changes: Vec<_> = entries.chain(removed).collect();
+        changes.sort_unstable_by_key(FleetChange::revision);
+        changes
+    }
+
+    /// Whether an entry says nothing new.
+    pub fn is_known(&self, entry: &EngineEntry) -> bool {
+        let record = self.engines.get(&entry.tag());
+        record.is_some_and(|record| record.entry.says_the_same(entry) && record.lapsed.is_none())
     }
 
     /// Drops servers that did not return after the store did. Returns them.
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -1,8 +1,12 @@
-//! Decides which hosts callers are told to use.
+//! Decides which hosts exchange work and beats, and which of them callers are told to use.
 //!
 //! Owns what is known of each peer: its addresses, when it was last heard and whether it is leaving.
-//! A peer that was silent for a few beats is not told to callers; one that was not heard
-//! for [`FORGET_LIMIT`] is forgotten unless the store still names it.
+//! Hosts have a rank, the same for all: larger ones first, then by tag. The first
+//! [`MEMBER_LIMIT`] that live are members: they beat one another. Callers are told the first of
+//! these, as many as the work needs. All other hosts stand by: they ask one member at a time what
+//! is new, so what a host spends on control does not grow with the number of hosts. When members
+//! fall silent, the next by rank take their places. A peer that was not heard for [`FORGET_LIMIT`]
+//! is forgotten unless the store still names it.
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -10,11 +14,25 @@
 
 use crate::time::Time;
 
+mod duty;
+#[cfg(test)]
+mod fleet_tests;
 #[cfg(test)]
 mod tests;
 
-/// Time between two full beats to a peer while there are few peers.
+pub use duty::{BeatTarget, PeerDuty, entry_delay};
+
+/// Time between two beats to a peer while there are few peers.
 pub const BEAT_PERIOD: Duration = Duration::from_millis(400);
+/// Most hosts that beat one another: twice those that callers are told in a fleet of some hundred
+/// engines, so that half of them may go at once.
+pub const MEMBER_LIMIT: usize = 32;
+/// Time between two questions of a host that stands by. Three may stay unanswered before it takes
+/// the members for silent.
+pub const ASK_PERIOD: Duration = Duration::from_millis(700);
+/// Time after its start in which a process tells callers no addresses: it knows few peers yet, and
+/// callers go on with what they were told.
+pub const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 /// Silence, in beats, after which a peer is not told to callers: three may get lost.
 const SILENT_BEATS: f64 = 3.5;
 /// Silence after which a peer is forgotten.
@@ -23,6 +41,12 @@
 pub const ENTRY_TERM: Duration = Duration::from_secs(30);
 /// Time between two renewals of the entry, and two looks at the others'.
 pub const ENTRY_PERIOD: Duration = Duration::from_secs(9);
+/// Time over which hosts that start together spread, so that later ones see that enough are listed.
+pub const ENTRY_SPREAD: Duration = Duration::from_millis(2_500);
+/// Time between two looks at the list of a host that needs no entry.
+pub const LOOK_PERIOD: Duration = Duration::from_secs(60);
+/// Hosts that the store lists: the members and as many that may follow them.
+const LISTED_LIMIT: usize = 2 * MEMBER_LIMIT;
 /// Pause before a failed registration is tried again.
 pub const ENTRY_PAUSE: Duration = Duration::from_millis(1_500);
 /// Time for which callers may keep an answer; a host that stops is told to none after it.
@@ -32,7 +56,7 @@
 /// Most addresses in one answer.
 const MAX_ADDRESSES: usize = 64;
 /// Peers that one [`BEAT_PERIOD`] serves; with more, each hears less often.
-const PEERS_A_PERIOD: usize = 64;
+const PEERS_A_PERIOD: usize = 24;
 
 /// A host process: the hash of its name and address, so that a replacement is another host.
 #[key]
@@ -64,6 +88,12 @@
     pub fn tag(&self) -> HostTag {
         HostTag(crate::fleet::hash_name(&format!("{} {}", self.name, self.beats)))
     }
+
+    /// A number that changes with what callers and peers are told of the host.
+    fn digest(&self, tag: HostTag) -> u64 {
+        let flags = u64::from(self.is_ready) << 1 | u64::from(self.has_store);
+        (tag.0 ^ self.incarnation.rotate_left(17)).wrapping_add(flags)
+    }
 }
 
 /// What a beat shows about its sender.
@@ -79,27 +109,44 @@
 struct PeerRecord {
     card: HostCard,
     heard: Option<Time>,
+    /// Since when it is beaten without having answered yet.
+    called: Option<Time>,
     is_silent: bool,
     /// Earlier processes, whose late datagrams are ignored.
     replaced: Vec<u64>,
 }
 
+impl PeerRecord {
+    fn new(card: HostCard) -> PeerRecord {
+        PeerRecord { card, heard: None, called: None, is_silent: false, replaced: Vec::new() }
+    }
+}
+
 /// The known peers.
 #[derive(Debug, Default)]
 pub struct PeerRoster {
+    started: Time,
     peers: BTreeMap<HostTag, PeerRecord>,
     most_alive: usize,
+    /// Whether the store lists this host.
+    is_listed: bool,
+    /// When a member last took this host for a member.
+    called: Option<Time>,
+    /// The members of which a member told last, with their digest.
+    told: (u64, Vec<HostTag>),
+    /// Questions since the last answer of a member.
+    unanswered: u32,
 }
 
 impl PeerRoster {
+    /// A roster of a process that starts now and knows no peer.
+    pub fn new(now: Time) -> PeerRoster {
+        PeerRoster { started: now, ..PeerRoster::default() }
+    }
+
     /// The store, or another peer, names a host that was not heard yet.
     pub fn introduce(&mut self, card: HostCard) {
-        self.peers.entry(card.tag()).or_insert(PeerRecord {
-            card,
-            heard: None,
-            is_silent: false,
-            replaced: Vec::new(),
-        });
+        self.peers.entry(card.tag()).or_insert_with(|| PeerRecord::new(card));
     }
 
     /// A beat arrived. Returns what is new about the peer; `None` if the beat comes from a process
@@ -107,12 +154,7 @@
     pub fn hear(&mut self, now: Time, card: HostCard) -> Option<PeerNews> {
         let tag = card.tag();
         let was_alive = self.is_alive(now, tag);
-        let record = self.peers.entry(tag).or_insert_with(|| PeerRecord {
-            card: card.clone(),
-            heard: None,
-            is_silent: false,
-            replaced: Vec::new(),
-        });
+        let record = self.peers.entry(tag).or_insert_with(|| PeerRecord::new(card.clone()));
         if record.replaced.contains(&card.incarnation) {
             return None;
         }
@@ -125,6 +167,7 @@
         }
         record.card = card;
         record.heard = Some(now);
+        record.called = None;
         record.is_silent = false;
         self.most_alive = self.most_alive.max(self.alive(now).count() + 1);
         Some(if was_alive && !is_restarted { PeerNews::Known } else { PeerNews::Back })
@@ -167,30 +210,6 @@
         alive.map(|(tag, record)| (*tag, &record.card))
     }
 
-    /// Whether this host is one of those that watch the store for all: the first by tag that the
-    /// store answers, or the first of all if it answers none.
-    pub fn is_lead(&self, now: Time, me: &HostCard, leads: usize) -> bool {
-        let cards: Vec<_> = self.alive(now).chain([(me.tag(), me)]).collect();
-        let any_store = cards.iter().any(|(_, card)| card.has_store);
-        if any_store && !me.has_store {
-            return false;
-        }
-        let before =
-            cards.iter().filter(|(tag, card)| *tag < me.tag() && (card.has_store || !any_store));
-        before.count() < leads
-    }
-
-    /// Addresses for beats of all known peers.
-    pub fn targets(&self) -> Vec<SocketAddr> {
-        self.peers.values().map(|record| record.card.beats).collect()
-    }
-
-    /// The host with this address for beats.
-    pub fn tag_of(&self, beats: SocketAddr) -> Option<HostTag> {
-        let mut peers = self.peers.iter();
-        peers.find(|(_, record)| record.card.beats == beats).map(|(tag, _)| *tag)
-    }
-
     /// Peers that fell silent since the last call.
     pub fn take_silent(&mut self, now: Time) -> Vec<Arc<str>> {
         let limit = self.silence_limit();
@@ -209,26 +228,13 @@
         self.most_alive.max(1)
     }
 
-    /// Time between two full beats at the present number of peers. Leads beat as often as with few
+    /// Time between two beats at the present number of peers. Leads beat as often as with few
     /// peers, as their beats prove that the configuration is the newest.
     pub fn beat_period(&self, is_lead: bool) -> Duration {
         if is_lead {
             return BEAT_PERIOD;
         }
-        BEAT_PERIOD * (1 + self.peers.len() as u32 / PEERS_A_PERIOD as u32)
-    }
-
-    /// Addresses for a caller in `domain`: this host if it is ready, and the ready peers that were
-    /// heard recently, at most 64 of them drawn at random.
-    pub fn addresses(&self, now: Time, me: &HostCard, rng: &mut fastrand::Rng) -> Vec<SocketAddr> {
-        let peers = self.alive(now).map(|(_, card)| card);
-        let known: Vec<_> = peers.chain([me]).collect();
-        let any_ready = known.iter().any(|card| card.is_ready);
-        // Without a ready host, callers learn when to come back from those that run.
-        let told = known.into_iter().filter(|card| card.is_ready || !any_ready);
-        let mut addresses: Vec<_> = told.map(|card| card.serving).collect();
-        rng.shuffle(&mut addresses);
-        addresses.truncate(MAX_ADDRESSES);
-        addresses
+        let peers = self.peers.len().min(MEMBER_LIMIT);
+        BEAT_PERIOD * (1 + peers as u32 / PEERS_A_PERIOD as u32)
     }
 }
--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -18,9 +18,7 @@
 }
 
 fn ports(roster: &PeerRoster, now: Time, me: &HostCard) -> Vec<u16> {
-    let mut rng = fastrand::Rng::with_seed(1);
-    let mut ports: Vec<_> =
-        roster.addresses(now, me, &mut rng).iter().map(SocketAddr::port).collect();
+    let mut ports: Vec<_> = roster.addresses(now, me, 100).iter().map(SocketAddr::port).collect();
     ports.sort_unstable();
     ports
 }
@@ -62,7 +60,9 @@
     roster.introduce(card("b", 2, 1, true));
     roster.introduce(card("c", 3, 1, true));
     roster.keep_named(&[card("c", 3, 1, true).tag()]);
-    assert_eq!(roster.targets(), [SocketAddr::from(([127, 0, 0, 1], 1_003))]);
+    let targets = roster.targets(at(0), &card("me", 1, 1, true));
+    let targets: Vec<_> = targets.iter().map(|target| target.beats.port()).collect();
+    assert_eq!(targets, [1_003]);
 }
 
 #[test]
@@ -76,21 +76,22 @@
 
 /// Two hosts watch the store for all; when it turns one away, the next takes over.
 #[test]
-fn leads_are_the_first_hosts_that_the_store_answers() {
+fn leads_are_the_last_members_that_the_store_answers() {
     let mut cards: Vec<_> = (1..=5).map(|port| card("h", port, 1, true)).collect();
     cards.sort_by_key(HostCard::tag);
     let leads = |cards: &[HostCard]| -> Vec<usize> {
         let is_lead = |index: &usize| {
             let mut roster = PeerRoster::default();
+            roster.note_listed();
             let peers = cards.iter().enumerate().filter(|(other, _)| other != index);
             peers.for_each(|(_, peer)| _ = roster.hear(at(0), peer.clone()));
             roster.is_lead(at(1), &cards[*index], 2)
         };
         (0..cards.len()).filter(is_lead).collect()
     };
-    assert_eq!(leads(&cards), [0, 1]);
-    cards[0].has_store = false;
-    assert_eq!(leads(&cards), [1, 2]);
+    assert_eq!(leads(&cards), [3, 4]);
+    cards[4].has_store = false;
+    assert_eq!(leads(&cards), [2, 3]);
     cards.iter_mut().for_each(|card| card.has_store = false);
-    assert_eq!(leads(&cards), [0, 1], "somebody must notice that the store is back");
+    assert_eq!(leads(&cards), [3, 4], "somebody must notice that the store is back");
 }
--- a/crates/core/src/work/mod.rs
+++ b/crates/core/src/work/mod.rs
@@ -137,6 +137,11 @@
         own.chain(peers)
     }
 
+    /// Whether a peer has work, as far as this host knows.
+    pub fn has_work(&self, host: HostTag) -> bool {
+        self.peers.get(&host).is_some_and(|work| !work.entries.is_empty())
+    }
+
     /// Whether there is something to tell.
     pub fn has_news(&self) -> bool {
         !self.changed.is_empty()
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -1,5 +1,5 @@
 //! Datagrams between hosts: what each has in flight, what it thinks of backend servers and how
-//! recent its configuration is.
+//! recent its configuration is. Members tell one another; the other hosts ask a member.
 
 use std::{
     io,
@@ -11,13 +11,14 @@
 use parsley_core::{
     dispatch::DispatchInput,
     evidence::PeerEvidence,
-    fleet::EngineOpinion,
-    roster::{HostCard, HostTag, PeerNews},
+    fleet::{EngineOpinion, FleetChange, FleetTable},
+    roster::{ASK_PERIOD, BeatTarget, HostCard, HostTag, PeerDuty, PeerNews},
+    time::Time,
     work::WorkNews,
 };
 use parsley_macros::message;
 
-use super::{Gateway, GatewayRef, ServerNews, clock};
+use super::{Gateway, GatewayRef, GatewayState, ServerNews, clock};
 use crate::{error::NodeError, event};
 
 /// Largest datagram that is read, in bytes.
@@ -29,24 +30,50 @@
 /// Work entries in one datagram; more go in further ones, below the size that networks carry.
 const ENTRIES_A_DATAGRAM: usize = 16;
 
+/// Entries of servers in one answer to a host that stands by.
+const SERVERS_AN_ANSWER: usize = 12;
+
 /// A datagram.
 #[message]
 enum PeerBeat {
-    /// Everything, sent to one peer.
-    Full {
+    /// What a member says of itself, sent to one other member.
+    Beat {
         card: HostCard,
         /// The sender's clock, in microseconds.
         clock: u64,
         evidence: PeerEvidence,
-        news: WorkNews,
-        opinions: Vec<EngineOpinion>,
         /// Number that stands for the sender's list of servers.
         digest: u64,
+        /// Whether the sender takes the receiver for a member.
+        is_called: bool,
     },
+    /// All work of a member and its opinions, the same for every member.
+    State { host: HostTag, incarnation: u64, news: WorkNews, opinions: Vec<EngineOpinion> },
     /// What a lead learned from the store about servers.
     Servers(Vec<ServerNews>),
-    /// What changed, sent to every peer.
+    /// What changed in a host's work, sent to the hosts that callers are told.
     News { host: HostTag, incarnation: u64, news: WorkNews },
+    /// A host that stands by asks what is new.
+    Ask {
+        beats: SocketAddr,
+        incarnation: u64,
+        /// The sender's clock, in microseconds.
+        clock: u64,
+        /// Digest of the members that it knows.
+        cast: u64,
+        /// Revision of the newest entry of a server that it knows.
+        servers: u64,
+    },
+    /// The answer.
+    Told {
+        evidence: PeerEvidence,
+        /// The living members, if their digest is another one.
+        cast: Option<Vec<HostCard>>,
+        /// Entries of servers after the revision that was named, oldest first.
+        servers: Vec<ServerNews>,
+        /// Number that stands for the sender's list of servers.
+        digest: u64,
+    },
 }
 
 /// Opens the socket and starts to send and receive.
@@ -67,16 +94,21 @@
     let (beating, to) = (gateway.clone(), socket);
     gateway.spawn(async move {
         loop {
-            let is_lead = beating.feed_context(true).is_lead;
-            let period = beating.state.borrow().roster.beat_period(is_lead);
-            send_beats(&beating, &to);
+            let period = if beating.is_member() {
+                send_beats(&beating, &to);
+                let is_lead = beating.feed_context(true).is_lead;
+                beating.state.borrow().roster.beat_period(is_lead)
+            } else {
+                ask(&beating, &to);
+                ASK_PERIOD
+            };
             Timer::after(period).await;
         }
     });
     Ok(())
 }
 
-/// Tells every peer everything now, from a socket of its own.
+/// Tells every member everything now, from a socket of its own.
 pub fn send_full(gateway: &GatewayRef) {
     with_own_socket(gateway, |socket| send_beats(gateway, socket));
 }
@@ -119,57 +151,112 @@
         }
         let beat =
             PeerBeat::News { host: state.card.tag(), incarnation: state.card.incarnation, news };
-        let alive: Vec<_> = state.roster.alive(now).map(|(_, card)| card.beats).collect();
-        (encode(&beat), alive)
+        (encode(&beat), exchange_targets(&state, now))
     };
     for target in targets {
         send(gateway, socket, target, &bytes);
     }
 }
 
+/// Peers that place requests: those that callers are told, and those that still have work.
+fn exchange_targets(state: &GatewayState, now: Time) -> Vec<SocketAddr> {
+    let active = state.roster.active_hosts(now, &state.card, state.dispatcher.places());
+    let takes_part = |tag: HostTag| active.contains(&tag) || state.dispatcher.view.has_work(tag);
+    let alive = state.roster.alive(now).filter(|(tag, _)| takes_part(*tag));
+    alive.map(|(_, card)| card.beats).collect()
+}
+
+/// Tells the members everything.
 fn send_beats(gateway: &Gateway, socket: &Async<UdpSocket>) {
-    let targets = gateway.state.borrow().roster.targets();
+    let now = clock::now();
+    let (targets, states) = {
+        let state = &mut *gateway.state.borrow_mut();
+        let targets = state.roster.targets(now, &state.card);
+        (targets, state_datagrams(state, now))
+    };
     for target in targets {
-        send_beat(gateway, socket, target);
+        send_beat(gateway, socket, &target);
+        if target.duty == PeerDuty::Member {
+            states.iter().for_each(|bytes| send(gateway, socket, target.beats, bytes));
+        }
     }
 }
 
-/// Tells one peer everything.
-fn send_beat(gateway: &Gateway, socket: &Async<UdpSocket>, target: SocketAddr) {
+fn send_beat(gateway: &Gateway, socket: &Async<UdpSocket>, target: &BeatTarget) {
     let now = clock::now();
-    let evidence = evidence_for(gateway, target);
-    let (card, news, opinions, digest) = {
+    let beat = {
         let state = gateway.state.borrow();
-        let opinions = state.dispatcher.fleet.opinions(now);
+        let (echo, heard) = state.peer_clocks.get(&target.tag).copied().unwrap_or((0, now));
+        let incarnation = state.roster.incarnation(target.tag).unwrap_or_default();
+        let evidence = evidence_for(&state, now, incarnation, echo, now.since(heard));
         let digest = state.dispatcher.fleet.digest();
-        (state.card.clone(), state.dispatcher.view.all_news(now), opinions, digest)
+        match target.duty {
+            PeerDuty::Other => {
+                let (_, cast) = state.roster.cast(now, &state.card);
+                PeerBeat::Told { evidence, cast: Some(cast), servers: Vec::new(), digest }
+            }
+            duty => PeerBeat::Beat {
+                card: state.card.clone(),
+                clock: now.0,
+                evidence,
+                digest,
+                is_called: duty == PeerDuty::Member,
+            },
+        }
     };
-    let (host, incarnation) = (card.tag(), card.incarnation);
-    let (first, rest) = news.entries.split_at(news.entries.len().min(ENTRIES_A_DATAGRAM));
+    send(gateway, socket, target.beats, &encode(&beat));
+}
+
+/// All work of this host and its opinions of servers, in datagrams of bounded size.
+fn state_datagrams(state: &GatewayState, now: Time) -> Vec<Vec<u8>> {
+    let (host, incarnation) = (state.card.tag(), state.card.incarnation);
+    let entries = state.dispatcher.view.all_news(now).entries;
+    let opinions = state.dispatcher.fleet.opinions(now);
+    let (first, rest) = entries.split_at(entries.len().min(ENTRIES_A_DATAGRAM));
     let news = WorkNews { is_full: true, entries: first.to_vec(), ended: Vec::new() };
-    let beat = PeerBeat::Full { card, clock: now.0, evidence, news, opinions, digest };
-    send(gateway, socket, target, &encode(&beat));
-    for entries in rest.chunks(ENTRIES_A_DATAGRAM) {
+    let first = PeerBeat::State { host, incarnation, news, opinions };
+    let rest = rest.chunks(ENTRIES_A_DATAGRAM).map(|entries| {
         let news = WorkNews { is_full: false, entries: entries.to_vec(), ended: Vec::new() };
-        send(gateway, socket, target, &encode(&PeerBeat::News { host, incarnation, news }));
-    }
+        PeerBeat::News { host, incarnation, news }
+    });
+    std::iter::once(first).chain(rest).map(|beat| encode(&beat)).collect()
 }
 
-/// What this host can vouch for, bound to the last clock that it has from the peer.
-fn evidence_for(gateway: &Gateway, target: SocketAddr) -> PeerEvidence {
+/// A host that stands by asks members what is new.
+fn ask(gateway: &Gateway, socket: &Async<UdpSocket>) {
     let now = clock::now();
-    let state = gateway.state.borrow();
-    let tag = state.roster.tag_of(target);
-    let (echo, heard) =
-        tag.and_then(|tag| state.peer_clocks.get(&tag)).copied().unwrap_or((0, now));
+    let (targets, beat) = {
+        let state = &mut *gateway.state.borrow_mut();
+        let targets = state.roster.ask_targets(now, &mut state.rng);
+        let beat = PeerBeat::Ask {
+            beats: state.card.beats,
+            incarnation: state.card.incarnation,
+            clock: now.0,
+            cast: state.roster.told_digest(),
+            servers: state.dispatcher.fleet.newest_revision(),
+        };
+        (targets, encode(&beat))
+    };
+    targets.iter().for_each(|target| send(gateway, socket, *target, &beat));
+}
+
+/// What this host can vouch for, bound to a clock that it was told by a process of a peer and held
+/// for some time.
+fn evidence_for(
+    state: &GatewayState,
+    now: Time,
+    incarnation: u64,
+    echo: u64,
+    held: Duration,
+) -> PeerEvidence {
     let millis = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
     PeerEvidence {
         version: state.evidence.version(),
         // Rounded against the evidence.
         age_ms: state.evidence.age(now).map(|age| millis(age).saturating_add(1)),
-        incarnation: tag.and_then(|tag| state.roster.incarnation(tag)).unwrap_or_default(),
+        incarnation,
         echo,
-        held_ms: millis(now.since(heard)),
+        held_ms: millis(held),
     }
 }
 
@@ -200,7 +287,7 @@
         gateway.metrics.datagrams.with_label_values(&["in"]).inc();
         gateway.metrics.datagram_bytes.with_label_values(&["in"]).inc_by(length as u64);
         match postcard::from_bytes(&buffer[..length]) {
-            Ok(beat) => take(&gateway, beat),
+            Ok(beat) => take(&gateway, socket, beat),
             Err(err) => log_refused(&gateway, Some(from), &err.to_string()),
         }
     }
@@ -213,54 +300,140 @@
     }
 }
 
-fn take(gateway: &GatewayRef, beat: PeerBeat) {
-    let now = clock::now();
+fn take(gateway: &GatewayRef, socket: &Async<UdpSocket>, beat: PeerBeat) {
     match beat {
         PeerBeat::News { host, incarnation, news } => {
-            let known = gateway.state.borrow().roster.incarnation(host);
-            if known == Some(incarnation) {
-                let opinions = Vec::new();
-                gateway.dispatch(DispatchInput::Heard { host, incarnation, news, opinions });
-            }
+            take_work(gateway, host, incarnation, news, Vec::new());
         }
-        PeerBeat::Servers(news) => {
-            for one in news {
-                gateway.dispatch(match one {
-                    ServerNews::Changed(entry) => DispatchInput::Changed(entry),
-                    ServerNews::Removed { id, revision } => DispatchInput::Removed { id, revision },
-                });
-            }
+        PeerBeat::State { host, incarnation, news, opinions } => {
+            take_work(gateway, host, incarnation, news, opinions);
         }
-        PeerBeat::Full { card, clock, evidence, news, opinions, digest } => {
-            let (host, incarnation) = (card.tag(), card.incarnation);
-            let (peer_news, is_newer) = {
+        PeerBeat::Servers(news) => take_servers(gateway, news),
+        PeerBeat::Ask { beats, incarnation, clock, cast, servers } => {
+            let answer = answer_to(gateway, incarnation, clock, cast, servers);
+            send(gateway, socket, beats, &encode(&answer));
+        }
+        PeerBeat::Told { evidence, cast, servers, digest } => {
+            let now = clock::now();
+            take_servers(gateway, servers);
+            {
                 let state = &mut *gateway.state.borrow_mut();
-                if host == state.card.tag() {
-                    return;
-                }
-                let Some(peer_news) = state.roster.hear(now, card.clone()) else { return };
-                state.peer_clocks.insert(host, (clock, now));
-                state.newest_heard = state.newest_heard.max(evidence.version);
-                let is_unlike = digest != state.dispatcher.fleet.digest();
-                if card.has_store && is_unlike {
-                    state.unlike_since.get_or_insert(now);
-                } else if card.has_store {
-                    state.unlike_since = None;
-                }
-                (peer_news, state.evidence.hear(now, &evidence))
-            };
-            if peer_news == PeerNews::Back {
-                // A host that starts learns at once what is in flight.
-                with_own_socket(gateway, |socket| send_beat(gateway, socket, card.beats));
-                event!(gateway.log, PEER_HEARD, "peer" => &*card.name,
-                    "incarnation" => incarnation, "ready" => card.is_ready);
-            }
-            if is_newer {
-                // A full channel means that the driver was asked already.
-                let _ = gateway.stale.0.try_send(());
+                state.roster.hear_cast(now, &state.card, cast);
+                state.note_digest(now, digest);
             }
-            gateway.note_evidence();
-            gateway.dispatch(DispatchInput::Heard { host, incarnation, news, opinions });
+            take_evidence(gateway, now, &evidence);
         }
+        PeerBeat::Beat { card, clock, evidence, digest, is_called } => {
+            take_beat(gateway, socket, card, clock, digest, is_called);
+            take_evidence(gateway, clock::now(), &evidence);
+        }
+    }
+}
+
+fn take_work(
+    gateway: &GatewayRef,
+    host: HostTag,
+    incarnation: u64,
+    news: WorkNews,
+    opinions: Vec<EngineOpinion>,
+) {
+    let known = gateway.state.borrow().roster.incarnation(host);
+    if known == Some(incarnation) {
+        gateway.dispatch(DispatchInput::Heard { host, incarnation, news, opinions });
+    }
+}
+
+fn take_servers(gateway: &GatewayRef, news: Vec<ServerNews>) {
+    for one in news {
+        gateway.dispatch(match one {
+            ServerNews::Changed(entry) => DispatchInput::Changed(entry),
+            ServerNews::Removed { tag, revision } => DispatchInput::Removed { tag, revision },
+        });
+    }
+}
+
+/// What is new for a host that stands by.
+fn answer_to(
+    gateway: &Gateway,
+    incarnation: u64,
+    clock: u64,
+    known_cast: u64,
+    known_servers: u64,
+) -> PeerBeat {
+    let now = clock::now();
+    let state = gateway.state.borrow();
+    let (cast_digest, cast) = state.roster.cast(now, &state.card);
+    let fleet = &state.dispatcher.fleet;
+    PeerBeat::Told {
+        evidence: evidence_for(&state, now, incarnation, clock, Duration::ZERO),
+        cast: (cast_digest != known_cast).then_some(cast),
+        servers: server_news(fleet, known_servers),
+        digest: fleet.digest(),
+    }
+}
+
+/// The oldest changes of servers after a revision.
+fn server_news(fleet: &FleetTable, after: u64) -> Vec<ServerNews> {
+    let changes = fleet.changes_after(after).into_iter().take(SERVERS_AN_ANSWER);
+    let news = changes.map(|change| match change {
+        FleetChange::Entry(entry) => ServerNews::Changed(entry),
+        FleetChange::Removed { tag, revision } => ServerNews::Removed { tag, revision },
+    });
+    news.collect()
+}
+
+fn take_beat(
+    gateway: &GatewayRef,
+    socket: &Async<UdpSocket>,
+    card: HostCard,
+    clock: u64,
+    digest: u64,
+    is_called: bool,
+) {
+    let now = clock::now();
+    let (tag, incarnation) = (card.tag(), card.incarnation);
+    let is_back = {
+        let state = &mut *gateway.state.borrow_mut();
+        if tag == state.card.tag() {
+            return;
+        }
+        let Some(peer_news) = state.roster.hear(now, card.clone()) else { return };
+        state.peer_clocks.insert(tag, (clock, now));
+        if is_called {
+            state.roster.note_called(now);
+        }
+        if card.has_store {
+            state.note_digest(now, digest);
+        }
+        peer_news == PeerNews::Back
+    };
+    if !is_back {
+        return;
+    }
+    event!(gateway.log, PEER_HEARD, "peer" => &*card.name, "incarnation" => incarnation,
+        "ready" => card.is_ready);
+    if gateway.is_member() {
+        // A host that starts learns at once what is in flight.
+        let duty = if is_called { PeerDuty::Member } else { PeerDuty::Away };
+        send_beat(gateway, socket, &BeatTarget { tag, beats: card.beats, duty });
+        let states = state_datagrams(&gateway.state.borrow(), now);
+        states.iter().for_each(|bytes| send(gateway, socket, card.beats, bytes));
+    }
+}
+
+fn take_evidence(gateway: &GatewayRef, now: Time, evidence: &PeerEvidence) {
+    let is_newer = {
+        let state = &mut *gateway.state.borrow_mut();
+        if evidence.version > state.newest_heard.0 {
+            let is_pending = state.newest_heard.0 > state.evidence.version();
+            let since = if is_pending { state.newest_heard.1 } else { now };
+            state.newest_heard = (evidence.version, since);
+        }
+        state.evidence.hear(now, evidence)
+    };
+    if is_newer {
+        // A full channel means that the driver was asked already.
+        let _ = gateway.stale.0.try_send(());
     }
+    gateway.note_evidence();
 }
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -1,12 +1,14 @@
 //! What a driver tells the gateway from the store, and what it asks before the next call.
 
-use std::{rc::Rc, sync::Arc};
+use std::rc::Rc;
 
 use parsley_core::{
     catalog::{RouteCatalog, ServingConfig},
     dispatch::DispatchInput,
-    feed::{FeedContext, LEADS, PROOF_AGE, UNLIKE_TIME},
-    fleet::EngineEntry,
+    feed::{
+        FeedContext, LEADS, PROOF_AGE, STALE_TIME, UNLIKE_TIME, UNLIKE_TIME_OF_OTHERS, URGENT_AGE,
+    },
+    fleet::{EngineEntry, EngineTag},
     roster::{HostCard, HostTag},
     time::Time,
 };
@@ -23,28 +25,31 @@
     /// Its entry is gone.
     Removed {
         /// Instance.
-        id: Arc<str>,
+        tag: EngineTag,
         /// The store's revision.
         revision: u64,
     },
 }
 
 impl Gateway {
-    /// Takes a configuration that the store showed in a call sent at `asked`. An older one than
-    /// that in force is ignored.
-    pub fn take_config(self: &Rc<Self>, config: ServingConfig, asked: Time) {
+    /// Takes a configuration that the store showed in a call sent at `asked`, `None` if the answer
+    /// may be older than the call. An older configuration than that in force is ignored.
+    pub fn take_config(self: &Rc<Self>, config: ServingConfig, asked: Option<Time>) {
         let version = config.version;
         let (services, urgent) = {
             let mut state = self.state.borrow_mut();
             let from = state.catalog.as_ref().map(|catalog| catalog.version());
-            state.evidence.confirm(version, asked);
+            match asked {
+                Some(asked) => state.evidence.confirm(version, asked),
+                None => state.evidence.adopt(version),
+            }
             if from.is_some_and(|from| from >= version) {
                 return;
             }
             let catalog = RouteCatalog::new(config);
             let in_force = (catalog.services().clone(), catalog.urgent_aims());
             state.catalog = Some(Rc::new(catalog));
-            let age = clock::now().since(asked).as_millis() as u64;
+            let age = asked.map_or(0, |asked| clock::now().since(asked).as_millis() as u64);
             event!(self.log, CONFIG_TAKEN, "version" => version,
                 "from" => from.unwrap_or_default(), "age_ms" => age);
             in_force
@@ -125,15 +130,25 @@
         let now = clock::now();
         let state = self.state.borrow();
         let proof = state.evidence.age(now);
+        let is_member = state.roster.is_member(now, &state.card);
+        let unlike_time = if is_member { UNLIKE_TIME } else { UNLIKE_TIME_OF_OTHERS };
+        // The news may be as old as the last proof of what is in force here; then it is urgent.
+        let may_be_stale = !is_member && proof.is_some_and(|age| age < URGENT_AGE);
         let has_news = if is_config {
-            state.newest_heard > state.evidence.version()
+            let heard = state.newest_heard;
+            heard.0 > state.evidence.version()
+                && (!may_be_stale || now.since(heard.1) >= STALE_TIME)
         } else {
-            state.unlike_since.is_some_and(|at| now.since(at) >= UNLIKE_TIME)
+            state.unlike_since.is_some_and(|at| now.since(at) >= unlike_time)
         };
         FeedContext {
             is_lead: state.roster.is_lead(now, &state.card, LEADS),
-            needs_proof: state.catalog.is_some() && proof.is_none_or(|age| age >= PROOF_AGE),
+            // A host that stands by has its proof from members, or they have none either.
+            needs_proof: is_member
+                && state.catalog.is_some()
+                && proof.is_none_or(|age| age >= PROOF_AGE),
             has_news,
+            may_be_stale,
         }
     }
 
@@ -143,9 +158,32 @@
         let _ = self.stale.1.recv().await;
     }
 
+    /// Whether this host needs an entry in the store, from which others learn of it.
+    pub fn wants_entry(&self) -> bool {
+        let state = self.state.borrow();
+        state.roster.wants_entry(clock::now(), &state.card)
+    }
+
+    /// The store lists this host.
+    pub fn note_listed(&self) {
+        self.state.borrow_mut().roster.note_listed();
+    }
+
+    /// Whether no other host was heard lately.
+    pub fn is_alone(&self) -> bool {
+        self.state.borrow().roster.is_alone(clock::now())
+    }
+
     /// Keeps news of the store about a server for the peers.
     pub fn tell_later(&self, news: ServerNews) {
-        self.state.borrow_mut().server_news.push(news);
+        let mut state = self.state.borrow_mut();
+        let is_known = match &news {
+            ServerNews::Changed(entry) => state.dispatcher.fleet.is_known(entry),
+            ServerNews::Removed { .. } => false,
+        };
+        if !is_known {
+            state.server_news.push(news);
+        }
     }
 
     /// Tells the peers what was kept for them.
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -15,14 +15,18 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use futures_lite::FutureExt;
 use parsley_core::{
     catalog::RouteCatalog,
-    dispatch::{DispatchInput, DispatchOutput, Dispatcher, HelperPart, PlaceReason, TICK_PERIOD},
+    dispatch::{
+        DispatchInput, DispatchOutput, Dispatcher, HelperPart, IDLE_TICK_PERIOD, PlaceReason,
+        TICK_PERIOD,
+    },
     evidence::EvidenceKeeper,
     fleet::{EngineTag, EngineVerdict},
     refusal::{Reason, Refusal},
     retry::{RetryBudget, RetryLimit},
-    roster::{HostCard, HostTag, PeerRoster},
+    roster::{HostCard, HostTag, PeerRoster, SETTLE_TIME},
     time::Time,
     work::WorkNumber,
 };
@@ -100,8 +104,8 @@
     drain_end: Option<Time>,
     /// Whether the store does not answer for the configuration and for discovery.
     store_lost: (bool, bool),
-    /// Newest version of the configuration that a peer has.
-    newest_heard: u64,
+    /// Newest version of the configuration that a peer has, and since when that is known.
+    newest_heard: (u64, Time),
     /// Since when a lead has another list of servers.
     unlike_since: Option<Time>,
     /// News for peers that are not sent yet.
@@ -111,6 +115,17 @@
     rng: fastrand::Rng,
 }
 
+impl GatewayState {
+    /// A peer that the store answers has a list of servers with this digest.
+    fn note_digest(&mut self, now: Time, digest: u64) {
+        if digest == self.dispatcher.fleet.digest() {
+            self.unlike_since = None;
+        } else {
+            self.unlike_since.get_or_insert(now);
+        }
+    }
+}
+
 /// A running gateway.
 pub struct Gateway {
     /// Runs its tasks.
@@ -122,6 +137,7 @@
     /// Lines that may be logged.
     pub lines: LineBudget,
     settings: GatewaySettings,
+    started: Time,
     edge: WireEdge,
     state: RefCell<GatewayState>,
     links: LinkPool,
@@ -129,6 +145,8 @@
     /// Connections of callers.
     callers: Cell<usize>,
     news: (Sender<()>, Receiver<()>),
+    /// Wakes the ticks when a request begins to wait.
+    waits: (Sender<()>, Receiver<()>),
     /// Wakes the driver when a peer has something newer.
     stale: (Sender<()>, Receiver<()>),
     closing: (RefCell<Option<Sender<()>>>, Receiver<()>),
@@ -150,14 +168,14 @@
             catalog: None,
             evidence: EvidenceKeeper::new(settings.revoke, settings.card.incarnation),
             was_recent: false,
-            roster: PeerRoster::default(),
+            roster: PeerRoster::new(clock::now()),
             card: settings.card.clone(),
             budgets: BTreeMap::new(),
             waiters: BTreeMap::new(),
             next_number: 0,
             drain_end: None,
             store_lost: (false, false),
-            newest_heard: 0,
+            newest_heard: (0, Time::ZERO),
             unlike_since: None,
             server_news: Vec::new(),
             peer_clocks: BTreeMap::new(),
@@ -170,12 +188,14 @@
             metrics: GatewayMetrics::new(),
             lines: LineBudget::default(),
             settings,
+            started: clock::now(),
             edge,
             state: RefCell::new(state),
             links: LinkPool::default(),
             open: Cell::new(0),
             callers: Cell::new(0),
             news: async_channel::bounded(1),
+            waits: async_channel::bounded(1),
             stale: async_channel::bounded(1),
             closing: (RefCell::new(Some(closing)), closed),
         })
@@ -188,7 +208,16 @@
         let gateway = self.clone();
         self.spawn(async move {
             loop {
-                Timer::after(TICK_PERIOD).await;
+                let is_idle = gateway.state.borrow().dispatcher.waiting() == 0;
+                let tick = async {
+                    let period = if is_idle { IDLE_TICK_PERIOD } else { TICK_PERIOD };
+                    Timer::after(period).await;
+                };
+                let woken = async {
+                    // The channel closes only with the gateway.
+                    let _ = gateway.waits.1.recv().await;
+                };
+                tick.or(woken).await;
                 gateway.dispatch(DispatchInput::Tick);
             }
         });
@@ -215,10 +244,20 @@
         self.state.borrow().card.is_ready
     }
 
-    /// Addresses for a caller that asks which to use.
+    /// Addresses for a caller that asks which to use; none while this host knows few peers yet.
     pub fn addresses(&self) -> Vec<SocketAddr> {
-        let state = &mut *self.state.borrow_mut();
-        state.roster.addresses(clock::now(), &state.card, &mut state.rng)
+        let now = clock::now();
+        if now.since(self.started) < SETTLE_TIME {
+            return Vec::new();
+        }
+        let state = self.state.borrow();
+        state.roster.addresses(now, &state.card, state.dispatcher.places())
+    }
+
+    /// Whether this host exchanges beats with the other members.
+    fn is_member(&self) -> bool {
+        let state = self.state.borrow();
+        state.roster.is_member(clock::now(), &state.card)
     }
 
     /// The host's own card.
@@ -242,11 +281,17 @@
 
     /// Gives the dispatcher an input and carries out what it decides.
     pub fn dispatch(self: &Rc<Self>, input: DispatchInput) {
-        let (outputs, has_news) = {
+        let (outputs, has_news, begins_to_wait) = {
             let mut state = self.state.borrow_mut();
+            let was_idle = state.dispatcher.waiting() == 0;
             let outputs = state.dispatcher.step(clock::now(), input);
-            (outputs, state.dispatcher.view.has_news())
+            let begins_to_wait = was_idle && state.dispatcher.waiting() > 0;
+            (outputs, state.dispatcher.view.has_news(), begins_to_wait)
         };
+        if begins_to_wait {
+            // A full channel means that ticks are on their way.
+            let _ = self.waits.0.try_send(());
+        }
         for output in outputs {
             self.carry_out(output);
         }
