Bound answers and heads that never end

Connections now let other tasks run after two reads. - A caller's head that comes a byte at a time was held for ever. The configuration's time for a head is enforced; a connection counts as busy until its answer's body ends. - A hundred answers without end took 182 MB. The answer as a whole now has the first limit, and a server without time to answer is not judged.

Ruled out: endless status and header lines, chunks, trailers and events passed before the change.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -119,6 +119,8 @@
     Failed,
     /// It did not answer in time.
     Silent,
+    /// It did not answer, but had too little time for it.
+    Undecided,
     /// No connection came about.
     Unreachable,
     /// It was full and did not run the request.
@@ -127,6 +129,16 @@
     Replaced,
 }
 
+impl EngineVerdict {
+    /// The verdict on a server that was silent for a time, where a sound one needs at most `needed`.
+    /// A request that comes to it shortly before its end says nothing about the server.
+    pub fn of_silence(waited: Duration, needed: Duration) -> EngineVerdict {
+        // Timers may fire a little early.
+        let is_enough = waited + Duration::from_millis(2) >= needed;
+        if is_enough { EngineVerdict::Silent } else { EngineVerdict::Undecided }
+    }
+}
+
 /// What hosts tell each other of a backend server.
 #[message]
 pub struct EngineOpinion {
@@ -346,7 +358,7 @@
             EngineVerdict::Good => before * (1.0 - FAILURE_WEIGHT),
             EngineVerdict::Failed => before + (1.0 - before) * FAILURE_WEIGHT,
             EngineVerdict::Silent | EngineVerdict::Unreachable => before.max(SILENT_FAILURE),
-            EngineVerdict::Full => before,
+            EngineVerdict::Full | EngineVerdict::Undecided => before,
             EngineVerdict::Replaced => {
                 record.replaced = true;
                 1.0
--- a/crates/core/src/fleet/tests.rs
+++ b/crates/core/src/fleet/tests.rs
@@ -130,3 +130,28 @@
     assert!(table.get(tag).unwrap().pace(at(30_000)) < 1.1, "it is tried again");
     assert!(peer.opinions(at(100)).is_empty(), "what peers said is not told on");
 }
+
+/// Found with a server in trouble that took a request's whole time: the sound server that got the
+/// request last was taken for silent, so that the next request went to the one in trouble again.
+#[test]
+fn server_without_time_to_answer_is_not_blamed() {
+    let needed = Duration::from_millis(1_000);
+    let verdict = |millis| EngineVerdict::of_silence(Duration::from_millis(millis), needed);
+    assert_eq!(verdict(3), EngineVerdict::Undecided);
+    assert_eq!(verdict(1_000), EngineVerdict::Silent);
+    let mut table = FleetTable::default();
+    let entry = EngineEntry {
+        id: "i-two".into(),
+        service: "plain".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        failure_domain: "a".into(),
+        slots: 8,
+        is_leaving: false,
+        born: 1,
+        revision: 1,
+    };
+    let (now, tag) = (Time(1_000_000), entry.tag());
+    table.change(now, entry);
+    assert_eq!(table.judge(now, tag, verdict(3)), 0.0);
+    assert!(table.judge(now, tag, verdict(1_000)) > 0.9);
+}
--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_channel::Sender;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::{Bytes, Incoming},
@@ -24,10 +24,9 @@
     link::{SendFault, ServerLink},
     listener::within,
     memory::{self, HeldMemory},
+    receive::receive_whole,
 };
 
-/// Largest answer that is not a stream, in bytes.
-const ANSWER_BYTES: usize = 16 << 20;
 /// Idle time up to which a kept connection carries a request that may run only once: a server
 /// that closes at that moment would leave its fate open.
 const FRESH_LINK: Duration = Duration::from_millis(1_500);
@@ -114,7 +113,10 @@
     let first_limit = if can_repeat { placement.first_limit } else { exchange.time_left() };
     let limit = first_limit.min(exchange.time_left());
     let (verdict, end) = match within(limit, link.send(request)).await {
-        None => (EngineVerdict::Silent, AttemptEnd::Unknown("no answer in time".into())),
+        None => {
+            let verdict = EngineVerdict::of_silence(limit, placement.first_limit);
+            (verdict, AttemptEnd::Unknown("no answer in time".into()))
+        }
         Some(Err(SendFault::NotSent(err))) => {
             progress.attempts.set(progress.attempts.get() - 1);
             (EngineVerdict::Failed, AttemptEnd::NotRun(err.to_string().into()))
@@ -139,6 +141,7 @@
         EngineVerdict::Good => "good",
         EngineVerdict::Failed => "failed",
         EngineVerdict::Silent => "silent",
+        EngineVerdict::Undecided => "undecided",
         EngineVerdict::Unreachable => "unreachable",
         EngineVerdict::Full => "full",
         EngineVerdict::Replaced => "replaced",
@@ -274,14 +277,14 @@
         may_keep: bool,
     ) -> (EngineVerdict, AttemptEnd) {
         let (parts, body) = response.into_parts();
-        let left = self.exchange.time_left();
-        let bytes = match within(left, Limited::new(body, ANSWER_BYTES).collect()).await {
-            Some(Ok(bytes)) => bytes.to_bytes(),
-            Some(Err(err)) => {
-                return (EngineVerdict::Failed, AttemptEnd::Unknown(err.to_string().into()));
-            }
+        let limit = self.next_limit(false);
+        let bytes = match within(limit, receive_whole(&self.exchange.gateway, body)).await {
+            Some(Ok(bytes)) => bytes,
+            Some(Err(fault)) => return (EngineVerdict::Failed, AttemptEnd::Unknown(fault)),
             None => {
-                return (EngineVerdict::Silent, AttemptEnd::Unknown("the answer stopped".into()));
+                let spent = clock::now().since(self.sent);
+                let verdict = EngineVerdict::of_silence(spent, self.placement.first_limit);
+                return (verdict, AttemptEnd::Unknown("the answer stopped".into()));
             }
         };
         if may_keep {
@@ -323,8 +326,12 @@
             let limit = self.next_limit(has_event);
             let frame = match within(limit, body.frame()).await {
                 None => {
-                    let fault = if has_event { "the stream stopped" } else { "no event in time" };
-                    return (EngineVerdict::Silent, AttemptEnd::Unknown(fault.into()));
+                    let (since, allowed, fault) = match has_event {
+                        true => (last_event, self.placement.gap_limit, "the stream stopped"),
+                        false => (self.sent, self.placement.first_limit, "no event in time"),
+                    };
+                    let verdict = EngineVerdict::of_silence(clock::now().since(since), allowed);
+                    return (verdict, AttemptEnd::Unknown(fault.into()));
                 }
                 Some(None) if splitter.has_rest() => {
                     return (
--- a/crates/node/src/gateway/body.rs
+++ b/crates/node/src/gateway/body.rs
@@ -48,6 +48,45 @@
     }
 }
 
+/// The body of an answer on a caller's connection, which is busy until the body ends.
+pub struct CallerBody {
+    /// The body.
+    pub body: AnswerBody,
+    /// Told when the body ends.
+    pub _busy: BusyGuard,
+}
+
+/// Runs a function when it is dropped.
+pub struct BusyGuard(pub Option<Box<dyn FnOnce()>>);
+
+impl Drop for BusyGuard {
+    fn drop(&mut self) {
+        if let Some(end) = self.0.take() {
+            end();
+        }
+    }
+}
+
+impl Body for CallerBody {
+    type Data = Bytes;
+    type Error = NodeError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, NodeError>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 impl Body for AnswerBody {
     type Data = Bytes;
     type Error = NodeError;
--- a/crates/node/src/gateway/link.rs
+++ b/crates/node/src/gateway/link.rs
@@ -10,16 +10,18 @@
 use hyper::{
     Request, Response,
     body::{Bytes, Incoming},
-    client::conn::http1::{SendRequest, handshake},
+    client::conn::http1::{Builder, SendRequest},
     header::{CONNECTION, HeaderMap},
 };
 use parsley_core::{fleet::EngineTag, time::Time};
 use rustix::net::sockopt;
 use smol_hyper::rt::FuturesIo;
 
-use super::clock;
+use super::{clock, yielding::YieldingStream};
 use crate::error::NodeError;
 
+/// Largest head of an answer, in bytes.
+const HEAD_BYTES: usize = 64 << 10;
 /// Time for a connection; one lost opening packet costs a second and another server is better.
 const CONNECT_LIMIT: Duration = Duration::from_millis(600);
 /// Idle time after which a connection is not used if the server names none.
@@ -79,7 +81,9 @@
         let stream = connect.or(limit).await?;
         stream.set_nodelay(true)?;
         watch_peer(&stream)?;
-        let (sender, connection) = handshake(FuturesIo::new(stream))
+        let (sender, connection) = Builder::new()
+            .max_buf_size(HEAD_BYTES)
+            .handshake(FuturesIo::new(YieldingStream::new(stream)))
             .await
             .map_err(|err| NodeError::Http(err.to_string().into()))?;
         let connection = executor.spawn(async move {
--- a/crates/node/src/gateway/listener.rs
+++ b/crates/node/src/gateway/listener.rs
@@ -23,7 +23,12 @@
 use parsley_core::time::Time;
 use smol_hyper::rt::FuturesIo;
 
-use super::{Gateway, GatewayRef, body::AnswerBody, clock, exchange};
+use super::{
+    Gateway, GatewayRef,
+    body::{BusyGuard, CallerBody},
+    clock, exchange,
+    yielding::YieldingStream,
+};
 use crate::{error::NodeError, event};
 
 /// Largest head that is read before a configuration is known, in bytes.
@@ -35,6 +40,10 @@
 const IDLE_RESERVE: f64 = 0.25;
 /// Idle time of callers' connections before a configuration is known.
 const FIRST_IDLE_TIME: Duration = Duration::from_secs(15);
+/// Time for a head before a configuration is known.
+const FIRST_HEAD_TIME: Duration = Duration::from_secs(5);
+/// Time for a request that crosses the close of its connection.
+const CLOSE_TIME: Duration = Duration::from_secs(1);
 /// Pause after a failed accept, such as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -77,14 +86,41 @@
 
 /// What is known of a caller's connection.
 struct CallerLink {
+    /// Requests that were read and whose answers have not ended.
     requests: Cell<usize>,
     idle_since: Cell<Time>,
+    /// Bytes received so far, and those received when it became idle.
+    received: Rc<Cell<u64>>,
+    idle_received: Cell<u64>,
+}
+
+impl CallerLink {
+    fn new(received: Rc<Cell<u64>>) -> CallerLink {
+        CallerLink {
+            requests: Cell::new(0),
+            idle_since: Cell::new(clock::now()),
+            received,
+            idle_received: Cell::new(0),
+        }
+    }
+
+    fn end_request(&self) {
+        self.requests.set(self.requests.get().saturating_sub(1));
+        self.idle_since.set(clock::now());
+        self.idle_received.set(self.received.get());
+    }
+
+    /// Whether a head has begun and is not whole.
+    fn is_in_head(&self) -> bool {
+        self.requests.get() == 0 && self.received.get() > self.idle_received.get()
+    }
 }
 
 async fn serve_caller(gateway: &GatewayRef, stream: Async<std::net::TcpStream>, from: SocketAddr) {
     // A connection that ended already fails at its first read.
     let _ = stream.get_ref().set_nodelay(true);
-    let link = Rc::new(CallerLink { requests: Cell::new(0), idle_since: Cell::new(clock::now()) });
+    let stream = YieldingStream::new(stream.into());
+    let link = Rc::new(CallerLink::new(stream.received()));
     let service = {
         let (gateway, link) = (gateway.clone(), link.clone());
         service_fn(move |request| serve_request(gateway.clone(), link.clone(), request))
@@ -110,7 +146,16 @@
         Some(result) => result,
         None => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            let ended = async { Some(connection.as_mut().await) };
+            let stalled = async {
+                has_no_request(&link).await;
+                None
+            };
+            match ended.or(stalled).await {
+                Some(result) => result,
+                // A head that never ends: no request was read, so none is cut off.
+                None => return,
+            }
         }
     };
     if let Err(err) = result
@@ -120,16 +165,39 @@
     }
 }
 
-/// Returns when a connection has been idle for longer than the operators allow.
+/// Returns when a connection has been idle, or has been in one head, for longer than the operators
+/// allow.
 async fn is_idle(gateway: &Gateway, link: &CallerLink) {
+    let mut head_since: Option<Time> = None;
     loop {
         Timer::after(IDLE_PERIOD).await;
-        let limit = {
+        let (idle_time, head_time) = {
             let state = gateway.state.borrow();
-            let limits = state.catalog.as_ref().map(|catalog| catalog.limits().idle_time);
-            limits.unwrap_or(FIRST_IDLE_TIME).mul_f64(1.0 + IDLE_RESERVE)
+            let limits = state.catalog.as_ref().map(|catalog| catalog.limits());
+            let idle_time = limits.map_or(FIRST_IDLE_TIME, |limits| limits.idle_time);
+            (idle_time, limits.map_or(FIRST_HEAD_TIME, |limits| limits.head_time))
         };
-        if link.requests.get() == 0 && clock::now().since(link.idle_since.get()) > limit {
+        let now = clock::now();
+        if link.is_in_head() {
+            let since = *head_since.get_or_insert(now);
+            if now.since(since) > head_time {
+                return;
+            }
+            continue;
+        }
+        head_since = None;
+        let limit = idle_time.mul_f64(1.0 + IDLE_RESERVE);
+        if link.requests.get() == 0 && now.since(link.idle_since.get()) > limit {
+            return;
+        }
+    }
+}
+
+/// Returns when no request was read for some time on a connection that is to end.
+async fn has_no_request(link: &CallerLink) {
+    loop {
+        Timer::after(CLOSE_TIME).await;
+        if link.requests.get() == 0 {
             return;
         }
     }
@@ -139,15 +207,14 @@
     gateway: GatewayRef,
     link: Rc<CallerLink>,
     request: Request<Incoming>,
-) -> Result<Response<AnswerBody>, Infallible> {
+) -> Result<Response<CallerBody>, Infallible> {
     link.requests.set(link.requests.get() + 1);
+    let busy = BusyGuard(Some(Box::new(move || link.end_request())));
     let mut response = exchange::serve(&gateway, request).await;
-    link.requests.set(link.requests.get().saturating_sub(1));
-    link.idle_since.set(clock::now());
     if gateway.drain_left().is_some() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response)
+    Ok(response.map(|body| CallerBody { body, _busy: busy }))
 }
 
 /// Serves small pages, each answered at once, on an address of its own.
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -48,9 +48,11 @@
 mod listener;
 mod memory;
 mod metrics;
+mod receive;
 mod refuse;
 #[cfg(test)]
 mod tests;
+mod yielding;
 
 pub use edge::WireEdge;
 pub use feed::ServerNews;
@@ -144,6 +146,8 @@
     open: Cell<usize>,
     /// Connections of callers.
     callers: Cell<usize>,
+    /// Bytes of answers that are being received.
+    answer_bytes: Cell<usize>,
     news: (Sender<()>, Receiver<()>),
     /// Wakes the ticks when a request begins to wait.
     waits: (Sender<()>, Receiver<()>),
@@ -194,6 +198,7 @@
             links: LinkPool::default(),
             open: Cell::new(0),
             callers: Cell::new(0),
+            answer_bytes: Cell::new(0),
             news: async_channel::bounded(1),
             waits: async_channel::bounded(1),
             stale: async_channel::bounded(1),
