Decide about a free place at unlike moments

Cause: hosts decided when they heard that work of a peer had ended.

The test what_peers_sent_for_an_account_counts now ticks after the news; what it asks for is the same. free_place_is_not_taken_by_all_hosts_that_hear_of_it shows the pattern. A line E2204 tells when a host becomes member or lead or stands by.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -47,8 +47,6 @@
 /// Waiting requests that are weighed at every opportunity. With more, decisions are spaced, so that
 /// a flood does not take the processor that answers need.
 const QUICK_QUEUE: usize = 256;
-/// Least time between a decision and one that is made because of news of peers.
-const HEARD_SPACING: Duration = Duration::from_millis(5);
 /// Longest time between two decisions, in ticks: urgent requests wait for the next one, too.
 const MAX_SPACING_TICKS: usize = 3;
 /// Cost of a placement, in requests made late, from which on waiting for a better one pays.
@@ -101,7 +99,6 @@
     counts: BTreeMap<u64, usize>,
     /// Requests of the most urgent rank of each service, counted likewise.
     urgent_work: BTreeMap<u64, usize>,
-    last_decision: Time,
     /// When waiting requests are weighed again at the earliest.
     next_decision: Time,
 }
@@ -126,14 +123,10 @@
     /// Takes an input and decides.
     pub fn step(&mut self, now: Time, input: DispatchInput) -> Vec<DispatchOutput> {
         let mut outputs = Vec::new();
-        // News of peers come often, and only what ends makes room.
-        let is_due = match &input {
-            DispatchInput::Heard { news, .. } if news.is_full || !news.ended.is_empty() => {
-                now.since(self.last_decision) >= HEARD_SPACING
-            }
-            DispatchInput::Heard { .. } | DispatchInput::Paced { .. } => false,
-            _ => now >= self.next_decision,
-        };
+        // What news of peers change is decided at the next tick. Hosts tick at different moments, so
+        // they do not all take the same place when it becomes free.
+        let is_due = now >= self.next_decision
+            && !matches!(input, DispatchInput::Heard { .. } | DispatchInput::Paced { .. });
         match input {
             DispatchInput::Tick => {
                 self.view.forget(now);
@@ -247,7 +240,6 @@
         let last_own = queue.iter().rposition(|(host, _, _)| host.is_none());
         queue.truncate(last_own.map_or(0, |last| last + 1));
         let spacing = (queue.len() / QUICK_QUEUE).min(MAX_SPACING_TICKS);
-        self.last_decision = now;
         self.next_decision = now + TICK_PERIOD * spacing as u32;
         let is_long = |need: &WorkNeed| {
             let model = self.models.get(&need.service).and_then(Option::as_ref);
--- a/crates/core/src/dispatch/tests.rs
+++ b/crates/core/src/dispatch/tests.rs
@@ -381,7 +381,8 @@
         let outputs = submit(&mut dispatcher, at(1_000 + u64::from(number)), number, need, 15_000);
         assert!(assigned(&outputs).is_empty(), "the engine reads another prompt");
     }
-    let outputs = hear(&mut dispatcher, at(1_010), Vec::new());
+    hear(&mut dispatcher, at(1_010), Vec::new());
+    let outputs = dispatcher.step(at(1_020), DispatchInput::Tick);
     let placed: Vec<_> = assigned(&outputs).into_iter().map(|(number, _, _)| number).collect();
     assert_eq!(placed, [2], "the account that was not served goes first");
 }
@@ -403,3 +404,48 @@
     assert_eq!(placed.len(), 1);
     assert!(!gathered.contains(&placed[0].1), "placed on one of {gathered:?}");
 }
+
+/// Pattern: many hosts with waiting work hear at the same moment that a place is free. Found on the
+/// quiet day of a fleet of 295 hosts, where urgent questions were late three times as often when
+/// each host decided at once.
+#[test]
+fn free_place_is_not_taken_by_all_hosts_that_hear_of_it() {
+    let mut hosts: Vec<_> = (0..8).map(|_| dispatcher(1, 0)).collect();
+    let running = WorkEntry {
+        need: long(300_000),
+        phase: WorkPhase::Sent,
+        turn: 0,
+        engines: vec![entry(0, SERVICE).tag()],
+        arrived: Time(500_000),
+        since: Time(0),
+    };
+    let news = |number, entry: Option<WorkEntry>| WorkNews {
+        is_full: false,
+        ended: if entry.is_none() { vec![WorkNumber(number)] } else { Vec::new() },
+        entries: entry.map(|entry| (WorkNumber(number), entry)).into_iter().collect(),
+    };
+    let heard =
+        |host, news| DispatchInput::Heard { host, incarnation: 1, news, opinions: Vec::new() };
+    for (index, host) in hosts.iter_mut().enumerate() {
+        host.step(at(1_000), heard(PEER, news(99, Some(running.clone()))));
+        let arrived = at(1_001 + index as u64);
+        assert!(assigned(&submit(host, arrived, 1, long(300_000), 15_000)).is_empty());
+    }
+    let outputs: Vec<_> = hosts
+        .iter_mut()
+        .flat_map(|host| host.step(at(1_500), heard(PEER, news(99, None))))
+        .collect();
+    assert!(assigned(&outputs).is_empty(), "all decided at the same moment");
+    let mut placed = 0;
+    for index in 0..hosts.len() {
+        let now = at(1_502 + 2 * index as u64);
+        placed += assigned(&hosts[index].step(now, DispatchInput::Tick)).len();
+        let told = hosts[index].view.take_news(now);
+        for (other, host) in hosts.iter_mut().enumerate() {
+            if other != index {
+                host.step(now, heard(HostTag(100 + index as u64), told.clone()));
+            }
+        }
+    }
+    assert_eq!(placed, 1, "the engine reads one long prompt at a time");
+}
--- a/crates/core/src/roster/duty.rs
+++ b/crates/core/src/roster/duty.rs
@@ -177,6 +177,11 @@
         targets
     }
 
+    /// Questions since the last answer of a member.
+    pub fn unanswered(&self) -> u32 {
+        self.unanswered
+    }
+
     /// The living members as this host tells those that stand by, with their digest.
     pub fn cast(&self, now: Time, me: &HostCard) -> (u64, Vec<HostCard>) {
         let mut living = self.living(now, me);
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -93,10 +93,13 @@
     });
     let (beating, to) = (gateway.clone(), socket);
     gateway.spawn(async move {
+        let mut known = "";
         loop {
-            let period = if beating.is_member() {
+            let is_lead = beating.feed_context(true).is_lead;
+            let is_member = beating.is_member();
+            note_duty(&beating, &mut known, is_lead, is_member);
+            let period = if is_member {
                 send_beats(&beating, &to);
-                let is_lead = beating.feed_context(true).is_lead;
                 beating.state.borrow().roster.beat_period(is_lead)
             } else {
                 ask(&beating, &to);
@@ -108,6 +111,22 @@
     Ok(())
 }
 
+/// Logs what this host does for the others when that changes.
+fn note_duty(gateway: &Gateway, known: &mut &'static str, is_lead: bool, is_member: bool) {
+    let duty = match (is_lead, is_member) {
+        (true, _) => "lead",
+        (false, true) => "member",
+        (false, false) => "standby",
+    };
+    if duty != *known {
+        *known = duty;
+        let state = gateway.state.borrow();
+        event!(gateway.log, DUTY_CHANGED, "duty" => duty,
+            "living" => state.roster.alive(clock::now()).count(),
+            "unanswered" => state.roster.unanswered());
+    }
+}
+
 /// Tells every member everything now, from a socket of its own.
 pub fn send_full(gateway: &GatewayRef) {
     with_own_socket(gateway, |socket| send_beats(gateway, socket));
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -88,6 +88,7 @@
     PEER_HEARD: "E2201" Info "peer heard" ["peer", "incarnation", "ready"];
     PEER_SILENT: "E2202" Warning "peer silent" ["peer"];
     DATAGRAM_REFUSED: "E2203" Warning "datagram not valid" ["from", "error"];
+    DUTY_CHANGED: "E2204" Info "duty of this host changed" ["duty", "living", "unanswered"];
     SERVER_CHANGED: "E2301" Info "server in discovery"
         ["server", "id", "service", "address", "leaving", "revision"];
     SERVER_GONE: "E2302" Info "server gone" ["server"];
