Let only whole events prolong a stream's limit

Cause: the limit on pauses began anew with each piece of bytes, so an engine that sends a byte now and then held a stream until its caller's deadline.

Ruled out: sound streams at nine tenths of the allowed pause are not cut (slow_but_sound_stream_is_not_cut passes before and after).

Change: the limit counts from the last whole event, or from the send.

--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -277,7 +277,7 @@
         may_keep: bool,
     ) -> (EngineVerdict, AttemptEnd) {
         let (parts, body) = response.into_parts();
-        let limit = self.next_limit(false);
+        let limit = self.next_limit(None);
         let bytes = match within(limit, receive_whole(&self.exchange.gateway, body)).await {
             Some(Ok(bytes)) => bytes,
             Some(Err(fault)) => return (EngineVerdict::Failed, AttemptEnd::Unknown(fault)),
@@ -323,7 +323,7 @@
         let mut has_event = false;
         let mut last_event = clock::now();
         loop {
-            let limit = self.next_limit(has_event);
+            let limit = self.next_limit(has_event.then_some(last_event));
             let frame = match within(limit, body.frame()).await {
                 None => {
                     let (since, allowed, fault) = match has_event {
@@ -412,18 +412,18 @@
         }
     }
 
-    /// Time for the next event before another server is asked, or before the end.
-    fn next_limit(&self, has_event: bool) -> Duration {
+    /// Time for the next event before another server is asked, or before the end. Bytes that make
+    /// no event do not prolong it.
+    fn next_limit(&self, last_event: Option<Time>) -> Duration {
         let left = self.exchange.time_left();
         if !self.can_repeat {
             return left;
         }
-        let limit = if has_event {
-            self.placement.gap_limit
-        } else {
-            let spent = clock::now().since(self.sent);
-            self.placement.first_limit.saturating_sub(spent)
+        let (since, limit) = match last_event {
+            Some(at) => (at, self.placement.gap_limit),
+            None => (self.sent, self.placement.first_limit),
         };
+        let limit = limit.saturating_sub(clock::now().since(since));
         limit.min(left)
     }
 }
