--- a/crates/core/src/roster/duty.rs
+++ b/crates/core/src/roster/duty.rs
@@ -80,11 +80,10 @@
     /// Peers with a better rank than this host that are not known to be away.
     fn peers_before(&self, now: Time, me: &HostCard) -> usize {
         let mine = rank(me.tag(), me);
-        let mut peers = self.peers.iter();
         let is_before = |(tag, record): &(&HostTag, &PeerRecord)| {
             rank(**tag, &record.card) < mine && !self.is_away(now, record)
         };
-        peers.by_ref().filter(is_before).count()
+        self.peers.iter().filter(is_before).count()
     }
 
     /// This host and the living peers, by rank.
@@ -183,7 +182,7 @@
     }
 
     /// The living members as this host tells those that stand by, with their digest.
-    pub fn cast(&self, now: Time, me: &HostCard) -> (u64, Vec<HostCard>) {
+    pub fn member_cards(&self, now: Time, me: &HostCard) -> (u64, Vec<HostCard>) {
         let mut living = self.living(now, me);
         living.truncate(MEMBER_LIMIT);
         let digests = living.iter().map(|(tag, card)| card.digest(*tag));
@@ -192,14 +191,14 @@
     }
 
     /// Digest of the members of which a member told this host last.
-    pub fn told_digest(&self) -> u64 {
+    pub fn members_digest(&self) -> u64 {
         self.told.0
     }
 
     /// A member told of the living members; `None` if they are those that it told before.
-    pub fn hear_cast(&mut self, now: Time, me: &HostCard, cast: Option<Vec<HostCard>>) {
+    pub fn hear_members(&mut self, now: Time, me: &HostCard, members: Option<Vec<HostCard>>) {
         self.unanswered = 0;
-        if let Some(cards) = cast {
+        if let Some(cards) = members {
             // Members that are none any more were not silent: nothing is known of them now.
             for tag in std::mem::take(&mut self.told.1) {
                 if let Some(record) = self.peers.get_mut(&tag) {
--- a/crates/core/src/roster/fleet_tests.rs
+++ b/crates/core/src/roster/fleet_tests.rs
@@ -87,13 +87,14 @@
             }
             if host.roster.is_member(now, &host.card) {
                 let targets = host.roster.targets(now, &host.card);
-                let (card, cast) = (host.card.clone(), host.roster.cast(now, &host.card).1);
+                let (card, members) =
+                    (host.card.clone(), host.roster.member_cards(now, &host.card).1);
                 host.datagrams += targets.len();
                 for target in targets {
                     let Some(peer) = self.up(target.tag) else { continue };
                     peer.datagrams += 1;
                     if target.duty == PeerDuty::Other {
-                        peer.roster.hear_cast(now, &peer.card, Some(cast.clone()));
+                        peer.roster.hear_members(now, &peer.card, Some(members.clone()));
                         continue;
                     }
                     peer.roster.hear(now, card.clone());
@@ -106,13 +107,13 @@
             let targets = host.roster.ask_targets(now, &mut self.rng);
             host.datagrams += targets.len();
             for target in targets {
-                let known = self.hosts[&tag].roster.told_digest();
+                let known = self.hosts[&tag].roster.members_digest();
                 let Some(peer) = self.up(self.addresses[&target]) else { continue };
                 peer.datagrams += 2;
-                let (digest, cast) = peer.roster.cast(now, &peer.card);
+                let (digest, members) = peer.roster.member_cards(now, &peer.card);
                 let host = self.up(tag).unwrap();
                 host.datagrams += 1;
-                host.roster.hear_cast(now, &host.card, (digest != known).then_some(cast));
+                host.roster.hear_members(now, &host.card, (digest != known).then_some(members));
             }
         }
     }
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -60,7 +60,7 @@
         /// The sender's clock, in microseconds.
         clock: u64,
         /// Digest of the members that it knows.
-        cast: u64,
+        members: u64,
         /// Revision of the newest entry of a server that it knows.
         servers: u64,
     },
@@ -68,7 +68,7 @@
     Told {
         evidence: PeerEvidence,
         /// The living members, if their digest is another one.
-        cast: Option<Vec<HostCard>>,
+        members: Option<Vec<HostCard>>,
         /// Entries of servers after the revision that was named, oldest first.
         servers: Vec<ServerNews>,
         /// Number that stands for the sender's list of servers.
@@ -211,8 +211,8 @@
         let digest = state.dispatcher.fleet.digest();
         match target.duty {
             PeerDuty::Other => {
-                let (_, cast) = state.roster.cast(now, &state.card);
-                PeerBeat::Told { evidence, cast: Some(cast), servers: Vec::new(), digest }
+                let (_, members) = state.roster.member_cards(now, &state.card);
+                PeerBeat::Told { evidence, members: Some(members), servers: Vec::new(), digest }
             }
             duty => PeerBeat::Beat {
                 card: state.card.clone(),
@@ -251,7 +251,7 @@
             beats: state.card.beats,
             incarnation: state.card.incarnation,
             clock: now.0,
-            cast: state.roster.told_digest(),
+            members: state.roster.members_digest(),
             servers: state.dispatcher.fleet.newest_revision(),
         };
         (targets, encode(&beat))
@@ -328,16 +328,16 @@
             take_work(gateway, host, incarnation, news, opinions);
         }
         PeerBeat::Servers(news) => take_servers(gateway, news),
-        PeerBeat::Ask { beats, incarnation, clock, cast, servers } => {
-            let answer = answer_to(gateway, incarnation, clock, cast, servers);
+        PeerBeat::Ask { beats, incarnation, clock, members, servers } => {
+            let answer = answer_to(gateway, incarnation, clock, members, servers);
             send(gateway, socket, beats, &encode(&answer));
         }
-        PeerBeat::Told { evidence, cast, servers, digest } => {
+        PeerBeat::Told { evidence, members, servers, digest } => {
             let now = clock::now();
             take_servers(gateway, servers);
             {
                 let state = &mut *gateway.state.borrow_mut();
-                state.roster.hear_cast(now, &state.card, cast);
+                state.roster.hear_members(now, &state.card, members);
                 state.note_digest(now, digest);
             }
             take_evidence(gateway, now, &evidence);
@@ -376,16 +376,16 @@
     gateway: &Gateway,
     incarnation: u64,
     clock: u64,
-    known_cast: u64,
+    known_members: u64,
     known_servers: u64,
 ) -> PeerBeat {
     let now = clock::now();
     let state = gateway.state.borrow();
-    let (cast_digest, cast) = state.roster.cast(now, &state.card);
+    let (members_digest, members) = state.roster.member_cards(now, &state.card);
     let fleet = &state.dispatcher.fleet;
     PeerBeat::Told {
         evidence: evidence_for(&state, now, incarnation, clock, Duration::ZERO),
-        cast: (cast_digest != known_cast).then_some(cast),
+        members: (members_digest != known_members).then_some(members),
         servers: server_news(fleet, known_servers),
         digest: fleet.digest(),
     }
