Read a new configuration at once on every host

Hosts that stood by waited 1.2 s and then read a stale answer first; with a third of the hosts turned away by the store they heard of the version late already, and had it 4.1 s after its acknowledgement.

Change: the configuration is read exactly and at once; a stale answer is tried first only for the list of servers.

--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -29,11 +29,6 @@
 pub const UNLIKE_TIME: Duration = Duration::from_millis(600);
 /// The same for a host that stands by, which members tell the changes now and then.
 pub const UNLIKE_TIME_OF_OTHERS: Duration = Duration::from_secs(3);
-/// Time for which a host that stands by leaves news alone, until stale answers have it, too.
-pub const STALE_TIME: Duration = Duration::from_millis(1_200);
-/// Age of the proof from which a host that stands by reads news at once and exactly: a change may
-/// have been in the store for as long, and must be in force four seconds after it.
-pub const URGENT_AGE: Duration = Duration::from_millis(2_000);
 /// Time between two watches of a lead that bring changes: servers write all the time.
 const WATCH_SPACING: Duration = Duration::from_millis(300);
 /// Time between two looks of a host that rests; news of the configuration end it.
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -443,11 +443,7 @@
 fn take_evidence(gateway: &GatewayRef, now: Time, evidence: &PeerEvidence) {
     let is_newer = {
         let state = &mut *gateway.state.borrow_mut();
-        if evidence.version > state.newest_heard.0 {
-            let is_pending = state.newest_heard.0 > state.evidence.version();
-            let since = if is_pending { state.newest_heard.1 } else { now };
-            state.newest_heard = (evidence.version, since);
-        }
+        state.newest_heard = state.newest_heard.max(evidence.version);
         state.evidence.hear(now, evidence)
     };
     if is_newer {
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -5,9 +5,7 @@
 use parsley_core::{
     catalog::{RouteCatalog, ServingConfig},
     dispatch::DispatchInput,
-    feed::{
-        FeedContext, LEADS, PROOF_AGE, STALE_TIME, UNLIKE_TIME, UNLIKE_TIME_OF_OTHERS, URGENT_AGE,
-    },
+    feed::{FeedContext, LEADS, PROOF_AGE, UNLIKE_TIME, UNLIKE_TIME_OF_OTHERS},
     fleet::{EngineEntry, EngineTag},
     roster::{HostCard, HostTag},
     time::Time,
@@ -132,12 +130,8 @@
         let proof = state.evidence.age(now);
         let is_member = state.roster.is_member(now, &state.card);
         let unlike_time = if is_member { UNLIKE_TIME } else { UNLIKE_TIME_OF_OTHERS };
-        // The news may be as old as the last proof of what is in force here; then it is urgent.
-        let may_be_stale = !is_member && proof.is_some_and(|age| age < URGENT_AGE);
         let has_news = if is_config {
-            let heard = state.newest_heard;
-            heard.0 > state.evidence.version()
-                && (!may_be_stale || now.since(heard.1) >= STALE_TIME)
+            state.newest_heard > state.evidence.version()
         } else {
             state.unlike_since.is_some_and(|at| now.since(at) >= unlike_time)
         };
@@ -148,7 +142,8 @@
                 && state.catalog.is_some()
                 && proof.is_none_or(|age| age >= PROOF_AGE),
             has_news,
-            may_be_stale,
+            // A new configuration must be in force within seconds; changes of servers are told anyway.
+            may_be_stale: !is_config && !is_member,
         }
     }
 
