--- a/crates/core/src/evidence/mod.rs
+++ b/crates/core/src/evidence/mod.rs
@@ -4,9 +4,9 @@
 //! confirms it, or a peer that was confirmed itself hands its confirmation on. When confirmations
 //! stop, requests with a key are refused before a key that was taken away could still be served.
 
-use std::time::Duration;
+use std::{cmp::Ordering, time::Duration};
 
-use parsley_macros::{message, value};
+use parsley_macros::{key, message, value};
 
 use crate::time::Time;
 
@@ -32,6 +32,28 @@
     pub held_ms: u32,
 }
 
+/// What a peer's evidence is worth to this host.
+#[key]
+pub enum EvidenceWorth {
+    /// The peer has a newer version.
+    Newer,
+    /// The configuration in force was the newest at a later moment than was known.
+    Proof,
+    /// Nothing: the peer has an older version, or no later proof.
+    Nothing,
+}
+
+impl EvidenceWorth {
+    /// The name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            EvidenceWorth::Newer => "newer",
+            EvidenceWorth::Proof => "proof",
+            EvidenceWorth::Nothing => "nothing",
+        }
+    }
+}
+
 /// Evidence that the configuration is the newest.
 #[value]
 pub struct EvidenceKeeper {
@@ -69,23 +91,27 @@
         self.version = self.version.max(version);
     }
 
-    /// Takes over what a peer says. Returns whether the peer has a newer version than this host.
+    /// Takes over what a peer says. Returns what it is worth.
     ///
     /// The peer received this host's datagram after `echo`, so its confirmation is no older than
     /// `echo + held - age` on this host's clock, however long the answer was under way. An echo of
     /// an earlier process proves nothing: the clock starts anew when a machine loses power.
-    pub fn hear(&mut self, now: Time, evidence: &PeerEvidence) -> bool {
-        if evidence.version != self.version {
-            return evidence.version > self.version;
+    pub fn hear(&mut self, now: Time, evidence: &PeerEvidence) -> EvidenceWorth {
+        match evidence.version.cmp(&self.version) {
+            Ordering::Greater => return EvidenceWorth::Newer,
+            Ordering::Less => return EvidenceWorth::Nothing,
+            Ordering::Equal => {}
         }
-        let Some(age) = evidence.age_ms else { return false };
+        let Some(age) = evidence.age_ms else { return EvidenceWorth::Nothing };
         let heard = Time(evidence.echo) + Duration::from_millis(evidence.held_ms.into());
         let age = Duration::from_millis(age.into());
         let is_own = evidence.incarnation == self.incarnation && evidence.echo > 0;
-        if is_own && heard <= now && heard - age > Time::ZERO {
-            self.confirmed = self.confirmed.max(Some(heard - age));
+        let is_later = self.confirmed.is_none_or(|confirmed| heard - age > confirmed);
+        if is_own && heard <= now && heard - age > Time::ZERO && is_later {
+            self.confirmed = Some(heard - age);
+            return EvidenceWorth::Proof;
         }
-        false
+        EvidenceWorth::Nothing
     }
 
     /// Time since the version was known to be the newest.
--- a/crates/core/src/evidence/tests.rs
+++ b/crates/core/src/evidence/tests.rs
@@ -29,7 +29,8 @@
 fn peer_extends_the_evidence_by_what_it_can_prove() {
     let mut keeper = keeper();
     // The peer held this host's datagram of second 3 for 200 ms and was confirmed 500 ms before.
-    assert!(!keeper.hear(at(3_300), &heard(3, 500, at(3_000), 200)));
+    let worth = keeper.hear(at(3_300), &heard(3, 500, at(3_000), 200));
+    assert_eq!(worth, EvidenceWorth::Proof);
     assert_eq!(keeper.age(at(3_300)), Some(Duration::from_millis(600)));
 }
 
@@ -58,9 +59,11 @@
 #[test]
 fn newer_version_of_a_peer_is_noticed_and_proves_nothing() {
     let mut keeper = keeper();
-    assert!(keeper.hear(at(4_000), &heard(4, 0, at(3_990), 5)));
+    let worth = keeper.hear(at(4_000), &heard(4, 0, at(3_990), 5));
+    assert_eq!(worth, EvidenceWorth::Newer);
     assert!(!keeper.is_recent(at(4_700)));
-    assert!(!keeper.hear(at(4_000), &heard(2, 0, at(3_990), 5)), "an older one is no news");
+    let worth = keeper.hear(at(4_000), &heard(2, 0, at(3_990), 5));
+    assert_eq!(worth, EvidenceWorth::Nothing, "an older one is no news");
 }
 
 /// Hosts that are all cut off from the store must not renew each other's evidence.
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -10,7 +10,7 @@
 use async_io::{Async, Timer};
 use parsley_core::{
     dispatch::DispatchInput,
-    evidence::PeerEvidence,
+    evidence::{EvidenceWorth, PeerEvidence},
     fleet::{EngineOpinion, FleetChange, FleetTable},
     roster::{ASK_PERIOD, BeatTarget, HostCard, HostTag, PeerDuty, PeerNews},
     time::Time,
@@ -306,7 +306,7 @@
         gateway.metrics.datagrams.with_label_values(&["in"]).inc();
         gateway.metrics.datagram_bytes.with_label_values(&["in"]).inc_by(length as u64);
         match postcard::from_bytes(&buffer[..length]) {
-            Ok(beat) => take(&gateway, socket, beat),
+            Ok(beat) => take(&gateway, socket, from, beat),
             Err(err) => log_refused(&gateway, Some(from), &err.to_string()),
         }
     }
@@ -319,7 +319,7 @@
     }
 }
 
-fn take(gateway: &GatewayRef, socket: &Async<UdpSocket>, beat: PeerBeat) {
+fn take(gateway: &GatewayRef, socket: &Async<UdpSocket>, from: SocketAddr, beat: PeerBeat) {
     match beat {
         PeerBeat::News { host, incarnation, news } => {
             take_work(gateway, host, incarnation, news, Vec::new());
@@ -340,11 +340,11 @@
                 state.roster.hear_members(now, &state.card, members);
                 state.note_digest(now, digest);
             }
-            take_evidence(gateway, now, &evidence);
+            take_evidence(gateway, now, from, &evidence);
         }
         PeerBeat::Beat { card, clock, evidence, digest, is_called } => {
             take_beat(gateway, socket, card, clock, digest, is_called);
-            take_evidence(gateway, clock::now(), &evidence);
+            take_evidence(gateway, clock::now(), from, &evidence);
         }
     }
 }
@@ -440,13 +440,22 @@
     }
 }
 
-fn take_evidence(gateway: &GatewayRef, now: Time, evidence: &PeerEvidence) {
-    let is_newer = {
+fn take_evidence(gateway: &GatewayRef, now: Time, from: SocketAddr, evidence: &PeerEvidence) {
+    let worth = {
         let state = &mut *gateway.state.borrow_mut();
-        state.newest_heard = state.newest_heard.max(evidence.version);
+        if evidence.version > state.newest_heard.0 {
+            state.newest_heard = (evidence.version, now);
+            let held = state.evidence.version();
+            if evidence.version > held {
+                let age = state.evidence.age(now).map_or(u64::MAX, |age| age.as_millis() as u64);
+                event!(gateway.log, CONFIG_HEARD, "version" => evidence.version, "held" => held,
+                    "from" => from.to_string(), "age_ms" => age);
+            }
+        }
         state.evidence.hear(now, evidence)
     };
-    if is_newer {
+    gateway.metrics.evidence.with_label_values(&[worth.name()]).inc();
+    if worth == EvidenceWorth::Newer {
         // A full channel means that the driver was asked already.
         let _ = gateway.stale.0.try_send(());
     }
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -34,6 +34,7 @@
     /// may be older than the call. An older configuration than that in force is ignored.
     pub fn take_config(self: &Rc<Self>, config: ServingConfig, asked: Option<Time>) {
         let version = config.version;
+        let now = clock::now();
         let (services, urgent) = {
             let mut state = self.state.borrow_mut();
             let from = state.catalog.as_ref().map(|catalog| catalog.version());
@@ -47,9 +48,11 @@
             let catalog = RouteCatalog::new(config);
             let in_force = (catalog.services().clone(), catalog.urgent_aims());
             state.catalog = Some(Rc::new(catalog));
-            let age = asked.map_or(0, |asked| clock::now().since(asked).as_millis() as u64);
+            let age = asked.map_or(0, |asked| now.since(asked).as_millis() as u64);
+            let (newest, heard) = state.newest_heard;
+            let heard = if newest == version { now.since(heard).as_millis() as u64 } else { 0 };
             event!(self.log, CONFIG_TAKEN, "version" => version,
-                "from" => from.unwrap_or_default(), "age_ms" => age);
+                "from" => from.unwrap_or_default(), "age_ms" => age, "heard_ms" => heard);
             in_force
         };
         self.metrics.config_version.set(version as i64);
@@ -131,7 +134,7 @@
         let is_member = state.roster.is_member(now, &state.card);
         let unlike_time = if is_member { UNLIKE_TIME } else { UNLIKE_TIME_OF_OTHERS };
         let has_news = if is_config {
-            state.newest_heard > state.evidence.version()
+            state.newest_heard.0 > state.evidence.version()
         } else {
             state.unlike_since.is_some_and(|at| now.since(at) >= unlike_time)
         };
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -30,6 +30,8 @@
     pub store_calls: IntCounterVec,
     /// Datagrams to and from peers.
     pub datagrams: IntCounterVec,
+    /// Evidence of peers about the configuration, by what it was worth.
+    pub evidence: IntCounterVec,
     /// Bytes of datagrams to and from peers.
     pub datagram_bytes: IntCounterVec,
     /// Log lines that were not written.
@@ -88,6 +90,12 @@
                 "Datagrams of peers.",
                 &["direction"],
             ),
+            evidence: counters(
+                &registry,
+                "gateway_peer_evidence_total",
+                "Evidence of peers about the configuration.",
+                &["worth"],
+            ),
             datagram_bytes: counters(
                 &registry,
                 "gateway_datagram_bytes_total",
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -80,11 +80,12 @@
     ACCEPT_FAILED: "E2006" Warning "connection not accepted" ["error"];
     STORE_LOST: "E2101" Warning "store lost" ["part", "error"];
     STORE_REGAINED: "E2102" Info "store regained" ["part", "revision"];
-    CONFIG_TAKEN: "E2103" Info "configuration taken" ["version", "from", "age_ms"];
+    CONFIG_TAKEN: "E2103" Info "configuration taken" ["version", "from", "age_ms", "heard_ms"];
     ENTRY_INVALID: "E2104" Warning "entry of the store not valid" ["entry", "error"];
     EVIDENCE_STALE: "E2105" Warning "configuration may be old" ["version", "age_ms"];
     EVIDENCE_RECENT: "E2106" Info "configuration known to be the newest" ["version", "age_ms"];
     REGISTER_FAILED: "E2107" Warning "host not registered" ["error"];
+    CONFIG_HEARD: "E2108" Info "newer configuration heard of" ["version", "held", "from", "age_ms"];
     PEER_HEARD: "E2201" Info "peer heard" ["peer", "incarnation", "ready"];
     PEER_SILENT: "E2202" Warning "peer silent" ["peer"];
     DATAGRAM_REFUSED: "E2203" Warning "datagram not valid" ["from", "error"];
