Decide how the store is followed in the core

Cause: what made a host ask the store was decided in gateway/feed.rs, where no test drove it. Change: FeedContext::of and EvidenceKeeper::tell hold the same decisions; no behaviour changes. Conclusion: a test in virtual time can drive roster, evidence and feed together.

--- a/crates/core/src/evidence/mod.rs
+++ b/crates/core/src/evidence/mod.rs
@@ -91,6 +91,20 @@
         self.version = self.version.max(version);
     }
 
+    /// What this host can vouch for to a process of a peer whose clock `echo` it was told and held
+    /// for some time.
+    pub fn tell(&self, now: Time, incarnation: u64, echo: u64, held: Duration) -> PeerEvidence {
+        let millis = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+        PeerEvidence {
+            version: self.version,
+            // Rounded against the evidence.
+            age_ms: self.age(now).map(|age| millis(age).saturating_add(1)),
+            incarnation,
+            echo,
+            held_ms: millis(held),
+        }
+    }
+
     /// Takes over what a peer says. Returns what it is worth.
     ///
     /// The peer received this host's datagram after `echo`, so its confirmation is no older than
--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -24,11 +24,11 @@
 /// Age of the proof that the configuration is the newest at which a host asks the store itself. It
 /// is above what a watch and two beats of a lead take, and well below the time after which keys
 /// are not decided about. Changes arrive sooner: leads that fall silent are replaced.
-pub const PROOF_AGE: Duration = Duration::from_millis(2_400);
+const PROOF_AGE: Duration = Duration::from_millis(2_400);
 /// Time for which another list of servers than a lead's is suffered: news may be under way.
-pub const UNLIKE_TIME: Duration = Duration::from_millis(600);
+const UNLIKE_TIME: Duration = Duration::from_millis(600);
 /// The same for a host that stands by, which members tell the changes now and then.
-pub const UNLIKE_TIME_OF_OTHERS: Duration = Duration::from_secs(3);
+const UNLIKE_TIME_OF_OTHERS: Duration = Duration::from_secs(3);
 /// Time between two watches of a lead that bring changes: servers write all the time.
 const WATCH_SPACING: Duration = Duration::from_millis(300);
 /// Time between two looks of a host that rests; news of the configuration end it.
@@ -59,6 +59,48 @@
     pub may_be_stale: bool,
 }
 
+/// What a host knows when it decides how to follow a part of the store.
+#[value]
+#[derive(Default)]
+pub struct FeedFacts {
+    /// Whether the part is the configuration, not the servers.
+    pub is_config: bool,
+    /// Whether this host watches for all.
+    pub is_lead: bool,
+    /// Whether this host exchanges beats with the other members.
+    pub is_member: bool,
+    /// Version of the configuration in force, if there is one.
+    pub version: Option<u64>,
+    /// Age of the proof that it is the newest.
+    pub proof: Option<Duration>,
+    /// Newest version that a peer named.
+    pub newest_heard: u64,
+    /// Time since the list of servers differs from a lead's.
+    pub unlike: Option<Duration>,
+}
+
+impl FeedContext {
+    /// What decides about the next call of a host that knows these facts.
+    pub fn of(facts: &FeedFacts) -> FeedContext {
+        let unlike_time = if facts.is_member { UNLIKE_TIME } else { UNLIKE_TIME_OF_OTHERS };
+        let has_news = if facts.is_config {
+            facts.newest_heard > facts.version.unwrap_or_default()
+        } else {
+            facts.unlike.is_some_and(|time| time >= unlike_time)
+        };
+        FeedContext {
+            is_lead: facts.is_lead,
+            // A host that stands by has its proof from members, or they have none either.
+            needs_proof: facts.is_member
+                && facts.version.is_some()
+                && facts.proof.is_none_or(|age| age >= PROOF_AGE),
+            has_news,
+            // A new configuration must be in force within seconds; changes of servers are told anyway.
+            may_be_stale: !facts.is_config && !facts.is_member,
+        }
+    }
+}
+
 /// What to do next.
 #[value]
 pub enum FeedAction {
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -207,7 +207,7 @@
         let state = gateway.state.borrow();
         let (echo, heard) = state.peer_clocks.get(&target.tag).copied().unwrap_or((0, now));
         let incarnation = state.roster.incarnation(target.tag).unwrap_or_default();
-        let evidence = evidence_for(&state, now, incarnation, echo, now.since(heard));
+        let evidence = state.evidence.tell(now, incarnation, echo, now.since(heard));
         let digest = state.dispatcher.fleet.digest();
         match target.duty {
             PeerDuty::Other => {
@@ -259,26 +259,6 @@
     targets.iter().for_each(|target| send(gateway, socket, *target, &beat));
 }
 
-/// What this host can vouch for, bound to a clock that it was told by a process of a peer and held
-/// for some time.
-fn evidence_for(
-    state: &GatewayState,
-    now: Time,
-    incarnation: u64,
-    echo: u64,
-    held: Duration,
-) -> PeerEvidence {
-    let millis = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
-    PeerEvidence {
-        version: state.evidence.version(),
-        // Rounded against the evidence.
-        age_ms: state.evidence.age(now).map(|age| millis(age).saturating_add(1)),
-        incarnation,
-        echo,
-        held_ms: millis(held),
-    }
-}
-
 fn encode(beat: &PeerBeat) -> Vec<u8> {
     postcard::to_stdvec(beat).expect("beats have no types that fail to encode")
 }
@@ -384,7 +364,7 @@
     let (members_digest, members) = state.roster.member_cards(now, &state.card);
     let fleet = &state.dispatcher.fleet;
     PeerBeat::Told {
-        evidence: evidence_for(&state, now, incarnation, clock, Duration::ZERO),
+        evidence: state.evidence.tell(now, incarnation, clock, Duration::ZERO),
         members: (members_digest != known_members).then_some(members),
         servers: server_news(fleet, known_servers),
         digest: fleet.digest(),
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -5,7 +5,7 @@
 use parsley_core::{
     catalog::{RouteCatalog, ServingConfig},
     dispatch::DispatchInput,
-    feed::{FeedContext, LEADS, PROOF_AGE, UNLIKE_TIME, UNLIKE_TIME_OF_OTHERS},
+    feed::{FeedContext, FeedFacts, LEADS},
     fleet::{EngineEntry, EngineTag},
     roster::{HostCard, HostTag},
     time::Time,
@@ -130,24 +130,15 @@
     pub fn feed_context(&self, is_config: bool) -> FeedContext {
         let now = clock::now();
         let state = self.state.borrow();
-        let proof = state.evidence.age(now);
-        let is_member = state.roster.is_member(now, &state.card);
-        let unlike_time = if is_member { UNLIKE_TIME } else { UNLIKE_TIME_OF_OTHERS };
-        let has_news = if is_config {
-            state.newest_heard.0 > state.evidence.version()
-        } else {
-            state.unlike_since.is_some_and(|at| now.since(at) >= unlike_time)
-        };
-        FeedContext {
+        FeedContext::of(&FeedFacts {
+            is_config,
             is_lead: state.roster.is_lead(now, &state.card, LEADS),
-            // A host that stands by has its proof from members, or they have none either.
-            needs_proof: is_member
-                && state.catalog.is_some()
-                && proof.is_none_or(|age| age >= PROOF_AGE),
-            has_news,
-            // A new configuration must be in force within seconds; changes of servers are told anyway.
-            may_be_stale: !is_config && !is_member,
-        }
+            is_member: state.roster.is_member(now, &state.card),
+            version: state.catalog.as_ref().map(|_| state.evidence.version()),
+            proof: state.evidence.age(now),
+            newest_heard: state.newest_heard.0,
+            unlike: state.unlike_since.map(|at| now.since(at)),
+        })
     }
 
     /// Waits until a peer is known to have something newer.
