Reproduce a change that is not in force in time

Callers saw: requests handled by an older version after the bound (CONFIG). Change: a test of roster, evidence and feed together in virtual time.

--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -11,6 +11,8 @@
 
 use crate::time::Time;
 
+#[cfg(test)]
+mod spread_tests;
 #[cfg(test)]
 mod tests;
 
--- /dev/null
+++ b/crates/core/src/feed/spread_tests.rs
@@ -0,0 +1,240 @@
+//! How a change of the configuration spreads, without network: hosts of unlike fleets beat, ask and
+//! call a store in virtual time, each at its own phase.
+//!
+//! The pattern: hosts that are cut from the store go on to beat and to answer.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use super::*;
+use crate::{
+    evidence::{EvidenceKeeper, EvidenceWorth},
+    roster::{ASK_PERIOD, HostCard, HostTag, PeerDuty, PeerRoster},
+};
+
+const STEP: Duration = Duration::from_millis(10);
+const REVOKE: Duration = Duration::from_secs(5);
+/// Hosts that the store lists.
+const LISTED: usize = 64;
+
+struct SpreadHost {
+    card: HostCard,
+    roster: PeerRoster,
+    evidence: EvidenceKeeper,
+    follower: FeedFollower,
+    newest_heard: u64,
+    /// Clock of each peer's last beat, and when it came.
+    clocks: BTreeMap<HostTag, (u64, Time)>,
+    next_beat: Time,
+    next_call: Time,
+    /// The call under way: when it was sent, when it ends.
+    call: Option<(FeedAction, Time, Time)>,
+    is_cut: bool,
+}
+
+struct SpreadFleet {
+    now: Time,
+    hosts: Vec<SpreadHost>,
+    places: BTreeMap<SocketAddr, usize>,
+    /// The store's configuration: its version is its revision.
+    version: u64,
+    rng: fastrand::Rng,
+}
+
+impl SpreadFleet {
+    fn start(count: u16, seed: u64) -> SpreadFleet {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let now = Time(1_000_000_000);
+        let mut cards: Vec<_> = (1..=count).map(card).collect();
+        cards.sort_by_key(|card| (std::cmp::Reverse(card.capacity), card.tag()));
+        let host = |card: &HostCard| {
+            let mut roster = PeerRoster::new(now);
+            let listed = cards.iter().take(LISTED);
+            listed
+                .filter(|one| one.name != card.name)
+                .for_each(|one| roster.introduce(one.clone()));
+            if cards.iter().take(LISTED).any(|one| one.name == card.name) {
+                roster.note_listed();
+            }
+            SpreadHost {
+                evidence: EvidenceKeeper::new(REVOKE, card.incarnation),
+                card: card.clone(),
+                roster,
+                follower: FeedFollower::default(),
+                newest_heard: 0,
+                clocks: BTreeMap::new(),
+                next_beat: now + Duration::from_millis(rng.u64(0..700)),
+                next_call: now + Duration::from_millis(rng.u64(0..300)),
+                call: None,
+                is_cut: false,
+            }
+        };
+        let hosts: Vec<_> = cards.iter().map(host).collect();
+        let places = cards.iter().enumerate().map(|(place, card)| (card.beats, place)).collect();
+        SpreadFleet { now, hosts, places, version: 1, rng }
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + STEP;
+            for place in 0..self.hosts.len() {
+                self.follow(place);
+                if self.hosts[place].next_beat <= self.now {
+                    self.beat(place);
+                }
+            }
+        }
+    }
+
+    fn facts(&self, place: usize) -> FeedFacts {
+        let SpreadHost { card, roster, evidence, newest_heard, .. } = &self.hosts[place];
+        FeedFacts {
+            is_config: true,
+            is_lead: roster.is_lead(self.now, card, LEADS),
+            is_member: roster.is_member(self.now, card),
+            version: Some(evidence.version()).filter(|version| *version > 0),
+            proof: evidence.age(self.now),
+            newest_heard: *newest_heard,
+            unlike: None,
+        }
+    }
+
+    fn follow(&mut self, place: usize) {
+        let (now, version) = (self.now, self.version);
+        let delay = Duration::from_millis(self.rng.u64(5..40));
+        let host = &mut self.hosts[place];
+        if let Some((action, asked, end)) = &host.call {
+            // A watch ends with the change.
+            let is_changed = matches!(action, FeedAction::Watch { after, .. } if *after < version);
+            if now < *end && !(is_changed && !host.is_cut && now > *asked + delay) {
+                return;
+            }
+            let result = match action {
+                _ if host.is_cut => FeedResult::Failed,
+                FeedAction::Watch { .. } => {
+                    FeedResult::Watched { revision: version, has_changes: is_changed }
+                }
+                _ => FeedResult::Read { revision: version, is_stale: false },
+            };
+            if result != FeedResult::Failed {
+                host.evidence.confirm(version, *asked);
+            }
+            host.follower.step(now, result);
+            host.card.has_store = !host.follower.is_lost();
+            (host.call, host.next_call) = (None, now);
+        }
+        if host.next_call > now {
+            return;
+        }
+        let context = FeedContext::of(&self.facts(place));
+        let host = &mut self.hosts[place];
+        let (pause, action) = host.follower.next(now, &context);
+        let wait = match action {
+            FeedAction::Rest => return host.next_call = now + REST_TIME,
+            FeedAction::Watch { wait, .. } => wait,
+            FeedAction::Read { .. } => Duration::ZERO,
+        };
+        let answer = if host.is_cut { CALL_LIMIT } else { delay };
+        let asked = now + pause;
+        host.call = Some((action, asked, asked + wait + answer));
+    }
+
+    fn beat(&mut self, place: usize) {
+        let now = self.now;
+        let FeedFacts { is_lead, is_member, .. } = self.facts(place);
+        let me = &mut self.hosts[place];
+        if !is_member {
+            me.next_beat = now + ASK_PERIOD;
+            let asked = me.roster.ask_targets(now, &mut self.rng);
+            let incarnation = me.card.incarnation;
+            for target in asked {
+                self.tell(self.places[&target], place, (incarnation, now.0, Duration::ZERO));
+            }
+            return;
+        }
+        me.next_beat = now + me.roster.beat_period(is_lead);
+        let (card, targets) = (me.card.clone(), me.roster.targets(now, &me.card));
+        for target in targets {
+            let me = &self.hosts[place];
+            let (clock, heard) = me.clocks.get(&target.tag).copied().unwrap_or((0, now));
+            let incarnation = me.roster.incarnation(target.tag).unwrap_or_default();
+            let proof = (incarnation, clock, now.since(heard));
+            let peer = self.places[&target.beats];
+            if target.duty == PeerDuty::Other {
+                self.tell(place, peer, proof);
+                continue;
+            }
+            let host = &mut self.hosts[peer];
+            host.roster.hear(now, card.clone());
+            host.clocks.insert(card.tag(), (now.0, now));
+            if target.duty == PeerDuty::Member {
+                host.roster.note_called(now);
+            }
+            self.vouch(place, peer, proof);
+        }
+    }
+
+    /// A member answers a host that stands by.
+    fn tell(&mut self, from: usize, to: usize, proof: (u64, u64, Duration)) {
+        let now = self.now;
+        let (digest, members) = self.hosts[from].roster.member_cards(now, &self.hosts[from].card);
+        let host = &mut self.hosts[to];
+        let is_known = digest == host.roster.members_digest();
+        host.roster.hear_members(now, &host.card, (!is_known).then_some(members));
+        self.vouch(from, to, proof);
+    }
+
+    fn vouch(&mut self, from: usize, to: usize, (incarnation, echo, held): (u64, u64, Duration)) {
+        let evidence = self.hosts[from].evidence.tell(self.now, incarnation, echo, held);
+        let host = &mut self.hosts[to];
+        host.newest_heard = host.newest_heard.max(evidence.version);
+        if host.evidence.hear(self.now, &evidence) == EvidenceWorth::Newer {
+            host.next_call = host.next_call.min(self.now);
+        }
+    }
+
+    /// Hosts that reach the store and have an older version than it.
+    fn behind(&self) -> usize {
+        let is_behind = |host: &&SpreadHost| !host.is_cut && host.evidence.version() < self.version;
+        self.hosts.iter().filter(is_behind).count()
+    }
+}
+
+fn card(port: u16) -> HostCard {
+    HostCard {
+        name: format!("h{port}").into(),
+        failure_domain: "a".into(),
+        serving: ([127, 0, 0, 1], port).into(),
+        beats: ([127, 0, 0, 2], port).into(),
+        is_ready: true,
+        has_store: true,
+        capacity: if port % 20 == 0 { 500 } else { 125 },
+        incarnation: u64::from(port),
+    }
+}
+
+/// Guards against a host that stays on an older version as the members that it asks are cut from
+/// the store and answer all the same.
+#[test]
+fn change_is_in_force_in_time_while_members_are_cut_from_the_store() {
+    let mut late = Vec::new();
+    for (count, apply_ms) in [(9, 2_000), (84, 3_000), (295, 4_000), (1_000, 4_000)] {
+        for seed in 1..=4 {
+            let mut fleet = SpreadFleet::start(count, seed);
+            fleet.run(Duration::from_secs(8));
+            assert_eq!(fleet.behind(), 0, "{count} hosts, seed {seed}: the first version");
+            for place in 0..fleet.hosts.len() {
+                let is_lead = fleet.facts(place).is_lead;
+                fleet.hosts[place].is_cut = is_lead || fleet.rng.u8(0..100) < 35;
+            }
+            let since_cut = Duration::from_millis(fleet.rng.u64(0..1_500));
+            fleet.run(since_cut);
+            fleet.version = 2;
+            fleet.run(Duration::from_millis(apply_ms));
+            if fleet.behind() > 0 {
+                late.push((count, seed, fleet.behind()));
+            }
+        }
+    }
+    assert!(late.is_empty(), "hosts, seed, hosts behind: {late:?}");
+}
