Ask the store before a change can be in force too late

Callers saw: requests handled by an older version past the bound, at hosts that stand by. Cause: such a host never asked the store for a proof; it relied on members, which may be cut from the store themselves. All other hosts asked at a fixed age of 2.4 s, whatever the deployment's bound (2 to 4 s), and the lead's watch was as fixed. Class: a bound of the deployment replaced by a constant of the code. Ruled out: reading and applying (37 ms at most after the host heard of the version). Change: FeedTiming derives the age at which any host asks, and the lead's watch, from config_apply_ms, with time for one lost call. Hosts but the leads pause 2 s after a second failed call, as more of them ask now. The old assertion on PROOF_AGE named 4 s, though some deployments have 2 s; the new one takes 2, 3 and 4 s. Conclusion: a change is in force whoever falls silent; calls are the price.

--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -2,14 +2,18 @@
 //!
 //! Owns the revision up to which the part is known and whether the store answers. Its driver makes
 //! the calls. Two hosts watch for all (the leads); the others rest while leads tell them what is
-//! new and prove that nothing else is, and ask the store themselves when leads fall silent. So the
-//! number of calls does not grow with the number of hosts.
+//! new and prove that nothing else is. Whatever the reason why proofs stop, each host asks the store
+//! itself before a change could be in force too late. So the number of calls does not grow with the
+//! number of hosts while they hear one another.
 
 use std::time::Duration;
 
 use parsley_macros::value;
 
-use crate::time::Time;
+use crate::{
+    roster::{ASK_PERIOD, BEAT_PERIOD},
+    time::Time,
+};
 
 #[cfg(test)]
 mod spread_tests;
@@ -18,15 +22,8 @@
 
 /// Hosts that watch the store for all: one may be lost at any moment.
 pub const LEADS: usize = 2;
-/// Time for which a watch waits at the store. Its end also proves that the store still answers, so
-/// it stays below the time in which a change must be in force.
-pub const WATCH_WAIT: Duration = Duration::from_millis(800);
 /// Time beyond the wait after which a call counts as lost.
 pub const CALL_LIMIT: Duration = Duration::from_millis(700);
-/// Age of the proof that the configuration is the newest at which a host asks the store itself. It
-/// is above what a watch and two beats of a lead take, and well below the time after which keys
-/// are not decided about. Changes arrive sooner: leads that fall silent are replaced.
-const PROOF_AGE: Duration = Duration::from_millis(2_400);
 /// Time for which another list of servers than a lead's is suffered: news may be under way.
 const UNLIKE_TIME: Duration = Duration::from_millis(600);
 /// The same for a host that stands by, which members tell the changes now and then.
@@ -34,7 +31,14 @@
 /// Time between two watches of a lead that bring changes: servers write all the time.
 const WATCH_SPACING: Duration = Duration::from_millis(300);
 /// Time between two looks of a host that rests; news of the configuration end it.
-pub const REST_TIME: Duration = Duration::from_millis(250);
+pub const REST_TIME: Duration = Duration::from_millis(100);
+/// Time that a call takes which succeeds, and for a configuration to be read and decoded.
+const READ_TIME: Duration = Duration::from_millis(100);
+/// Bounds of the time for which a watch of a lead waits: each is a call to the store, and the end of
+/// a watch also proves that the store still answers.
+const WATCH_WAITS: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(800));
+/// Least age of a proof at which a host asks the store itself.
+const LEAST_PROOF_AGE: Duration = Duration::from_millis(500);
 /// Time for which a watch waits when its end is needed as a proof.
 const URGENT_WAIT: Duration = Duration::from_millis(30);
 /// Time between two reads because of a lead's news, so that a storm of changes costs few reads.
@@ -44,8 +48,8 @@
 /// First and longest pause after a failed call of a lead.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
-/// Longest pause of the other hosts: the leads find out that the store is back.
-const LONGEST_PAUSE_OF_OTHERS: Duration = Duration::from_millis(2_000);
+/// Pause of the other hosts after a second failed call: the leads find out that the store is back.
+const PAUSE_OF_OTHERS: Duration = Duration::from_millis(2_000);
 
 /// What decides about the next call, besides the follower's own state.
 #[value]
@@ -53,6 +57,8 @@
 pub struct FeedContext {
     /// Whether this host watches for all.
     pub is_lead: bool,
+    /// Time for which its watches wait.
+    pub watch_wait: Duration,
     /// Whether a proof that nothing changed is wanted from the store.
     pub needs_proof: bool,
     /// Whether a lead is known to have something newer.
@@ -61,12 +67,39 @@
     pub may_be_stale: bool,
 }
 
+/// Times that follow from how soon a change must be in force.
+#[value]
+#[derive(Copy)]
+pub struct FeedTiming {
+    /// Age of the proof that the configuration is the newest at which a host asks the store itself.
+    pub proof_age: Duration,
+    /// Time for which a watch of a lead waits at the store.
+    pub watch_wait: Duration,
+}
+
+impl FeedTiming {
+    /// The times where a change must be in force within `apply`.
+    ///
+    /// A version that a host lacks is newer than its proof. So it is in force in time if the host
+    /// asks early enough for one call that gets lost and one that succeeds. Watches are so short
+    /// that the proofs which leads hand on stay younger than that, at hosts that stand by, too.
+    pub fn within(apply: Duration) -> FeedTiming {
+        let reserve = REST_TIME + CALL_LIMIT + FIRST_PAUSE + READ_TIME;
+        let proof_age = apply.saturating_sub(reserve).max(LEAST_PROOF_AGE);
+        let under_way = BEAT_PERIOD + ASK_PERIOD;
+        let wait = proof_age.saturating_sub(under_way) / 2;
+        FeedTiming { proof_age, watch_wait: wait.clamp(WATCH_WAITS.0, WATCH_WAITS.1) }
+    }
+}
+
 /// What a host knows when it decides how to follow a part of the store.
 #[value]
 #[derive(Default)]
 pub struct FeedFacts {
     /// Whether the part is the configuration, not the servers.
     pub is_config: bool,
+    /// Time within which a change of the configuration must be in force.
+    pub apply: Duration,
     /// Whether this host watches for all.
     pub is_lead: bool,
     /// Whether this host exchanges beats with the other members.
@@ -90,12 +123,12 @@
         } else {
             facts.unlike.is_some_and(|time| time >= unlike_time)
         };
+        let timing = FeedTiming::within(facts.apply);
         FeedContext {
             is_lead: facts.is_lead,
-            // A host that stands by has its proof from members, or they have none either.
-            needs_proof: facts.is_member
-                && facts.version.is_some()
-                && facts.proof.is_none_or(|age| age >= PROOF_AGE),
+            watch_wait: timing.watch_wait,
+            needs_proof: facts.version.is_some()
+                && facts.proof.is_none_or(|age| age >= timing.proof_age),
             has_news,
             // A new configuration must be in force within seconds; changes of servers are told anyway.
             may_be_stale: !facts.is_config && !facts.is_member,
@@ -162,10 +195,11 @@
 impl FeedFollower {
     /// The next call and the pause before it.
     pub fn next(&self, now: Time, context: &FeedContext) -> (Duration, FeedAction) {
-        let longest = if context.is_lead { LONGEST_PAUSE } else { LONGEST_PAUSE_OF_OTHERS };
         let pause = match self.failures {
             0 => Duration::ZERO,
-            count => (FIRST_PAUSE * (1 << (count - 1).min(8))).min(longest),
+            1 => FIRST_PAUSE,
+            _ if !context.is_lead => PAUSE_OF_OTHERS,
+            count => (FIRST_PAUSE * (1 << (count - 1).min(8))).min(LONGEST_PAUSE),
         };
         let Some(after) = self.revision else {
             return (pause, FeedAction::Read { is_stale: false });
@@ -177,7 +211,7 @@
         if context.is_lead {
             let since = self.last_change.map_or(WATCH_SPACING, |at| now.since(at));
             let pause = WATCH_SPACING.saturating_sub(since);
-            return (pause, FeedAction::Watch { after, wait: WATCH_WAIT });
+            return (pause, FeedAction::Watch { after, wait: context.watch_wait });
         }
         let may_read = self.last_read.is_none_or(|at| now.since(at) >= READ_SPACING);
         if context.has_news && may_read {
--- a/crates/core/src/feed/spread_tests.rs
+++ b/crates/core/src/feed/spread_tests.rs
@@ -37,11 +37,13 @@
     places: BTreeMap<SocketAddr, usize>,
     /// The store's configuration: its version is its revision.
     version: u64,
+    /// Time within which a change must be in force.
+    apply: Duration,
     rng: fastrand::Rng,
 }
 
 impl SpreadFleet {
-    fn start(count: u16, seed: u64) -> SpreadFleet {
+    fn start(count: u16, apply: Duration, seed: u64) -> SpreadFleet {
         let mut rng = fastrand::Rng::with_seed(seed);
         let now = Time(1_000_000_000);
         let mut cards: Vec<_> = (1..=count).map(card).collect();
@@ -70,7 +72,7 @@
         };
         let hosts: Vec<_> = cards.iter().map(host).collect();
         let places = cards.iter().enumerate().map(|(place, card)| (card.beats, place)).collect();
-        SpreadFleet { now, hosts, places, version: 1, rng }
+        SpreadFleet { now, hosts, places, version: 1, apply, rng }
     }
 
     fn run(&mut self, span: Duration) {
@@ -90,6 +92,7 @@
         let SpreadHost { card, roster, evidence, newest_heard, .. } = &self.hosts[place];
         FeedFacts {
             is_config: true,
+            apply: self.apply,
             is_lead: roster.is_lead(self.now, card, LEADS),
             is_member: roster.is_member(self.now, card),
             version: Some(evidence.version()).filter(|version| *version > 0),
@@ -208,7 +211,7 @@
         beats: ([127, 0, 0, 2], port).into(),
         is_ready: true,
         has_store: true,
-        capacity: if port % 20 == 0 { 500 } else { 125 },
+        capacity: if port.is_multiple_of(20) { 500 } else { 125 },
         incarnation: u64::from(port),
     }
 }
@@ -219,8 +222,9 @@
 fn change_is_in_force_in_time_while_members_are_cut_from_the_store() {
     let mut late = Vec::new();
     for (count, apply_ms) in [(9, 2_000), (84, 3_000), (295, 4_000), (1_000, 4_000)] {
+        let apply = Duration::from_millis(apply_ms);
         for seed in 1..=4 {
-            let mut fleet = SpreadFleet::start(count, seed);
+            let mut fleet = SpreadFleet::start(count, apply, seed);
             fleet.run(Duration::from_secs(8));
             assert_eq!(fleet.behind(), 0, "{count} hosts, seed {seed}: the first version");
             for place in 0..fleet.hosts.len() {
@@ -230,7 +234,7 @@
             let since_cut = Duration::from_millis(fleet.rng.u64(0..1_500));
             fleet.run(since_cut);
             fleet.version = 2;
-            fleet.run(Duration::from_millis(apply_ms));
+            fleet.run(apply);
             if fleet.behind() > 0 {
                 late.push((count, seed, fleet.behind()));
             }
--- a/crates/core/src/feed/tests.rs
+++ b/crates/core/src/feed/tests.rs
@@ -1,9 +1,14 @@
 use super::*;
 
-const LEAD: FeedContext =
-    FeedContext { is_lead: true, needs_proof: false, has_news: false, may_be_stale: false };
-const REST: FeedContext =
-    FeedContext { is_lead: false, needs_proof: false, has_news: false, may_be_stale: false };
+const WATCH_WAIT: Duration = Duration::from_millis(700);
+const REST: FeedContext = FeedContext {
+    is_lead: false,
+    watch_wait: WATCH_WAIT,
+    needs_proof: false,
+    has_news: false,
+    may_be_stale: false,
+};
+const LEAD: FeedContext = FeedContext { is_lead: true, ..REST };
 const WATCH: FeedAction = FeedAction::Watch { after: 40, wait: WATCH_WAIT };
 const EXACT: FeedAction = FeedAction::Read { is_stale: false };
 const STALE: FeedAction = FeedAction::Read { is_stale: true };
@@ -59,8 +64,18 @@
     let needs = FeedContext { needs_proof: true, ..REST };
     let (_, action) = follower().next(at(1), &needs);
     assert_eq!(action, FeedAction::Watch { after: 40, wait: URGENT_WAIT });
-    assert!(PROOF_AGE > WATCH_WAIT * 2 + crate::roster::BEAT_PERIOD);
-    assert!(PROOF_AGE + CALL_LIMIT < Duration::from_secs(4));
+    for is_member in [true, false] {
+        for apply in [2_000, 3_000, 4_000].map(Duration::from_millis) {
+            let timing = FeedTiming::within(apply);
+            assert!(timing.proof_age >= timing.watch_wait * 2 + BEAT_PERIOD, "calm costs no call");
+            assert!(timing.proof_age + REST_TIME + CALL_LIMIT + FIRST_PAUSE < apply);
+            let mut facts = FeedFacts { apply, is_member, is_config: true, ..FeedFacts::default() };
+            (facts.version, facts.proof) = (Some(1), Some(timing.proof_age));
+            assert!(FeedContext::of(&facts).needs_proof, "whatever the duty");
+            facts.proof = Some(timing.proof_age - Duration::from_millis(1));
+            assert!(!FeedContext::of(&facts).needs_proof);
+        }
+    }
 }
 
 /// In an outage all hosts ask again and again; only the leads may do so often.
@@ -70,7 +85,7 @@
     let mut follower = follower();
     (0..10).for_each(|step| _ = follower.step(at(step), FeedResult::Failed));
     assert_eq!(follower.next(at(20), &LEAD).0, LONGEST_PAUSE);
-    assert_eq!(follower.next(at(20), &needs).0, LONGEST_PAUSE_OF_OTHERS);
+    assert_eq!(follower.next(at(20), &needs).0, PAUSE_OF_OTHERS);
     // Once it failed, a host asks until the store answers, whatever leads say meanwhile.
     assert_ne!(follower.next(at(20), &REST).1, FeedAction::Rest);
 }
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -132,6 +132,7 @@
         let state = self.state.borrow();
         FeedContext::of(&FeedFacts {
             is_config,
+            apply: self.settings.apply,
             is_lead: state.roster.is_lead(now, &state.card, LEADS),
             is_member: state.roster.is_member(now, &state.card),
             version: state.catalog.as_ref().map(|_| state.evidence.version()),
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -76,6 +76,8 @@
     pub card: HostCard,
     /// Time after which a key that was taken away must not be served.
     pub revoke: Duration,
+    /// Time within which a change of the configuration must be in force.
+    pub apply: Duration,
     /// Time between SIGTERM and the end.
     pub grace: Duration,
     /// Limit on repeats over all hosts.
