Decide nothing by a configuration that may be too old

Cause: a proof counted for nine tenths of the revocation time, whatever the time in which a change must be in force; and a 404 or 401 without a key needed no proof at all. Change: EvidenceLimits holds both bounds. While the store answers this host, nothing is decided on a proof older than the time for a change: the caller gets 503 and comes back. While the store does not answer, what the version allows goes on as before, but no final refusal is given.

--- a/crates/core/src/evidence/mod.rs
+++ b/crates/core/src/evidence/mod.rs
@@ -1,8 +1,9 @@
-//! Decides whether this host may still act on its configuration for requests with a key.
+//! Decides what this host may still do by its configuration.
 //!
 //! Owns the moment at which the configuration in force was last known to be the newest. The store
 //! confirms it, or a peer that was confirmed itself hands its confirmation on. When confirmations
-//! stop, requests with a key are refused before a key that was taken away could still be served.
+//! stop, the host decides nothing that a newer version could forbid: at first nothing at all, as the
+//! store would tell, then, if the store does not answer, no request with a key.
 
 use std::{cmp::Ordering, time::Duration};
 
@@ -17,6 +18,33 @@
 /// the time between the decision and the send.
 const RESERVE_SHARE: f64 = 0.1;
 
+/// Part of the time in which a change must be in force that lies between a decision and the send.
+const APPLY_RESERVE: Duration = Duration::from_millis(100);
+
+/// How old the evidence may be.
+#[value]
+#[derive(Copy)]
+pub struct EvidenceLimits {
+    /// Time after which a key that was taken away must not be served, whatever fails.
+    pub revoke: Duration,
+    /// Time within which a change must be in force while the store answers.
+    pub apply: Duration,
+}
+
+/// What may be decided by the configuration in force.
+#[key]
+pub enum ConfigTrust {
+    /// Everything: a newer version would have to be in force only later.
+    Full,
+    /// What it allows. The store does not answer, so it may be old; a request that it does not
+    /// allow must come back.
+    Allowed,
+    /// What it allows without a key.
+    Keyless,
+    /// Nothing: the store answers and will tell the newest version.
+    Nothing,
+}
+
 /// What a peer says about its own configuration, as an answer to a datagram of this host.
 #[message]
 pub struct PeerEvidence {
@@ -59,15 +87,14 @@
 pub struct EvidenceKeeper {
     version: u64,
     confirmed: Option<Time>,
-    limit: Duration,
+    limits: EvidenceLimits,
     incarnation: u64,
 }
 
 impl EvidenceKeeper {
-    /// A keeper that allows requests with a key for most of `revoke` after a confirmation.
-    pub fn new(revoke: Duration, incarnation: u64) -> EvidenceKeeper {
-        let limit = revoke.mul_f64(1.0 - RESERVE_SHARE);
-        EvidenceKeeper { version: 0, confirmed: None, limit, incarnation }
+    /// A keeper without a version.
+    pub fn new(limits: EvidenceLimits, incarnation: u64) -> EvidenceKeeper {
+        EvidenceKeeper { version: 0, confirmed: None, limits, incarnation }
     }
 
     /// The version in force.
@@ -133,8 +160,16 @@
         self.confirmed.map(|at| now.since(at))
     }
 
-    /// Whether a request with a key that arrived by `now` may be executed.
-    pub fn is_recent(&self, now: Time) -> bool {
-        self.age(now).is_some_and(|age| age <= self.limit)
+    /// What may be decided now, where the store does not answer this host if `is_lost`.
+    pub fn trust(&self, now: Time, is_lost: bool) -> ConfigTrust {
+        let age = self.age(now).unwrap_or(Duration::MAX);
+        let revoke = self.limits.revoke.mul_f64(1.0 - RESERVE_SHARE);
+        let apply = self.limits.apply.saturating_sub(APPLY_RESERVE);
+        match () {
+            () if age <= apply.min(revoke) => ConfigTrust::Full,
+            () if !is_lost => ConfigTrust::Nothing,
+            () if age <= revoke => ConfigTrust::Allowed,
+            () => ConfigTrust::Keyless,
+        }
     }
 }
--- a/crates/core/src/evidence/tests.rs
+++ b/crates/core/src/evidence/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 
-const REVOKE: Duration = Duration::from_secs(5);
+const LIMITS: EvidenceLimits =
+    EvidenceLimits { revoke: Duration::from_secs(5), apply: Duration::from_secs(3) };
 const ME: u64 = 77;
 
 fn at(millis: u64) -> Time {
@@ -12,17 +13,42 @@
 }
 
 fn keeper() -> EvidenceKeeper {
-    let mut keeper = EvidenceKeeper::new(REVOKE, ME);
+    let mut keeper = EvidenceKeeper::new(LIMITS, ME);
     keeper.confirm(3, at(0));
     keeper
 }
 
+impl EvidenceKeeper {
+    /// Whether a request with a key may run while the store is away.
+    fn is_recent(&self, now: Time) -> bool {
+        matches!(self.trust(now, true), ConfigTrust::Full | ConfigTrust::Allowed)
+    }
+}
+
 /// A key that is taken away must run nothing once the revocation time is over.
 #[test]
 fn ends_before_the_revocation_time() {
     let keeper = keeper();
     assert!(keeper.is_recent(at(4_400)));
     assert!(!keeper.is_recent(at(4_600)));
+    assert_eq!(keeper.trust(at(4_600), true), ConfigTrust::Keyless);
+}
+
+/// Guards against a host that the store answers and that decides by a version whose successor must
+/// be in force already.
+#[test]
+fn nothing_is_decided_by_evidence_older_than_a_change_may_be() {
+    let keeper = keeper();
+    assert_eq!(keeper.trust(at(2_900), false), ConfigTrust::Full);
+    assert_eq!(keeper.trust(at(2_901), false), ConfigTrust::Nothing);
+    assert_eq!(keeper.trust(at(2_901), true), ConfigTrust::Allowed, "no change can be told");
+    let fresh = EvidenceKeeper::new(LIMITS, ME);
+    assert_eq!(fresh.trust(at(0), false), ConfigTrust::Nothing);
+    // Where changes may take longer than keys, keys bind.
+    let limits = EvidenceLimits { apply: Duration::from_secs(8), ..LIMITS };
+    let mut slow = EvidenceKeeper::new(limits, ME);
+    slow.confirm(3, at(0));
+    assert_eq!(slow.trust(at(4_600), false), ConfigTrust::Nothing);
 }
 
 #[test]
@@ -70,8 +96,8 @@
 #[test]
 fn evidence_does_not_grow_between_hosts() {
     crate::fixed_cases(200, |input| {
-        let mut first = EvidenceKeeper::new(REVOKE, 1);
-        let mut second = EvidenceKeeper::new(REVOKE, 2);
+        let mut first = EvidenceKeeper::new(LIMITS, 1);
+        let mut second = EvidenceKeeper::new(LIMITS, 2);
         // The second host's clock runs this far ahead.
         let ahead = Duration::from_millis(input.int_in_range(0..=100_000)?);
         first.confirm(1, at(0));
--- a/crates/core/src/feed/spread_tests.rs
+++ b/crates/core/src/feed/spread_tests.rs
@@ -7,12 +7,11 @@
 
 use super::*;
 use crate::{
-    evidence::{EvidenceKeeper, EvidenceWorth},
+    evidence::{EvidenceKeeper, EvidenceLimits, EvidenceWorth},
     roster::{ASK_PERIOD, HostCard, HostTag, PeerDuty, PeerRoster},
 };
 
 const STEP: Duration = Duration::from_millis(10);
-const REVOKE: Duration = Duration::from_secs(5);
 /// Hosts that the store lists.
 const LISTED: usize = 64;
 
@@ -46,6 +45,7 @@
     fn start(count: u16, apply: Duration, seed: u64) -> SpreadFleet {
         let mut rng = fastrand::Rng::with_seed(seed);
         let now = Time(1_000_000_000);
+        let limits = EvidenceLimits { revoke: Duration::from_secs(5), apply };
         let mut cards: Vec<_> = (1..=count).map(card).collect();
         cards.sort_by_key(|card| (std::cmp::Reverse(card.capacity), card.tag()));
         let host = |card: &HostCard| {
@@ -58,7 +58,7 @@
                 roster.note_listed();
             }
             SpreadHost {
-                evidence: EvidenceKeeper::new(REVOKE, card.incarnation),
+                evidence: EvidenceKeeper::new(limits, card.incarnation),
                 card: card.clone(),
                 roster,
                 follower: FeedFollower::default(),
--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -13,6 +13,7 @@
 use parsley_core::{
     catalog::{RepeatRule, RouteAnswer, ServingRoute},
     dispatch::DispatchInput,
+    evidence::ConfigTrust,
     fleet::{EngineTag, hash_name},
     refusal::{Outcome, Reason, Refusal},
     retry::RetryBudget,
@@ -262,8 +263,14 @@
     }
     let host = parts.headers.get(HOST).and_then(|one| one.to_str().ok()).unwrap_or_default();
     let answer = catalog.answer(host, parts.uri.path(), facts.key.as_deref());
-    let is_recent = state.evidence.is_recent(clock::now());
-    if !is_recent && facts.key.is_some() {
+    let is_allowed = matches!(answer, RouteAnswer::Serve { .. });
+    let may_decide = match state.trust(clock::now()) {
+        ConfigTrust::Full => true,
+        ConfigTrust::Allowed => is_allowed,
+        ConfigTrust::Keyless => is_allowed && facts.key.is_none(),
+        ConfigTrust::Nothing => false,
+    };
+    if !may_decide {
         let refusal = Refusal::not_run(NO_CONFIG, "the configuration here may be old");
         return Err(refusal.retry_after(retry));
     }
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -5,6 +5,7 @@
 use parsley_core::{
     catalog::{RouteCatalog, ServingConfig},
     dispatch::DispatchInput,
+    evidence::ConfigTrust,
     feed::{FeedContext, FeedFacts, LEADS},
     fleet::{EngineEntry, EngineTag},
     roster::{HostCard, HostTag},
@@ -102,12 +103,13 @@
         }
     }
 
-    /// Logs when keys can no longer be decided about, and when they can again.
+    /// Logs when requests with a key can no longer be decided about, and when they can again.
     pub(super) fn note_evidence(&self) {
         let now = clock::now();
         let (is_recent, was_recent, version, age) = {
             let mut state = self.state.borrow_mut();
-            let is_recent = state.evidence.is_recent(now);
+            let trust = state.trust(now);
+            let is_recent = matches!(trust, ConfigTrust::Full | ConfigTrust::Allowed);
             let was = std::mem::replace(&mut state.was_recent, is_recent);
             // Callers go elsewhere as soon as the host cannot decide about their keys.
             state.card.is_ready = is_recent && state.catalog.is_some() && state.drain_end.is_none();
@@ -132,7 +134,7 @@
         let state = self.state.borrow();
         FeedContext::of(&FeedFacts {
             is_config,
-            apply: self.settings.apply,
+            apply: self.settings.evidence.apply,
             is_lead: state.roster.is_lead(now, &state.card, LEADS),
             is_member: state.roster.is_member(now, &state.card),
             version: state.catalog.as_ref().map(|_| state.evidence.version()),
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -22,7 +22,7 @@
         DispatchInput, DispatchOutput, Dispatcher, HelperPart, IDLE_TICK_PERIOD, PlaceReason,
         TICK_PERIOD,
     },
-    evidence::EvidenceKeeper,
+    evidence::{ConfigTrust, EvidenceKeeper, EvidenceLimits},
     fleet::{EngineTag, EngineVerdict},
     refusal::{Reason, Refusal},
     retry::{RetryBudget, RetryLimit},
@@ -74,10 +74,8 @@
 pub struct GatewaySettings {
     /// What the host says of itself.
     pub card: HostCard,
-    /// Time after which a key that was taken away must not be served.
-    pub revoke: Duration,
-    /// Time within which a change of the configuration must be in force.
-    pub apply: Duration,
+    /// How old the evidence about the configuration may be.
+    pub evidence: EvidenceLimits,
     /// Time between SIGTERM and the end.
     pub grace: Duration,
     /// Limit on repeats over all hosts.
@@ -120,6 +118,11 @@
 }
 
 impl GatewayState {
+    /// What may be decided by the configuration in force.
+    fn trust(&self, now: Time) -> ConfigTrust {
+        self.evidence.trust(now, self.store_lost.0)
+    }
+
     /// A peer that the store answers has a list of servers with this digest.
     fn note_digest(&mut self, now: Time, digest: u64) {
         if digest == self.dispatcher.fleet.digest() {
@@ -172,7 +175,7 @@
         let state = GatewayState {
             dispatcher: Dispatcher::new(settings.card.failure_domain.clone()),
             catalog: None,
-            evidence: EvidenceKeeper::new(settings.revoke, settings.card.incarnation),
+            evidence: EvidenceKeeper::new(settings.evidence, settings.card.incarnation),
             was_recent: false,
             roster: PeerRoster::new(clock::now()),
             card: settings.card.clone(),
