Hand on by hearsay that there is a newer version

Callers saw: changes in force seconds late at hosts that stand by, though within the bound since each host asks the store in time. Cause: any answer of a member ended the search for a better one, also of a member that is cut from the store; and such a member kept to itself that it had heard of a newer version. Change: PeerEvidence names the newest version heard of; an exact answer of the store that does not have it takes it back. A host that stands by asks more members as long as answers are of no use. EvidenceKeeper owns what was heard, which was in the gateway's state. Evidence: answers_of_no_use_lead_to_more_questions and newer_version_is_handed_on_by_hearsay (the old code reset the count with each answer and had no hearsay).

--- a/crates/core/src/evidence/mod.rs
+++ b/crates/core/src/evidence/mod.rs
@@ -5,7 +5,7 @@
 //! stop, the host decides nothing that a newer version could forbid: at first nothing at all, as the
 //! store would tell, then, if the store does not answer, no request with a key.
 
-use std::{cmp::Ordering, time::Duration};
+use std::time::Duration;
 
 use parsley_macros::{key, message, value};
 
@@ -50,7 +50,9 @@
 pub struct PeerEvidence {
     /// Version in force at the peer.
     pub version: u64,
-    /// Milliseconds since that version was known to be the newest, at the peer's send.
+    /// Newest version that the peer has heard of.
+    pub newest: u64,
+    /// Milliseconds since the version in force was known to be the newest, at the peer's send.
     pub age_ms: Option<u32>,
     /// Process of this host whose datagram the peer received last.
     pub incarnation: u64,
@@ -63,7 +65,7 @@
 /// What a peer's evidence is worth to this host.
 #[key]
 pub enum EvidenceWorth {
-    /// The peer has a newer version.
+    /// There is a newer version.
     Newer,
     /// The configuration in force was the newest at a later moment than was known.
     Proof,
@@ -86,6 +88,8 @@
 #[value]
 pub struct EvidenceKeeper {
     version: u64,
+    /// Newest version that a peer named, and when it was first named.
+    newest: (u64, Time),
     confirmed: Option<Time>,
     limits: EvidenceLimits,
     incarnation: u64,
@@ -94,7 +98,7 @@
 impl EvidenceKeeper {
     /// A keeper without a version.
     pub fn new(limits: EvidenceLimits, incarnation: u64) -> EvidenceKeeper {
-        EvidenceKeeper { version: 0, confirmed: None, limits, incarnation }
+        EvidenceKeeper { version: 0, newest: (0, Time::ZERO), confirmed: None, limits, incarnation }
     }
 
     /// The version in force.
@@ -102,9 +106,18 @@
         self.version
     }
 
+    /// The newest version that a peer named, and when it was first named.
+    pub fn newest_heard(&self) -> (u64, Time) {
+        self.newest
+    }
+
     /// The store showed `version` in a call that was sent at `asked`. Whatever the answer's delay,
-    /// the version was the newest at some moment after that.
+    /// the version was the newest at some moment after that. What peers named before and the store
+    /// does not have is wrong.
     pub fn confirm(&mut self, version: u64, asked: Time) {
+        if asked >= self.newest.1 {
+            self.newest.0 = self.newest.0.min(version);
+        }
         if version < self.version {
             return;
         }
@@ -124,6 +137,7 @@
         let millis = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
         PeerEvidence {
             version: self.version,
+            newest: self.newest.0.max(self.version),
             // Rounded against the evidence.
             age_ms: self.age(now).map(|age| millis(age).saturating_add(1)),
             incarnation,
@@ -138,21 +152,30 @@
     /// `echo + held - age` on this host's clock, however long the answer was under way. An echo of
     /// an earlier process proves nothing: the clock starts anew when a machine loses power.
     pub fn hear(&mut self, now: Time, evidence: &PeerEvidence) -> EvidenceWorth {
-        match evidence.version.cmp(&self.version) {
-            Ordering::Greater => return EvidenceWorth::Newer,
-            Ordering::Less => return EvidenceWorth::Nothing,
-            Ordering::Equal => {}
+        let newest = evidence.newest.max(evidence.version);
+        if newest > self.newest.0 {
+            self.newest = (newest, now);
         }
-        let Some(age) = evidence.age_ms else { return EvidenceWorth::Nothing };
+        let is_later = evidence.version == self.version && self.extend(now, evidence);
+        match () {
+            () if newest > self.version => EvidenceWorth::Newer,
+            () if is_later => EvidenceWorth::Proof,
+            () => EvidenceWorth::Nothing,
+        }
+    }
+
+    /// Takes over the proof of a peer with the same version. Returns whether it is later.
+    fn extend(&mut self, now: Time, evidence: &PeerEvidence) -> bool {
+        let Some(age) = evidence.age_ms else { return false };
         let heard = Time(evidence.echo) + Duration::from_millis(evidence.held_ms.into());
-        let age = Duration::from_millis(age.into());
+        let proved = heard - Duration::from_millis(age.into());
         let is_own = evidence.incarnation == self.incarnation && evidence.echo > 0;
-        let is_later = self.confirmed.is_none_or(|confirmed| heard - age > confirmed);
-        if is_own && heard <= now && heard - age > Time::ZERO && is_later {
-            self.confirmed = Some(heard - age);
-            return EvidenceWorth::Proof;
+        let is_later = self.confirmed.is_none_or(|confirmed| proved > confirmed);
+        let is_valid = is_own && heard <= now && proved > Time::ZERO && is_later;
+        if is_valid {
+            self.confirmed = Some(proved);
         }
-        EvidenceWorth::Nothing
+        is_valid
     }
 
     /// Time since the version was known to be the newest.
--- a/crates/core/src/evidence/tests.rs
+++ b/crates/core/src/evidence/tests.rs
@@ -9,7 +9,14 @@
 }
 
 fn heard(version: u64, age_ms: u32, echo: Time, held_ms: u32) -> PeerEvidence {
-    PeerEvidence { version, age_ms: Some(age_ms), incarnation: ME, echo: echo.0, held_ms }
+    PeerEvidence {
+        version,
+        newest: version,
+        age_ms: Some(age_ms),
+        incarnation: ME,
+        echo: echo.0,
+        held_ms,
+    }
 }
 
 fn keeper() -> EvidenceKeeper {
@@ -92,6 +99,21 @@
     assert_eq!(worth, EvidenceWorth::Nothing, "an older one is no news");
 }
 
+/// A peer that is cut off from the store cannot have a version, but it may have heard of it.
+#[test]
+fn newer_version_is_handed_on_by_hearsay() {
+    let mut keeper = keeper();
+    let mut hearsay = heard(3, 0, at(3_990), 5);
+    hearsay.newest = 4;
+    assert_eq!(keeper.hear(at(4_000), &hearsay), EvidenceWorth::Newer);
+    assert_eq!(keeper.tell(at(4_000), ME, 0, Duration::ZERO).newest, 4);
+    // A read that was sent before the hearing may miss it; a later one shows that it is wrong.
+    keeper.confirm(3, at(3_999));
+    assert_eq!(keeper.newest_heard().0, 4);
+    keeper.confirm(3, at(4_001));
+    assert_eq!(keeper.newest_heard().0, 3);
+}
+
 /// Hosts that are all cut off from the store must not renew each other's evidence.
 #[test]
 fn evidence_does_not_grow_between_hosts() {
--- a/crates/core/src/feed/spread_tests.rs
+++ b/crates/core/src/feed/spread_tests.rs
@@ -20,7 +20,6 @@
     roster: PeerRoster,
     evidence: EvidenceKeeper,
     follower: FeedFollower,
-    newest_heard: u64,
     /// Clock of each peer's last beat, and when it came.
     clocks: BTreeMap<HostTag, (u64, Time)>,
     next_beat: Time,
@@ -62,7 +61,6 @@
                 card: card.clone(),
                 roster,
                 follower: FeedFollower::default(),
-                newest_heard: 0,
                 clocks: BTreeMap::new(),
                 next_beat: now + Duration::from_millis(rng.u64(0..700)),
                 next_call: now + Duration::from_millis(rng.u64(0..300)),
@@ -89,7 +87,7 @@
     }
 
     fn facts(&self, place: usize) -> FeedFacts {
-        let SpreadHost { card, roster, evidence, newest_heard, .. } = &self.hosts[place];
+        let SpreadHost { card, roster, evidence, .. } = &self.hosts[place];
         FeedFacts {
             is_config: true,
             apply: self.apply,
@@ -97,7 +95,7 @@
             is_member: roster.is_member(self.now, card),
             version: Some(evidence.version()).filter(|version| *version > 0),
             proof: evidence.age(self.now),
-            newest_heard: *newest_heard,
+            newest_heard: evidence.newest_heard().0,
             unlike: None,
         }
     }
@@ -190,10 +188,12 @@
     fn vouch(&mut self, from: usize, to: usize, (incarnation, echo, held): (u64, u64, Duration)) {
         let evidence = self.hosts[from].evidence.tell(self.now, incarnation, echo, held);
         let host = &mut self.hosts[to];
-        host.newest_heard = host.newest_heard.max(evidence.version);
-        if host.evidence.hear(self.now, &evidence) == EvidenceWorth::Newer {
-            host.next_call = host.next_call.min(self.now);
+        match host.evidence.hear(self.now, &evidence) {
+            EvidenceWorth::Nothing => return,
+            EvidenceWorth::Proof => {}
+            EvidenceWorth::Newer => host.next_call = host.next_call.min(self.now),
         }
+        host.roster.note_useful();
     }
 
     /// Hosts that reach the store and have an older version than it.
--- a/crates/core/src/roster/duty.rs
+++ b/crates/core/src/roster/duty.rs
@@ -40,7 +40,7 @@
     Other,
 }
 
-/// Peers that are asked at once, beside the first, while nobody answers.
+/// Peers that are asked at once, beside the first, while no answer is of use.
 const MOST_ASKED: u32 = 3;
 
 type HostRank = (Reverse<u32>, HostTag);
@@ -155,7 +155,8 @@
     }
 
     /// The peers that a host that stands by asks now: one living member, larger ones more often; as
-    /// long as nobody answers, more of them, and then any that are known.
+    /// long as no answer is of use, more of them, and then any that are known. Members that are cut
+    /// from the store answer, too.
     pub fn ask_targets(&mut self, now: Time, rng: &mut fastrand::Rng) -> Vec<SocketAddr> {
         let mut cards: Vec<_> = self.alive(now).map(|(_, card)| card).collect();
         if cards.is_empty() {
@@ -176,7 +177,12 @@
         targets
     }
 
-    /// Questions since the last answer of a member.
+    /// A member's answer told something new about the configuration.
+    pub fn note_useful(&mut self) {
+        self.unanswered = 0;
+    }
+
+    /// Questions since the last useful answer of a member.
     pub fn unanswered(&self) -> u32 {
         self.unanswered
     }
@@ -197,7 +203,6 @@
 
     /// A member told of the living members; `None` if they are those that it told before.
     pub fn hear_members(&mut self, now: Time, me: &HostCard, members: Option<Vec<HostCard>>) {
-        self.unanswered = 0;
         if let Some(cards) = members {
             // Members that are none any more were not silent: nothing is known of them now.
             for tag in std::mem::take(&mut self.told.1) {
--- a/crates/core/src/roster/fleet_tests.rs
+++ b/crates/core/src/roster/fleet_tests.rs
@@ -114,6 +114,7 @@
                 let host = self.up(tag).unwrap();
                 host.datagrams += 1;
                 host.roster.hear_members(now, &host.card, (digest != known).then_some(members));
+                host.roster.note_useful();
             }
         }
     }
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -134,7 +134,7 @@
     called: Option<Time>,
     /// The members of which a member told last, with their digest.
     told: (u64, Vec<HostTag>),
-    /// Questions since the last answer of a member.
+    /// Questions since the last useful answer of a member.
     unanswered: u32,
 }
 
--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -95,3 +95,22 @@
     cards.iter_mut().for_each(|card| card.has_store = false);
     assert_eq!(leads(&cards), [3, 4], "somebody must notice that the store is back");
 }
+
+/// Guards against a host that asks one member after the other that is cut from the store: each
+/// answers, and none knows the newest configuration.
+#[test]
+fn answers_of_no_use_lead_to_more_questions() {
+    let me = card("me", 1, 1, true);
+    let mut roster = PeerRoster::default();
+    let mut rng = fastrand::Rng::with_seed(1);
+    let members: Vec<_> = (2..12).map(|port| card(&format!("m{port}"), port, 1, true)).collect();
+    roster.hear_members(at(0), &me, Some(members));
+    let mut asked = Vec::new();
+    for round in 0..4 {
+        asked.push(roster.ask_targets(at(round * 700), &mut rng).len());
+        roster.hear_members(at(round * 700 + 5), &me, None);
+    }
+    assert_eq!(asked, [1, 2, 3, 4]);
+    roster.note_useful();
+    assert_eq!(roster.ask_targets(at(2_800), &mut rng).len(), 1);
+}
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -423,16 +423,18 @@
 fn take_evidence(gateway: &GatewayRef, now: Time, from: SocketAddr, evidence: &PeerEvidence) {
     let worth = {
         let state = &mut *gateway.state.borrow_mut();
-        if evidence.version > state.newest_heard.0 {
-            state.newest_heard = (evidence.version, now);
-            let held = state.evidence.version();
-            if evidence.version > held {
-                let age = state.evidence.age(now).map_or(u64::MAX, |age| age.as_millis() as u64);
-                event!(gateway.log, CONFIG_HEARD, "version" => evidence.version, "held" => held,
-                    "from" => from.to_string(), "age_ms" => age);
-            }
+        let (known, held) = (state.evidence.newest_heard().0, state.evidence.version());
+        let worth = state.evidence.hear(now, evidence);
+        let (newest, _) = state.evidence.newest_heard();
+        if newest > known.max(held) {
+            let age = state.evidence.age(now).map_or(u64::MAX, |age| age.as_millis() as u64);
+            event!(gateway.log, CONFIG_HEARD, "version" => newest, "held" => held,
+                "from" => from.to_string(), "age_ms" => age);
+        }
+        if worth != EvidenceWorth::Nothing {
+            state.roster.note_useful();
         }
-        state.evidence.hear(now, evidence)
+        worth
     };
     gateway.metrics.evidence.with_label_values(&[worth.name()]).inc();
     if worth == EvidenceWorth::Newer {
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -38,6 +38,7 @@
         let now = clock::now();
         let (services, urgent) = {
             let mut state = self.state.borrow_mut();
+            let (newest, heard) = state.evidence.newest_heard();
             let from = state.catalog.as_ref().map(|catalog| catalog.version());
             match asked {
                 Some(asked) => state.evidence.confirm(version, asked),
@@ -50,7 +51,6 @@
             let in_force = (catalog.services().clone(), catalog.urgent_aims());
             state.catalog = Some(Rc::new(catalog));
             let age = asked.map_or(0, |asked| now.since(asked).as_millis() as u64);
-            let (newest, heard) = state.newest_heard;
             let heard = if newest == version { now.since(heard).as_millis() as u64 } else { 0 };
             event!(self.log, CONFIG_TAKEN, "version" => version,
                 "from" => from.unwrap_or_default(), "age_ms" => age, "heard_ms" => heard);
@@ -139,7 +139,7 @@
             is_member: state.roster.is_member(now, &state.card),
             version: state.catalog.as_ref().map(|_| state.evidence.version()),
             proof: state.evidence.age(now),
-            newest_heard: state.newest_heard.0,
+            newest_heard: state.evidence.newest_heard().0,
             unlike: state.unlike_since.map(|at| now.since(at)),
         })
     }
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -106,8 +106,6 @@
     drain_end: Option<Time>,
     /// Whether the store does not answer for the configuration and for discovery.
     store_lost: (bool, bool),
-    /// Newest version of the configuration that a peer has, and when it was first heard of.
-    newest_heard: (u64, Time),
     /// Since when a lead has another list of servers.
     unlike_since: Option<Time>,
     /// News for peers that are not sent yet.
@@ -184,7 +182,6 @@
             next_number: 0,
             drain_end: None,
             store_lost: (false, false),
-            newest_heard: (0, Time::ZERO),
             unlike_since: None,
             server_news: Vec::new(),
             peer_clocks: BTreeMap::new(),
