Heed what servers say of themselves in their answers

Change: fleet/notice.rs keeps the notices apart from discovery, bound to one process of a server; placement, repeats, continuations, parts and the send itself ask it. Hosts return to a server one after the other, with one request each. While all servers of a service pause, a request waits if it can still be served and is refused at once otherwise, with an honest time to come back, the most urgent ranks first. Not done: the own interface's engines, and both signals in the soak.

--- a/crates/core/src/dispatch/choose.rs
+++ b/crates/core/src/dispatch/choose.rs
@@ -96,7 +96,8 @@
 }
 
 impl Dispatcher {
-    /// The server with the least cost, or `None` if none has room.
+    /// The server with the least cost, or `None` if none has room. One that had asked for a pause has
+    /// room for a single request until it has begun to serve it.
     pub(super) fn choose(&self, service: &str, input: &ChoiceInput) -> Option<PlaceChoice> {
         let service = self.services.get(service)?;
         let Some(model) = &service.pass else { return self.choose_plain(service, input) };
@@ -108,10 +109,11 @@
         let parts = open.as_ref().map_or(wanted, |open| wanted.min(open.spare().max(1)));
         let mut best: Option<(CandidateOrder, PlaceChoice)> = None;
         let mut weighed = 0;
-        for (tag, record) in self.fleet.usable(&service.name) {
+        for (tag, record) in self.fleet.usable(input.now, &service.name) {
             let load = input.load(tag);
             let slots = record.entry.slots.min(model.slots) as usize;
-            if !input.is_allowed(model, tag) || load.requests >= slots {
+            let may_return = || load.readers.is_empty() || !self.fleet.is_returning(input.now, tag);
+            if !input.is_allowed(model, tag) || load.requests >= slots || !may_return() {
                 continue;
             }
             weighed += 1;
@@ -148,11 +150,12 @@
         if input.need.priority <= aim.priority {
             return None;
         }
-        let engines = self.fleet.usable(&service.name).map(|(tag, record)| EnginePlaces {
-            tag,
-            slots: record.entry.slots.min(model.slots) as usize,
-            pace: record.pace(input.now),
-        });
+        let engines =
+            self.fleet.usable(input.now, &service.name).map(|(tag, record)| EnginePlaces {
+                tag,
+                slots: record.entry.slots.min(model.slots) as usize,
+                pace: record.pace(input.now),
+            });
         let urgent = self.urgent_work.get(&input.need.service).copied().unwrap_or_default();
         Some(OpenEngines::find(aim, model, engines, input.loads, urgent))
     }
@@ -192,7 +195,7 @@
         if parts <= 1 {
             return Vec::new();
         }
-        let idle = self.fleet.usable(service).filter(|(tag, record)| {
+        let idle = self.fleet.usable(input.now, service).filter(|(tag, record)| {
             input.is_allowed(model, *tag)
                 && input.is_idle(*tag)
                 && record.failure_chance(input.now) < WAIT_COST
@@ -212,13 +215,14 @@
     fn choose_plain(&self, service: &ServingService, input: &ChoiceInput) -> Option<PlaceChoice> {
         let mut best: Option<(f64, PlaceChoice)> = None;
         let mut weighed = 0;
-        for (engine, record) in self.fleet.usable(&service.name) {
+        for (engine, record) in self.fleet.usable(input.now, &service.name) {
             if input.excluded.contains(&engine) {
                 continue;
             }
             weighed += 1;
             let requests = input.load(engine).requests;
-            if requests >= record.entry.slots as usize {
+            let may_return = || requests == 0 || !self.fleet.is_returning(input.now, engine);
+            if requests >= record.entry.slots as usize || !may_return() {
                 continue;
             }
             let failure = record.failure_chance(input.now);
@@ -266,7 +270,7 @@
                 && input.is_idle(tag)
                 && record.failure_chance(input.now) < WAIT_COST
         };
-        let engines = self.fleet.usable(&service.name);
+        let engines = self.fleet.usable(input.now, &service.name);
         let helpers: Vec<_> = engines
             .filter(|(tag, record)| fits(*tag, record))
             .map(|(tag, _)| tag)
--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -7,7 +7,7 @@
 use super::UrgentAim;
 use crate::{
     catalog::ServingService,
-    fleet::{EngineEntry, EngineOpinion, EngineTag, EngineVerdict},
+    fleet::{EngineEntry, EngineOpinion, EngineTag, EngineVerdict, ServerNotice},
     refusal::Reason,
     roster::HostTag,
     time::Time,
@@ -52,6 +52,13 @@
         /// How.
         verdict: EngineVerdict,
     },
+    /// A backend server said something of itself in an answer.
+    Noticed {
+        /// Server.
+        engine: EngineTag,
+        /// What it said.
+        notice: ServerNotice,
+    },
     /// Time between two events of an answer.
     Paced {
         /// Server.
@@ -144,6 +151,15 @@
         /// When it may come back.
         retry_after: Duration,
     },
+    /// A backend server said that it leaves; its idle connections are of no use.
+    Leaving(EngineTag),
+    /// A backend server wants nothing from this host for a time.
+    Paused {
+        /// Server.
+        engine: EngineTag,
+        /// When it may be asked again.
+        until: Time,
+    },
     /// A backend server is gone; its connections are of no use.
     Gone(EngineTag),
     /// A backend server is new, leaves or started again.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     catalog::ServingService,
-    fleet::{EngineEntry, EngineTag, FleetTable, hash_name},
+    fleet::{EngineEntry, EngineTag, EngineVerdict, FleetTable, NoticeChange, hash_name},
     refusal::Reason,
     roster::HostTag,
     time::Time,
@@ -68,6 +68,11 @@
 /// Latest time to come back that is told: floods last seconds, and the forecast is no better.
 const LAST_RETRY_AFTER: Duration = Duration::from_secs(10);
 
+/// Part of the time to come back over which refused requests spread.
+const RETURN_SPREAD: f64 = 0.5;
+/// Last rank with a part of its own in that spread.
+const LAST_RETURN_RANK: u8 = 3;
+
 #[value]
 struct WaitingWork {
     service: Arc<str>,
@@ -105,14 +110,14 @@
 
 impl Dispatcher {
     /// A dispatcher of a host in this failure domain.
-    pub fn new(failure_domain: Arc<str>) -> Dispatcher {
-        Dispatcher { failure_domain, ..Dispatcher::default() }
+    pub fn new(me: HostTag, failure_domain: Arc<str>) -> Dispatcher {
+        Dispatcher { fleet: FleetTable::new(me), failure_domain, ..Dispatcher::default() }
     }
 
-    /// Requests that the usable backend servers run at once.
+    /// Requests that the backend servers which do not leave run at once.
     pub fn places(&self) -> u32 {
-        let usable = self.fleet.iter().filter(|(_, record)| record.is_usable());
-        usable.map(|(_, record)| record.entry.slots).sum()
+        let serving = self.fleet.iter().filter(|(tag, _)| self.fleet.is_serving(*tag));
+        serving.map(|(_, record)| record.entry.slots).sum()
     }
 
     /// Requests of this host that wait.
@@ -152,16 +157,31 @@
                 self.view.set(number, entry);
                 self.waiting.insert(number, WaitingWork { service, deadline, excluded });
             }
-            DispatchInput::Begun(number) => self.view.update(number, |entry| {
-                entry.phase = WorkPhase::Writing;
-                entry.since = now;
-            }),
+            DispatchInput::Begun(number) => {
+                let mut first = None;
+                self.view.update(number, |entry| {
+                    entry.phase = WorkPhase::Writing;
+                    entry.since = now;
+                    first = entry.engines.first().copied();
+                });
+                first.iter().for_each(|tag| self.fleet.note_served(now, *tag));
+            }
             DispatchInput::Ended(number) => {
                 self.waiting.remove(&number);
                 self.view.end(number);
             }
             DispatchInput::Judged { engine, verdict } => {
                 self.fleet.judge(now, engine, verdict);
+                if verdict == EngineVerdict::Good {
+                    self.fleet.note_served(now, engine);
+                }
+            }
+            DispatchInput::Noticed { engine, notice } => {
+                let changes = self.fleet.note(now, engine, &notice);
+                outputs.extend(changes.into_iter().map(|change| match change {
+                    NoticeChange::Leaving => DispatchOutput::Leaving(engine),
+                    NoticeChange::Paused(until) => DispatchOutput::Paused { engine, until },
+                }));
             }
             DispatchInput::Paced { engine, gap } => self.note_pace(now, engine, gap),
             DispatchInput::Heard { host, incarnation, news, opinions } => {
@@ -233,7 +253,7 @@
     /// more comes than can be served. After that accounts take turns.
     fn decide(&mut self, now: Time, outputs: &mut Vec<DispatchOutput>) {
         let mut loads = collect_loads(now, &self.view, &self.fleet, &self.models);
-        self.count();
+        self.count(now);
         let mut ahead_ms = 0.0;
         let mut queue = self.queue(now);
         // What peers have behind the last request of this host is theirs to place.
@@ -268,9 +288,9 @@
                 gathering,
             };
             let choice = self.choose(&service, &input);
-            let deadline = work.as_ref().map(|work| work.deadline);
-            let turn_ms = self.turn_after(&service, &entry.need, &loads, ahead_ms);
-            let decision = self.weigh(now, &service, &entry, choice.as_ref(), deadline, turn_ms);
+            let turn_ms = self.turn_after(now, &service, &entry.need, &loads, ahead_ms);
+            let decision =
+                self.weigh(now, &service, &entry, choice.as_ref(), work.as_ref(), turn_ms);
             match (decision, choice) {
                 (PlaceDecision::Now, Some(choice)) => {
                     let placed = self.add_placed(now, &entry, &choice, &mut loads);
@@ -282,7 +302,7 @@
                     }
                 }
                 (PlaceDecision::Never, _) if work.is_some() => {
-                    outputs.push(self.refuse(number, &service, turn_ms));
+                    outputs.push(self.refuse(now, number, &service, &entry.need, turn_ms));
                 }
                 _ => {
                     ahead_ms += self.work_ms(&entry.need);
@@ -327,9 +347,9 @@
         model.map_or(0.0, |model| model.read_ms(need.prompt) / parts(model))
     }
 
-    fn count(&mut self) {
+    fn count(&mut self, now: Time) {
         self.counts.clear();
-        for (_, record) in self.fleet.iter().filter(|(_, record)| record.is_usable()) {
+        for (_, record) in self.fleet.iter().filter(|(tag, _)| self.fleet.is_usable(now, *tag)) {
             *self.counts.entry(hash_name(&record.entry.service)).or_default() += 1;
         }
         let count = |(name, aim): (&Arc<str>, &UrgentAim)| {
@@ -349,13 +369,27 @@
         })
     }
 
-    fn refuse(&mut self, number: WorkNumber, service: &str, turn_ms: f64) -> DispatchOutput {
-        self.waiting.remove(&number);
+    fn refuse(
+        &mut self,
+        now: Time,
+        number: WorkNumber,
+        service: &str,
+        need: &WorkNeed,
+        turn_ms: f64,
+    ) -> DispatchOutput {
+        let work = self.waiting.remove(&number);
         self.view.end(number);
-        let has_server = self.fleet.usable(service).next().is_some();
-        let reason = if has_server { Reason::Overloaded } else { Reason::NoEngine };
-        let turn = Duration::from_secs_f64(turn_ms / 1e3);
-        let retry_after = turn.clamp(RETRY_AFTER, LAST_RETRY_AFTER);
+        let has_server = self.fleet.usable(now, service).next().is_some();
+        let excluded = work.map(|work| work.excluded).unwrap_or_default();
+        let opens_at = self.fleet.opens_at(now, service, &excluded);
+        let reason = match opens_at {
+            _ if has_server => Reason::Overloaded,
+            Some(_) => Reason::Overloaded,
+            None => Reason::NoEngine,
+        };
+        let opens = opens_at.filter(|_| !has_server).map_or(Duration::ZERO, |at| at.since(now));
+        let turn = Duration::from_secs_f64(turn_ms / 1e3).clamp(RETRY_AFTER, LAST_RETRY_AFTER);
+        let retry_after = turn.max(opens).mul_f64(1.0 + return_share(number, need.priority));
         DispatchOutput::Refuse { number, reason, retry_after }
     }
 
@@ -395,6 +429,7 @@
     /// the prompts before it, spread over them. Short prompts need only one answer to end.
     fn turn_after(
         &self,
+        now: Time,
         service: &str,
         need: &WorkNeed,
         loads: &BTreeMap<EngineTag, EngineLoad>,
@@ -408,7 +443,7 @@
         let is_open =
             |load: &&EngineLoad| load.writers.iter().all(|other| other.gap_ms >= gap / 2.0);
         let idle_load = EngineLoad::default();
-        let engines = self.fleet.usable(service);
+        let engines = self.fleet.usable(now, service);
         let open: Vec<_> =
             engines.map(|(tag, _)| loads.get(&tag).unwrap_or(&idle_load)).filter(is_open).collect();
         let busy: f64 = open.iter().map(|load| load.busy_ms).sum();
@@ -422,15 +457,27 @@
         service: &str,
         entry: &WorkEntry,
         choice: Option<&PlaceChoice>,
-        deadline: Option<Time>,
+        work: Option<&WaitingWork>,
         free_ms: f64,
     ) -> PlaceDecision {
         let model = self.models.get(&entry.need.service).and_then(Option::as_ref);
         let read_ms = self.read_ms(&entry.need);
-        let limit = deadline.unwrap_or(entry.arrived + Duration::from_secs(60));
+        let excluded = work.map_or(&[][..], |work| &work.excluded);
+        let limit = work.map_or(entry.arrived + Duration::from_secs(60), |work| work.deadline);
         let first_ms = choice.map_or(read_ms, |choice| choice.forecast.first_ms);
         let has_time = now + Duration::from_secs_f64(first_ms / 1e3) < limit;
-        let engines = self.fleet.usable(service).count();
+        let engines = self.fleet.usable(now, service).count();
+        if engines == 0
+            && let Some(opens) = self.fleet.opens_at(now, service, excluded)
+        {
+            // Its turn at the server that opens first, if there still is time for its answer then.
+            let queued = Duration::from_secs_f64((free_ms + read_ms) / 1e3);
+            return if opens + queued < limit {
+                PlaceDecision::Later
+            } else {
+                PlaceDecision::Never
+            };
+        }
         if engines == 0 {
             // A list that is being read, or engines that are being replaced, need a moment.
             let patience = entry.arrived + RETRY_AFTER;
@@ -478,6 +525,15 @@
     }
 }
 
+/// Part of the time to come back that is added for a refused request: callers return one after the
+/// other, those of more urgent ranks first.
+fn return_share(number: WorkNumber, priority: u8) -> f64 {
+    // Multiples of the golden ratio spread evenly, however many there are.
+    let place = (f64::from(number.0) * 0.618_034).fract();
+    let rank = f64::from(priority.min(LAST_RETURN_RANK));
+    RETURN_SPREAD * (rank + place) / f64::from(LAST_RETURN_RANK + 1)
+}
+
 fn assignment(number: WorkNumber, need: &WorkNeed, choice: PlaceChoice) -> DispatchOutput {
     let first = Duration::from_secs_f64(choice.forecast.first_ms / 1e3);
     let gap = Duration::from_millis(need.gap_aim_ms.into());
--- a/crates/core/src/dispatch/tests.rs
+++ b/crates/core/src/dispatch/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::{
-    fleet::EngineVerdict,
+    fleet::{EngineVerdict, ServerNotice},
     work::{AccountTag, WorkNews},
 };
 
@@ -42,7 +42,7 @@
 }
 
 pub(super) fn dispatcher(engines: usize, plain: usize) -> Dispatcher {
-    let mut dispatcher = Dispatcher::new("a".into());
+    let mut dispatcher = Dispatcher::new(HostTag(1), "a".into());
     let service =
         |name: &str, pass| ServingService { name: name.into(), max_connections: 400, pass };
     let services = [service(SERVICE, Some(model())), service(PLAIN, None)];
@@ -449,3 +449,58 @@
     }
     assert_eq!(placed, 1, "the engine reads one long prompt at a time");
 }
+
+fn pause_all(dispatcher: &mut Dispatcher, service: &str, engines: usize, millis: u64) {
+    let pause = Some(Duration::from_millis(millis));
+    for index in 0..engines {
+        let engine = entry(index, service).tag();
+        let notice = ServerNotice { is_leaving: false, pause };
+        dispatcher.step(at(0), DispatchInput::Noticed { engine, notice });
+    }
+}
+
+/// Guards against callers that are held although nobody can serve them in time, and against their
+/// return before a server opens, or all at once.
+#[test]
+fn callers_are_refused_at_once_while_all_servers_pause_for_too_long() {
+    let mut dispatcher = dispatcher(4, 0);
+    pause_all(&mut dispatcher, SERVICE, 4, 5_000);
+    let mut returns = Vec::new();
+    for number in 1..=40 {
+        let need = WorkNeed { priority: (number % 4) as u8, ..short() };
+        let outputs = submit(&mut dispatcher, at(1), number, need, 3_000);
+        let [DispatchOutput::Refuse { reason: Reason::Overloaded, retry_after, .. }] = outputs[..]
+        else {
+            panic!("{outputs:?}")
+        };
+        assert!(retry_after >= Duration::from_millis(4_999), "{retry_after:?}");
+        returns.push((retry_after, number % 4));
+    }
+    returns.sort_unstable();
+    assert!(returns.is_sorted_by_key(|(_, rank)| *rank), "urgent ranks first: {returns:?}");
+    returns.dedup_by_key(|(after, _)| after.as_millis() / 10);
+    assert!(returns.len() > 30, "they spread: {returns:?}");
+}
+
+/// A caller whose time suffices is served when a server opens, the most urgent first, and a server
+/// that returns is not met by all that waits.
+#[test]
+fn requests_wait_for_a_server_that_opens_in_time() {
+    let mut dispatcher = dispatcher(1, 0);
+    pause_all(&mut dispatcher, SERVICE, 1, 1_000);
+    let engine = entry(0, SERVICE).tag();
+    for number in 1..=4 {
+        let need = WorkNeed { priority: if number == 1 { 2 } else { 0 }, ..short() };
+        assert!(submit(&mut dispatcher, at(1), number, need, 10_000).is_empty());
+    }
+    let opens = dispatcher.fleet.opens_at(at(1), SERVICE, &[]).unwrap();
+    let tick =
+        |dispatcher: &mut Dispatcher, now| assigned(&dispatcher.step(now, DispatchInput::Tick));
+    assert!(tick(&mut dispatcher, opens - Duration::from_millis(1)).is_empty());
+    let first = tick(&mut dispatcher, opens);
+    assert_eq!(first, [(2, engine, Vec::new())]);
+    let begun = DispatchInput::Begun(WorkNumber(2));
+    let next = assigned(&dispatcher.step(opens + Duration::from_millis(30), begun));
+    let numbers: Vec<_> = next.iter().map(|(number, _, _)| *number).collect();
+    assert_eq!(numbers, [3, 4, 1]);
+}
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Decides which backend servers may get work, and how likely each is to fail it.
 //!
-//! Owns one record per backend server: what discovery says of it, and what answers showed. Health
+//! Owns one record per backend server: what discovery says of it, what answers showed, and what the
+//! server said of itself. Health
 //! checks are not asked, as they may be false; answers of requests decide. When discovery stops,
 //! the last list stays. Entries that vanish while the store was away get a short time to return.
 
@@ -8,11 +9,16 @@
 
 use parsley_macros::{key, message, value};
 
-use crate::time::Time;
+use crate::{roster::HostTag, time::Time};
 
+mod notice;
+#[cfg(test)]
+mod notice_tests;
 #[cfg(test)]
 mod tests;
 
+pub use notice::{NoticeBoard, NoticeChange, ServerNotice};
+
 /// Time after the store's return in which entries that lapsed meanwhile come back.
 pub const RETURN_TIME: Duration = Duration::from_millis(2_200);
 /// Weight of one answer in the failure estimate.
@@ -213,11 +219,6 @@
     fn own_pace(&self, now: Time) -> f64 {
         1.0 + faded(self.pace - 1.0, now.since(self.paced))
     }
-
-    /// Whether it may get new work.
-    pub fn is_usable(&self) -> bool {
-        !self.entry.is_leaving && !self.replaced
-    }
 }
 
 fn faded(chance: f64, age: Duration) -> f64 {
@@ -228,6 +229,7 @@
 #[derive(Debug, Default)]
 pub struct FleetTable {
     engines: BTreeMap<EngineTag, EngineRecord>,
+    notices: NoticeBoard,
     /// Revisions at which entries went, so that late news do not bring them back.
     removed: BTreeMap<EngineTag, u64>,
     store_lost: bool,
@@ -235,6 +237,11 @@
 }
 
 impl FleetTable {
+    /// An empty table of a host.
+    pub fn new(me: HostTag) -> FleetTable {
+        FleetTable { notices: NoticeBoard::new(me), ..FleetTable::default() }
+    }
+
     /// The store was lost or answers again.
     pub fn note_store(&mut self, now: Time, is_lost: bool) {
         self.store_lost = is_lost;
@@ -390,16 +397,19 @@
 
     /// What this host has seen of failing servers, for its peers.
     pub fn opinions(&self, now: Time) -> Vec<EngineOpinion> {
-        let noted = self.engines.iter().filter(|(_, one)| {
-            one.own_failure(now) >= NOTED_FAILURE || one.own_pace(now) >= NOTED_PACE
+        let told = self.engines.iter().map(|(tag, record)| {
+            let failure =
+                record.own_failure(now).max(self.notices.told_failure(now, &record.entry));
+            (*tag, failure, record.own_pace(now))
+        });
+        let noted =
+            told.filter(|(_, failure, pace)| *failure >= NOTED_FAILURE || *pace >= NOTED_PACE);
+        let opinions = noted.map(|(tag, failure, pace)| EngineOpinion {
+            tag,
+            failure_percent: (failure * 100.0) as u8,
+            pace_percent: (pace * 100.0) as u16,
         });
-        noted
-            .map(|(tag, record)| EngineOpinion {
-                tag: *tag,
-                failure_percent: (record.own_failure(now) * 100.0) as u8,
-                pace_percent: (record.own_pace(now) * 100.0) as u16,
-            })
-            .collect()
+        opinions.collect()
     }
 
     /// The record of a server.
@@ -415,8 +425,10 @@
     /// Usable servers of a service.
     pub fn usable<'a>(
         &'a self,
+        now: Time,
         service: &'a str,
     ) -> impl Iterator<Item = (EngineTag, &'a EngineRecord)> {
-        self.iter().filter(move |(_, one)| &*one.entry.service == service && one.is_usable())
+        let of_service = self.iter().filter(move |(_, one)| &*one.entry.service == service);
+        of_service.filter(move |(tag, _)| self.is_usable(now, *tag))
     }
 }
--- /dev/null
+++ b/crates/core/src/fleet/notice.rs
@@ -0,0 +1,177 @@
+//! What backend servers said of themselves in their answers: that they leave, or that they want
+//! nothing for a time.
+//!
+//! Owns these notices apart from what discovery says, as they outlive it: an entry that still says
+//! ready, lapses or returns does not undo them. A notice binds one process of a server; the next
+//! one, which has another start or address, is not bound by it. Other hosts are told by a worse
+//! estimate only. Without further answers a pause ends by itself.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use parsley_macros::{key, value};
+
+use super::{EngineEntry, EngineTag, FleetTable};
+use crate::{roster::HostTag, time::Time};
+
+/// Longest pause that is kept; a server that asks for more is asked again after it.
+const LONGEST_PAUSE: Duration = Duration::from_secs(600);
+/// Part of a pause over which the hosts return to a server.
+const RETURN_SPREAD: f64 = 0.25;
+/// Time for which a leaving server is remembered: it may serve on for long, and its entry may come
+/// and go meanwhile.
+const LEAVING_MEMORY: Duration = Duration::from_secs(600);
+/// Leaving servers that are remembered.
+const LEAVING_LIMIT: usize = 1_000;
+/// Chance of failure of a leaving server as peers are told it.
+const LEAVING_ESTIMATE: f64 = 0.9;
+/// The same for one that asked this host for a pause: it may have room for others.
+const PAUSED_ESTIMATE: f64 = 0.3;
+
+/// What a server said of itself in an answer.
+#[value]
+#[derive(Copy, Default)]
+pub struct ServerNotice {
+    /// Whether it leaves.
+    pub is_leaving: bool,
+    /// Time for which it wants nothing from this host.
+    pub pause: Option<Duration>,
+}
+
+/// What a notice changed.
+#[key]
+pub enum NoticeChange {
+    /// Nothing was known of its leaving before.
+    Leaving,
+    /// It is asked nothing until then.
+    Paused(Time),
+}
+
+/// One process of a server.
+type ServerProcess = (EngineTag, u64, SocketAddr);
+
+fn process(entry: &EngineEntry) -> ServerProcess {
+    (entry.tag(), entry.born, entry.address)
+}
+
+/// The notices of all servers.
+#[derive(Debug, Default)]
+pub struct NoticeBoard {
+    /// This host, which decides when it returns to a server.
+    me: u64,
+    leaving: BTreeMap<ServerProcess, Time>,
+    pauses: BTreeMap<ServerProcess, ServerPause>,
+}
+
+#[value]
+#[derive(Copy)]
+struct ServerPause {
+    until: Time,
+    /// Whether it has served since.
+    is_over: bool,
+}
+
+impl NoticeBoard {
+    /// A board of a host.
+    pub fn new(me: HostTag) -> NoticeBoard {
+        NoticeBoard { me: me.0, ..NoticeBoard::default() }
+    }
+
+    /// Whether this process of a server said that it leaves.
+    pub(super) fn is_leaving(&self, entry: &EngineEntry) -> bool {
+        self.leaving.contains_key(&process(entry))
+    }
+
+    /// Until when a server wants nothing, if it said so and has not served since.
+    pub(super) fn paused_until(&self, entry: &EngineEntry) -> Option<Time> {
+        self.pauses.get(&process(entry)).filter(|pause| !pause.is_over).map(|pause| pause.until)
+    }
+
+    /// A server's estimate as peers are told it because of its notices.
+    pub(super) fn told_failure(&self, now: Time, entry: &EngineEntry) -> f64 {
+        match self.paused_until(entry) {
+            _ if self.is_leaving(entry) => LEAVING_ESTIMATE,
+            Some(until) if until > now => PAUSED_ESTIMATE,
+            _ => 0.0,
+        }
+    }
+
+    fn take(&mut self, now: Time, entry: &EngineEntry, notice: &ServerNotice) -> Vec<NoticeChange> {
+        let mut changes = Vec::new();
+        let process = process(entry);
+        if notice.is_leaving && self.leaving.insert(process, now).is_none() {
+            changes.push(NoticeChange::Leaving);
+        }
+        if let Some(pause) = notice.pause {
+            // Each host returns at its own moment, so that a server is not met by all at once.
+            let mix = (self.me ^ process.0.0).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+            let drawn = mix as f64 / f64::from(u32::MAX);
+            let pause = pause.min(LONGEST_PAUSE).mul_f64(1.0 + RETURN_SPREAD * drawn);
+            let known = self.pauses.get(&process).map_or(Time::ZERO, |known| known.until);
+            let until = known.max(now + pause);
+            self.pauses.insert(process, ServerPause { until, is_over: false });
+            if until > known {
+                changes.push(NoticeChange::Paused(until));
+            }
+        }
+        changes
+    }
+
+    /// Forgets what is of no use any more.
+    fn forget(&mut self, now: Time) {
+        self.leaving.retain(|_, said| now.since(*said) < LEAVING_MEMORY);
+        while self.leaving.len() > LEAVING_LIMIT {
+            let oldest = self.leaving.iter().min_by_key(|(_, said)| **said).map(|(one, _)| *one);
+            oldest.map(|one| self.leaving.remove(&one));
+        }
+        let is_kept = |pause: &ServerPause| now.since(pause.until) < LEAVING_MEMORY;
+        self.pauses.retain(|_, pause| !pause.is_over && is_kept(pause));
+    }
+}
+
+impl FleetTable {
+    /// A server said something of itself in an answer. Returns what that changed.
+    pub fn note(&mut self, now: Time, tag: EngineTag, notice: &ServerNotice) -> Vec<NoticeChange> {
+        let Some(record) = self.engines.get(&tag) else { return Vec::new() };
+        self.notices.forget(now);
+        self.notices.take(now, &record.entry, notice)
+    }
+
+    /// A server began to serve a request: what it said of a pause is over.
+    pub fn note_served(&mut self, now: Time, tag: EngineTag) {
+        let Some(record) = self.engines.get(&tag) else { return };
+        if let Some(pause) = self.notices.pauses.get_mut(&process(&record.entry)) {
+            pause.is_over = pause.until <= now;
+        }
+    }
+
+    /// Whether a server may get new work.
+    pub fn is_usable(&self, now: Time, tag: EngineTag) -> bool {
+        let Some(record) = self.engines.get(&tag) else { return false };
+        let is_paused = self.notices.paused_until(&record.entry).is_some_and(|until| until > now);
+        self.is_serving(tag) && !is_paused
+    }
+
+    /// Whether a server is there to stay, though it may want nothing for a time.
+    pub fn is_serving(&self, tag: EngineTag) -> bool {
+        self.engines.get(&tag).is_some_and(|record| {
+            let entry = &record.entry;
+            !entry.is_leaving && !record.replaced && !self.notices.is_leaving(entry)
+        })
+    }
+
+    /// Whether a server asked for a pause that is over, and has not served since.
+    pub fn is_returning(&self, now: Time, tag: EngineTag) -> bool {
+        let Some(record) = self.engines.get(&tag) else { return false };
+        self.notices.paused_until(&record.entry).is_some_and(|until| until <= now)
+    }
+
+    /// When the first of the service's servers that pause may be asked again, `excluded` aside.
+    pub fn opens_at(&self, now: Time, service: &str, excluded: &[EngineTag]) -> Option<Time> {
+        let is_wanted = |tag: EngineTag| self.is_serving(tag) && !excluded.contains(&tag);
+        let of_service = self.iter().filter(|(_, record)| &*record.entry.service == service);
+        let pauses = of_service
+            .filter(|(tag, _)| is_wanted(*tag))
+            .filter_map(|(_, record)| self.notices.paused_until(&record.entry));
+        pauses.filter(|until| *until > now).min()
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/notice_tests.rs
@@ -0,0 +1,89 @@
+use super::{tests::entry, *};
+
+fn at(millis: u64) -> Time {
+    Time(1_000_000 + millis * 1_000)
+}
+
+fn pause(millis: u64) -> ServerNotice {
+    ServerNotice { is_leaving: false, pause: Some(Duration::from_millis(millis)) }
+}
+
+const LEAVING: ServerNotice = ServerNotice { is_leaving: true, pause: None };
+
+fn table(host: u64) -> (FleetTable, EngineTag) {
+    let mut table = FleetTable::new(HostTag(host));
+    table.list(at(0), vec![entry("a", false, 1)], 5);
+    (table, entry("a", false, 1).tag())
+}
+
+fn rewritten(born: u64, revision: u64) -> EngineEntry {
+    EngineEntry { revision, ..entry("a", false, born) }
+}
+
+/// Guards against sending to a server that said that it leaves: its entry may say ready for long,
+/// lapse with the store and return.
+#[test]
+fn leaving_server_gets_nothing_whatever_discovery_says() {
+    let (mut table, tag) = table(1);
+    assert_eq!(table.note(at(10), tag, &LEAVING), [NoticeChange::Leaving]);
+    assert_eq!(table.note(at(11), tag, &LEAVING), [], "told once");
+    assert!(!table.is_usable(at(10), tag));
+    table.change(at(20), rewritten(1, 9));
+    assert!(!table.is_usable(at(20), tag), "a heartbeat");
+    table.remove(at(30), tag, 10);
+    table.change(at(40), rewritten(1, 11));
+    assert!(!table.is_usable(at(40), tag), "the same process is listed again");
+    table.change(at(50), rewritten(2, 12));
+    assert!(table.is_usable(at(50), tag), "it started anew");
+}
+
+/// Guards against requests to a server within the time that it named, to the millisecond.
+#[test]
+fn pause_binds_until_its_end() {
+    let (mut table, tag) = table(1);
+    let changes = table.note(at(0), tag, &pause(1_000));
+    let [NoticeChange::Paused(until)] = changes[..] else { panic!("{changes:?}") };
+    assert!(until >= at(1_000) && until <= at(1_250), "{until:?}");
+    let last = until - Duration::from_millis(1);
+    assert!(!table.is_usable(last, tag) && table.is_serving(tag));
+    assert_eq!(table.opens_at(last, "s", &[]), Some(until));
+    assert_eq!(table.opens_at(last, "s", &[tag]), None);
+    assert!(table.note(at(100), tag, &pause(100)).is_empty(), "a shorter one ends no longer one");
+    table.note_served(at(200), tag);
+    assert!(!table.is_usable(last, tag), "an answer to an earlier request ends nothing");
+    assert!(table.is_usable(until, tag) && table.is_returning(until, tag));
+    table.note_served(until, tag);
+    assert!(!table.is_returning(until, tag));
+    // An absurd value is bounded, and no value is no pause.
+    table.note(until, tag, &ServerNotice { pause: Some(Duration::MAX), ..pause(1) });
+    assert!(table.opens_at(until, "s", &[]).unwrap() < until + Duration::from_secs(1_000));
+}
+
+/// A hundred hosts that were turned away together return in no wave that is higher than a server's
+/// sixteen places in the time in which it answers a short prompt.
+#[test]
+fn hosts_return_to_a_server_one_after_the_other() {
+    let returns = |host: u64| {
+        let (mut table, tag) = table(host.wrapping_mul(0x2545_f491_4f6c_dd1d));
+        table.note(at(0), tag, &pause(2_000));
+        table.opens_at(at(0), "s", &[]).unwrap()
+    };
+    let mut returns: Vec<_> = (1..=100).map(returns).collect();
+    returns.sort_unstable();
+    assert!(returns[0] >= at(2_000));
+    let highest = returns.windows(17).map(|some| some[16].since(some[0])).min().unwrap();
+    assert!(highest > Duration::from_millis(30), "{highest:?}");
+}
+
+/// Peers need not learn by their own mistake, but what they hear binds less.
+#[test]
+fn notices_reach_peers_as_a_worse_estimate() {
+    let (mut table, tag) = table(1);
+    table.note(at(0), tag, &LEAVING);
+    let opinions = table.opinions(at(100));
+    let (mut peer, _) = self::table(2);
+    opinions.iter().for_each(|opinion| peer.hear(at(100), opinion));
+    assert!(peer.get(tag).unwrap().failure_chance(at(100)) > 0.8);
+    assert!(peer.is_usable(at(100), tag));
+    assert!(peer.get(tag).unwrap().failure_chance(at(20_000)) < 0.05, "hearsay fades");
+}
--- a/crates/core/src/fleet/tests.rs
+++ b/crates/core/src/fleet/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-fn entry(id: &str, is_leaving: bool, born: u64) -> EngineEntry {
+pub(super) fn entry(id: &str, is_leaving: bool, born: u64) -> EngineEntry {
     EngineEntry {
         id: id.into(),
         service: "s".into(),
@@ -18,7 +18,7 @@
 }
 
 fn usable(table: &FleetTable) -> Vec<Arc<str>> {
-    table.usable("s").map(|(_, record)| record.entry.id.clone()).collect()
+    table.usable(at(0), "s").map(|(_, record)| record.entry.id.clone()).collect()
 }
 
 #[test]
--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -11,7 +11,7 @@
 };
 use parsley_core::{
     dispatch::DispatchInput,
-    fleet::{EngineTag, EngineVerdict},
+    fleet::{EngineTag, EngineVerdict, ServerNotice},
     time::Time,
 };
 
@@ -93,9 +93,11 @@
 ) -> AttemptEnd {
     let gateway = &exchange.gateway;
     let engine = placement.engine;
-    let Some((address, instance)) = target(exchange, engine) else {
-        return AttemptEnd::NotRun("the server is gone".into());
+    let held_back = || {
+        gateway.metrics.held_back.inc();
+        AttemptEnd::NotRun("the server is gone or wants nothing".into())
     };
+    let Some((address, instance)) = target(exchange, engine) else { return held_back() };
     let held = match memory::hold(exchange, placement).await {
         Ok(held) => held,
         Err(fault) => return AttemptEnd::NotRun(fault),
@@ -107,6 +109,11 @@
             return AttemptEnd::NotRun(fault);
         }
     };
+    // The server may have said meanwhile that it leaves or wants a pause.
+    if target(exchange, engine).is_none() {
+        held.close();
+        return held_back();
+    }
     let request = build(exchange, &instance, placement, &held, stream.last_event);
     progress.attempts.set(progress.attempts.get() + 1);
     let sent = clock::now();
@@ -148,10 +155,11 @@
     }
 }
 
+/// Where to send to, if the server still wants work.
 fn target(exchange: &Exchange, engine: EngineTag) -> Option<(SocketAddr, Arc<str>)> {
-    let state = exchange.gateway.state.borrow();
-    let record = state.dispatcher.fleet.get(engine)?;
-    record.is_usable().then(|| (record.entry.address, record.entry.id.clone()))
+    let fleet = &exchange.gateway.state.borrow().dispatcher.fleet;
+    let entry = &fleet.get(engine)?.entry;
+    fleet.is_usable(clock::now(), engine).then(|| (entry.address, entry.id.clone()))
 }
 
 async fn open(
@@ -245,7 +253,14 @@
     ) -> (EngineVerdict, AttemptEnd) {
         let facts = (self.exchange.gateway.edge.read_answer)(response.status(), response.headers());
         let own = self.exchange.facts.id.as_ref();
-        if facts.id.is_some() && facts.id.as_ref() != own {
+        let is_other = facts.id.is_some() && facts.id.as_ref() != own;
+        if !facts.is_replaced {
+            // The pause of a late copy counts from an earlier moment.
+            let pause = facts.notice.pause.filter(|_| !is_other);
+            let notice = ServerNotice { pause, ..facts.notice };
+            self.exchange.gateway.note_server(self.placement.engine, notice);
+        }
+        if is_other {
             return (
                 EngineVerdict::Failed,
                 AttemptEnd::Unknown("an answer to another request".into()),
--- a/crates/node/src/gateway/edge.rs
+++ b/crates/node/src/gateway/edge.rs
@@ -6,7 +6,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::{HeaderMap, StatusCode, body::Bytes};
-use parsley_core::refusal::Refusal;
+use parsley_core::{fleet::ServerNotice, refusal::Refusal};
 use parsley_macros::value;
 
 /// What a caller's head says.
@@ -57,6 +57,8 @@
     pub is_sealed: bool,
     /// Address of another server that is to blame.
     pub at_fault: Option<SocketAddr>,
+    /// What the server says of itself.
+    pub notice: ServerNotice,
 }
 
 /// An order that sets memory aside or returns it.
--- a/crates/node/src/gateway/memory.rs
+++ b/crates/node/src/gateway/memory.rs
@@ -57,7 +57,7 @@
     let held = HeldMemory { name: name.clone(), _done: Some(done) };
     for (tag, address, tokens) in wanted {
         let order = MemoryOrder { name: name.clone(), tokens: Some(tokens), hold: HOLD_TIME };
-        let status = order_memory(gateway, address, &order).await;
+        let status = order_memory(gateway, tag, address, &order).await;
         if status != Ok(StatusCode::OK) {
             log_failure(gateway, tag, &name, status);
             return Err("no memory at a helper".into());
@@ -96,7 +96,7 @@
         for (tag, address, tokens) in &held {
             let tokens = (!is_over).then_some(*tokens);
             let order = MemoryOrder { name: name.clone(), tokens, hold: HOLD_TIME };
-            let status = order_memory(&gateway, *address, &order).await;
+            let status = order_memory(&gateway, *tag, *address, &order).await;
             if status != Ok(StatusCode::OK) {
                 log_failure(&gateway, *tag, &name, status);
             }
@@ -119,6 +119,7 @@
 
 async fn order_memory(
     gateway: &GatewayRef,
+    tag: EngineTag,
     address: SocketAddr,
     order: &MemoryOrder,
 ) -> Result<StatusCode, Arc<str>> {
@@ -139,6 +140,8 @@
             let (SendFault::NotSent(err) | SendFault::Unknown(err)) = fault;
             Arc::from(err.to_string())
         })?;
+        let facts = (gateway.edge.read_answer)(answer.status(), answer.headers());
+        gateway.note_server(tag, facts.notice);
         Ok(answer.status())
     };
     within(ORDER_LIMIT, call).await.unwrap_or_else(|| Err("no answer in time".into()))
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -24,6 +24,10 @@
     pub waited: Histogram,
     /// Sends to backend servers, by how they ended.
     pub sends: IntCounterVec,
+    /// What backend servers said of themselves, by kind.
+    pub notices: IntCounterVec,
+    /// Requests that were placed and then held back, as the server wants nothing.
+    pub held_back: IntCounter,
     /// Connections opened to backend servers.
     pub connects: IntCounter,
     /// Calls to the store, by kind and result.
@@ -74,6 +78,19 @@
             first: register(&registry, HistogramVec::new(first, &["size"])),
             waited: register(&registry, Histogram::with_opts(waited)),
             sends: counters(&registry, "gateway_sends_total", "Sends to servers.", &["result"]),
+            notices: counters(
+                &registry,
+                "gateway_server_notices_total",
+                "Notices of servers about themselves.",
+                &["kind"],
+            ),
+            held_back: register(
+                &registry,
+                IntCounter::new(
+                    "parsley_gateway_held_back_total",
+                    "Requests held back from servers that want nothing.",
+                ),
+            ),
             connects: register(
                 &registry,
                 IntCounter::new("parsley_gateway_connects_total", "Connections opened to servers."),
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -23,7 +23,7 @@
         TICK_PERIOD,
     },
     evidence::{ConfigTrust, EvidenceKeeper, EvidenceLimits},
-    fleet::{EngineTag, EngineVerdict},
+    fleet::{EngineTag, EngineVerdict, ServerNotice},
     refusal::{Reason, Refusal},
     retry::{RetryBudget, RetryLimit},
     roster::{HostCard, HostTag, PeerRoster, SETTLE_TIME},
@@ -171,7 +171,7 @@
         edge: WireEdge,
     ) -> GatewayRef {
         let state = GatewayState {
-            dispatcher: Dispatcher::new(settings.card.failure_domain.clone()),
+            dispatcher: Dispatcher::new(settings.card.tag(), settings.card.failure_domain.clone()),
             catalog: None,
             evidence: EvidenceKeeper::new(settings.evidence, settings.card.incarnation),
             was_recent: false,
@@ -319,6 +319,16 @@
                     .retry_after(retry_after);
                 self.answer_waiter(number, Err(refusal));
             }
+            DispatchOutput::Leaving(tag) => {
+                self.links.forget(tag);
+                self.metrics.notices.with_label_values(&["leaving"]).inc();
+                event!(self.log, SERVER_LEAVING, "server" => tag.0);
+            }
+            DispatchOutput::Paused { engine, until } => {
+                self.metrics.notices.with_label_values(&["pause"]).inc();
+                let pause = until.since(clock::now()).as_millis() as u64;
+                event!(self.log, SERVER_PAUSED, "server" => engine.0, "pause_ms" => pause);
+            }
             DispatchOutput::Gone(tag) => {
                 self.links.forget(tag);
                 event!(self.log, SERVER_GONE, "server" => tag.0);
@@ -341,6 +351,13 @@
         let _ = waiter.try_send(answer);
     }
 
+    /// A server said something of itself in an answer.
+    fn note_server(self: &Rc<Self>, engine: EngineTag, notice: ServerNotice) {
+        if notice != ServerNotice::default() {
+            self.dispatch(DispatchInput::Noticed { engine, notice });
+        }
+    }
+
     /// An attempt at a server ended.
     fn judge(self: &Rc<Self>, engine: EngineTag, verdict: EngineVerdict, request: &str) {
         self.dispatch(DispatchInput::Judged { engine, verdict });
@@ -374,7 +391,8 @@
         self.metrics.open.set(self.open.get() as i64);
         self.metrics.waiting.set(state.dispatcher.waiting() as i64);
         self.metrics.hosts.set(state.roster.alive(now).count() as i64 + 1);
-        let usable = state.dispatcher.fleet.iter().filter(|(_, record)| record.is_usable());
+        let fleet = &state.dispatcher.fleet;
+        let usable = fleet.iter().filter(|(tag, _)| fleet.is_usable(now, *tag));
         self.metrics.servers.set(usable.count() as i64);
         let dropped = self.lines.take_dropped();
         if dropped > 0 {
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -96,6 +96,8 @@
     SERVER_JUDGED: "E2303" Warning "server failed an attempt"
         ["server", "verdict", "failure_percent", "request"];
     MEMORY_ORDER_FAILED: "E2304" Warning "order for memory failed" ["server", "name", "error"];
+    SERVER_LEAVING: "E2305" Info "server said that it leaves" ["server"];
+    SERVER_PAUSED: "E2306" Info "server asked for a pause" ["server", "pause_ms"];
     REQUEST_ARRIVED: "E2401" Info "request arrived"
         ["request", "route", "account", "priority", "prompt", "patience_ms", "config", "config_age_ms"];
     REQUEST_PLACED: "E2402" Info "request placed"
