Leave a silent server only for another that may have the request

Cause: an engine that was silent for longer than the pause that a route allows was left, and its run ended, before the gateway asked whether the request may be sent again. If the limit on repeats was reached or no other server was there, the caller's stream ended with it. The record fits: the run ended as cut by its caller, and the caller's connection closed 2 ms later, without another send. Class: something that works is given up before its replacement is certain. Change: RepeatPermit asks for the repeat, and pays for it, before the server is left; refused, the server is waited for. It holds for heads, whole answers and events. A place may still be refused after the permit; not seen.

--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -1,6 +1,6 @@
 //! One send to a backend server, and its answer.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use async_channel::Sender;
 use http_body_util::{BodyExt, Full};
@@ -82,6 +82,32 @@
     }
 }
 
+/// Whether a request may be sent once more when its server is silent. A silent server is left only
+/// once that is granted: it may still answer.
+pub struct RepeatPermit<'a> {
+    /// The request.
+    pub exchange: &'a Exchange,
+    /// Servers that had it, with the present one.
+    pub tried: &'a [EngineTag],
+    /// Whether the kind of request and its route allow another send.
+    pub is_possible: Cell<bool>,
+    /// Whether one was granted, which the budget has paid for.
+    pub is_granted: Cell<bool>,
+}
+
+impl RepeatPermit<'_> {
+    /// Asks for another send. Once refused, the present server is waited for.
+    fn ask(&self) -> bool {
+        let exchange = self.exchange;
+        let is_granted = self.is_possible.get()
+            && exchange.has_other_server(self.tried)
+            && exchange.gateway.spend_retry(&exchange.service);
+        self.is_possible.set(is_granted);
+        self.is_granted.set(is_granted);
+        is_granted
+    }
+}
+
 /// Sends a request to its place.
 pub async fn run(
     exchange: &Exchange,
@@ -89,7 +115,7 @@
     stream: &mut CallerStream,
     progress: &Progress,
     alive: &async_channel::WeakSender<()>,
-    can_repeat: bool,
+    permit: &RepeatPermit<'_>,
 ) -> AttemptEnd {
     let gateway = &exchange.gateway;
     let engine = placement.engine;
@@ -117,11 +143,20 @@
     let request = build(exchange, &instance, placement, &held, stream.last_event);
     progress.attempts.set(progress.attempts.get() + 1);
     let sent = clock::now();
-    let first_limit = if can_repeat { placement.first_limit } else { exchange.time_left() };
+    let is_possible = permit.is_possible.get();
+    let first_limit = if is_possible { placement.first_limit } else { exchange.time_left() };
     let limit = first_limit.min(exchange.time_left());
-    let (verdict, end) = match within(limit, link.send(request)).await {
+    let answer = {
+        let mut sending = pin!(link.send(request));
+        match within(limit, sending.as_mut()).await {
+            None if !permit.ask() => within(exchange.time_left(), sending).await,
+            answer => answer,
+        }
+    };
+    let (verdict, end) = match answer {
         None => {
-            let verdict = EngineVerdict::of_silence(limit, placement.first_limit);
+            let spent = clock::now().since(sent);
+            let verdict = EngineVerdict::of_silence(spent, placement.first_limit);
             (verdict, AttemptEnd::Unknown("no answer in time".into()))
         }
         Some(Err(SendFault::NotSent(err))) => {
@@ -132,8 +167,7 @@
             (EngineVerdict::Failed, AttemptEnd::Unknown(err.to_string().into()))
         }
         Some(Ok(response)) => {
-            let mut relay =
-                Relay { exchange, placement, stream, progress, alive, can_repeat, sent };
+            let mut relay = Relay { exchange, placement, stream, progress, alive, permit, sent };
             relay.take(link, response).await
         }
     };
@@ -241,7 +275,7 @@
     stream: &'a mut CallerStream,
     progress: &'a Progress,
     alive: &'a async_channel::WeakSender<()>,
-    can_repeat: bool,
+    permit: &'a RepeatPermit<'a>,
     sent: Time,
 }
 
@@ -292,8 +326,14 @@
         may_keep: bool,
     ) -> (EngineVerdict, AttemptEnd) {
         let (parts, body) = response.into_parts();
-        let limit = self.next_limit(None);
-        let bytes = match within(limit, receive_whole(&self.exchange.gateway, body)).await {
+        let received = {
+            let mut receiving = pin!(receive_whole(&self.exchange.gateway, body));
+            match within(self.next_limit(None), receiving.as_mut()).await {
+                None if !self.permit.ask() => within(self.exchange.time_left(), receiving).await,
+                received => received,
+            }
+        };
+        let bytes = match received {
             Some(Ok(bytes)) => bytes,
             Some(Err(fault)) => return (EngineVerdict::Failed, AttemptEnd::Unknown(fault)),
             None => {
@@ -311,7 +351,7 @@
         let mut answer = Response::new(AnswerBody::Whole(Some(bytes)));
         *answer.status_mut() = status;
         *answer.headers_mut() = head;
-        if status.is_server_error() && self.can_repeat {
+        if status.is_server_error() && self.permit.is_possible.get() {
             return (EngineVerdict::Failed, AttemptEnd::Failure(answer));
         }
         self.progress.first.set(Some(clock::now()));
@@ -340,6 +380,7 @@
         loop {
             let limit = self.next_limit(has_event.then_some(last_event));
             let frame = match within(limit, body.frame()).await {
+                None if !self.exchange.time_left().is_zero() && !self.permit.ask() => continue,
                 None => {
                     let (since, allowed, fault) = match has_event {
                         true => (last_event, self.placement.gap_limit, "the stream stopped"),
@@ -431,7 +472,7 @@
     /// no event do not prolong it.
     fn next_limit(&self, last_event: Option<Time>) -> Duration {
         let left = self.exchange.time_left();
-        if !self.can_repeat {
+        if !self.permit.is_possible.get() {
             return left;
         }
         let (since, limit) = match last_event {
--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -1,6 +1,6 @@
 //! One request of a caller, from its head to the end of its answer.
 
-use std::{sync::Arc, time::Duration};
+use std::{cell::Cell, sync::Arc, time::Duration};
 
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt;
@@ -23,7 +23,7 @@
 
 use super::{
     Gateway, GatewayRef, NO_CONFIG, Placement,
-    attempt::{self, AttemptEnd, CallerStream},
+    attempt::{self, AttemptEnd, CallerStream, RepeatPermit},
     body::AnswerBody,
     clock,
     edge::RequestFacts,
@@ -116,9 +116,9 @@
 /// How far a request has come; shared with the code that logs its end.
 #[derive(Default)]
 pub struct Progress {
-    pub attempts: std::cell::Cell<u32>,
-    pub first: std::cell::Cell<Option<Time>>,
-    pub size: std::cell::Cell<u32>,
+    pub attempts: Cell<u32>,
+    pub first: Cell<Option<Time>>,
+    pub size: Cell<u32>,
 }
 
 /// How a request ended.
@@ -300,6 +300,12 @@
         self.route.repeat == RepeatRule::Idempotent
     }
 
+    /// Whether a server is there that did not have the request.
+    pub fn has_other_server(&self, tried: &[EngineTag]) -> bool {
+        let fleet = &self.gateway.state.borrow().dispatcher.fleet;
+        fleet.usable(clock::now(), &self.service).any(|(tag, _)| !tried.contains(&tag))
+    }
+
     fn need(&self) -> WorkNeed {
         let millis = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
         let account = self.account.as_deref().map_or(0, |name| hash_name(name) as u32);
@@ -348,9 +354,15 @@
             let engine = placement.engine;
             let sends = progress.attempts.get();
             self.log_placement(&placement, sends + 1, waited);
-            let can_repeat = self.is_repeatable() && sends + 1 < self.route.attempts;
-            let end =
-                attempt::run(&self, &placement, &mut stream, progress, alive, can_repeat).await;
+            excluded.push(engine);
+            let permit = RepeatPermit {
+                exchange: &self,
+                tried: &excluded,
+                is_possible: Cell::new(self.is_repeatable() && sends + 1 < self.route.attempts),
+                is_granted: Cell::new(false),
+            };
+            let end = attempt::run(&self, &placement, &mut stream, progress, alive, &permit).await;
+            let is_paid = permit.is_granted.get();
             let (fault, not_run) = match end {
                 AttemptEnd::Answered(status) => return RequestEnd::Answered(status),
                 AttemptEnd::Failure(answer) => {
@@ -370,14 +382,22 @@
                     "attempt" => progress.attempts.get(), "fault" => &*fault,
                     "may_have_run" => !not_run, "events" => stream.events);
             }
-            excluded.push(engine);
             let was_sent = progress.attempts.get() > sends;
-            let is_allowed = (not_run || self.is_repeatable())
-                && progress.attempts.get() < self.route.attempts
-                && placement_count < MAX_PLACEMENTS;
-            if !is_allowed || (was_sent && !gateway.spend_retry(&self.service)) {
+            let obstacle = match () {
+                () if !not_run && !self.is_repeatable() => Some("it may run only once"),
+                () if progress.attempts.get() >= self.route.attempts => {
+                    Some("the route allows no further server")
+                }
+                () if placement_count >= MAX_PLACEMENTS => Some("too many servers were tried"),
+                () if was_sent && !is_paid && !gateway.spend_retry(&self.service) => {
+                    Some("the limit on repeats is reached")
+                }
+                () => None,
+            };
+            if let Some(obstacle) = obstacle {
                 let reason = if not_run { Reason::Overloaded } else { Reason::EngineFailed };
-                let refusal = Refusal::not_run(reason, &fault).retry_after(SERVER_RETRY);
+                let detail = format!("{fault}; {obstacle}");
+                let refusal = Refusal::not_run(reason, &detail).retry_after(SERVER_RETRY);
                 return self.give_up(refusal, may_have_run, &stream, fallback);
             }
         }
