--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -19,7 +19,6 @@
 use crate::{
     catalog::ServingService,
     fleet::{EngineEntry, EngineTag, EngineVerdict, FleetTable, NoticeChange, hash_name},
-    refusal::Reason,
     roster::HostTag,
     time::Time,
     turn::TurnLedger,
@@ -32,6 +31,7 @@
 #[cfg(test)]
 mod load_tests;
 mod message;
+mod refusal;
 #[cfg(test)]
 mod tests;
 
@@ -39,6 +39,7 @@
 pub use forecast::{EngineForecast, EngineLoad, PassModel, collect_load, collect_loads};
 pub use headroom::UrgentAim;
 pub use message::{DispatchInput, DispatchOutput, HelperPart, PlaceReason};
+use refusal::RETRY_AFTER;
 
 /// Time between two [`DispatchInput::Tick`].
 pub const TICK_PERIOD: Duration = Duration::from_millis(20);
@@ -63,16 +64,6 @@
 const GAP_GRACE: Duration = Duration::from_millis(900);
 /// Cost of a plain request in [`TurnLedger`], where only the comparison among plain ones counts.
 const PLAIN_COST_US: u64 = 1_000;
-/// When a refused request may come back if nothing better is known.
-const RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Latest time to come back that is told: floods last seconds, and the forecast is no better.
-const LAST_RETRY_AFTER: Duration = Duration::from_secs(10);
-
-/// Part of the time to come back over which refused requests spread.
-const RETURN_SPREAD: f64 = 0.5;
-/// Last rank with a part of its own in that spread.
-const LAST_RETURN_RANK: u8 = 3;
-
 #[value]
 struct WaitingWork {
     service: Arc<str>,
@@ -369,30 +360,6 @@
         })
     }
 
-    fn refuse(
-        &mut self,
-        now: Time,
-        number: WorkNumber,
-        service: &str,
-        need: &WorkNeed,
-        turn_ms: f64,
-    ) -> DispatchOutput {
-        let work = self.waiting.remove(&number);
-        self.view.end(number);
-        let has_server = self.fleet.usable(now, service).next().is_some();
-        let excluded = work.map(|work| work.excluded).unwrap_or_default();
-        let opens_at = self.fleet.opens_at(now, service, &excluded);
-        let reason = match opens_at {
-            _ if has_server => Reason::Overloaded,
-            Some(_) => Reason::Overloaded,
-            None => Reason::NoEngine,
-        };
-        let opens = opens_at.filter(|_| !has_server).map_or(Duration::ZERO, |at| at.since(now));
-        let turn = Duration::from_secs_f64(turn_ms / 1e3).clamp(RETRY_AFTER, LAST_RETRY_AFTER);
-        let retry_after = turn.max(opens).mul_f64(1.0 + return_share(number, need.priority));
-        DispatchOutput::Refuse { number, reason, retry_after }
-    }
-
     /// Adds a request to the loads of its engines.
     fn add_placed(
         &self,
@@ -525,15 +492,6 @@
     }
 }
 
-/// Part of the time to come back that is added for a refused request: callers return one after the
-/// other, those of more urgent ranks first.
-fn return_share(number: WorkNumber, priority: u8) -> f64 {
-    // Multiples of the golden ratio spread evenly, however many there are.
-    let place = (f64::from(number.0) * 0.618_034).fract();
-    let rank = f64::from(priority.min(LAST_RETURN_RANK));
-    RETURN_SPREAD * (rank + place) / f64::from(LAST_RETURN_RANK + 1)
-}
-
 fn assignment(number: WorkNumber, need: &WorkNeed, choice: PlaceChoice) -> DispatchOutput {
     let first = Duration::from_secs_f64(choice.forecast.first_ms / 1e3);
     let gap = Duration::from_millis(need.gap_aim_ms.into());
--- a/crates/core/src/dispatch/tests.rs
+++ b/crates/core/src/dispatch/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::{
     fleet::{EngineVerdict, ServerNotice},
+    refusal::Reason,
     work::{AccountTag, WorkNews},
 };
 
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -17,7 +17,8 @@
 #[cfg(test)]
 mod tests;
 
-pub use notice::{NoticeBoard, NoticeChange, ServerNotice};
+use notice::NoticeBoard;
+pub use notice::{NoticeChange, ServerNotice};
 
 /// Time after the store's return in which entries that lapsed meanwhile come back.
 pub const RETURN_TIME: Duration = Duration::from_millis(2_200);
--- a/crates/core/src/fleet/notice.rs
+++ b/crates/core/src/fleet/notice.rs
@@ -55,7 +55,7 @@
 
 /// The notices of all servers.
 #[derive(Debug, Default)]
-pub struct NoticeBoard {
+pub(super) struct NoticeBoard {
     /// This host, which decides when it returns to a server.
     me: u64,
     leaving: BTreeMap<ServerProcess, Time>,
@@ -72,7 +72,7 @@
 
 impl NoticeBoard {
     /// A board of a host.
-    pub fn new(me: HostTag) -> NoticeBoard {
+    pub(super) fn new(me: HostTag) -> NoticeBoard {
         NoticeBoard { me: me.0, ..NoticeBoard::default() }
     }
 
