Do not hash a server's name at each look at its notices

Cause: each look at the notices of a server made its tag anew from its name, a BLAKE3 hash; every decision looks at every server, twice. Change: the tag that is at hand is used; empty boards are not searched.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -399,8 +399,8 @@
     /// What this host has seen of failing servers, for its peers.
     pub fn opinions(&self, now: Time) -> Vec<EngineOpinion> {
         let told = self.engines.iter().map(|(tag, record)| {
-            let failure =
-                record.own_failure(now).max(self.notices.told_failure(now, &record.entry));
+            let told = self.notices.told_failure(now, *tag, &record.entry);
+            let failure = record.own_failure(now).max(told);
             (*tag, failure, record.own_pace(now))
         });
         let noted =
@@ -430,6 +430,6 @@
         service: &'a str,
     ) -> impl Iterator<Item = (EngineTag, &'a EngineRecord)> {
         let of_service = self.iter().filter(move |(_, one)| &*one.entry.service == service);
-        of_service.filter(move |(tag, _)| self.is_usable(now, *tag))
+        of_service.filter(move |(tag, record)| self.wants_work(now, *tag, record))
     }
 }
--- a/crates/core/src/fleet/notice.rs
+++ b/crates/core/src/fleet/notice.rs
@@ -10,7 +10,7 @@
 
 use parsley_macros::{key, value};
 
-use super::{EngineEntry, EngineTag, FleetTable};
+use super::{EngineEntry, EngineRecord, EngineTag, FleetTable};
 use crate::{roster::HostTag, time::Time};
 
 /// Longest pause that is kept; a server that asks for more is asked again after it.
@@ -49,8 +49,9 @@
 /// One process of a server.
 type ServerProcess = (EngineTag, u64, SocketAddr);
 
-fn process(entry: &EngineEntry) -> ServerProcess {
-    (entry.tag(), entry.born, entry.address)
+/// The process of an entry. The tag is handed in, as its hash is dear and servers are compared often.
+fn process(tag: EngineTag, entry: &EngineEntry) -> ServerProcess {
+    (tag, entry.born, entry.address)
 }
 
 /// The notices of all servers.
@@ -77,27 +78,35 @@
     }
 
     /// Whether this process of a server said that it leaves.
-    pub(super) fn is_leaving(&self, entry: &EngineEntry) -> bool {
-        self.leaving.contains_key(&process(entry))
+    fn is_leaving(&self, tag: EngineTag, entry: &EngineEntry) -> bool {
+        !self.leaving.is_empty() && self.leaving.contains_key(&process(tag, entry))
     }
 
     /// Until when a server wants nothing, if it said so and has not served since.
-    pub(super) fn paused_until(&self, entry: &EngineEntry) -> Option<Time> {
-        self.pauses.get(&process(entry)).filter(|pause| !pause.is_over).map(|pause| pause.until)
+    fn paused_until(&self, tag: EngineTag, entry: &EngineEntry) -> Option<Time> {
+        if self.pauses.is_empty() {
+            return None;
+        }
+        let pause = self.pauses.get(&process(tag, entry)).filter(|pause| !pause.is_over);
+        pause.map(|pause| pause.until)
     }
 
     /// A server's estimate as peers are told it because of its notices.
-    pub(super) fn told_failure(&self, now: Time, entry: &EngineEntry) -> f64 {
-        match self.paused_until(entry) {
-            _ if self.is_leaving(entry) => LEAVING_ESTIMATE,
+    pub(super) fn told_failure(&self, now: Time, tag: EngineTag, entry: &EngineEntry) -> f64 {
+        match self.paused_until(tag, entry) {
+            _ if self.is_leaving(tag, entry) => LEAVING_ESTIMATE,
             Some(until) if until > now => PAUSED_ESTIMATE,
             _ => 0.0,
         }
     }
 
-    fn take(&mut self, now: Time, entry: &EngineEntry, notice: &ServerNotice) -> Vec<NoticeChange> {
+    fn take(
+        &mut self,
+        now: Time,
+        process: ServerProcess,
+        notice: &ServerNotice,
+    ) -> Vec<NoticeChange> {
         let mut changes = Vec::new();
-        let process = process(entry);
         if notice.is_leaving && self.leaving.insert(process, now).is_none() {
             changes.push(NoticeChange::Leaving);
         }
@@ -133,45 +142,51 @@
     pub fn note(&mut self, now: Time, tag: EngineTag, notice: &ServerNotice) -> Vec<NoticeChange> {
         let Some(record) = self.engines.get(&tag) else { return Vec::new() };
         self.notices.forget(now);
-        self.notices.take(now, &record.entry, notice)
+        self.notices.take(now, process(tag, &record.entry), notice)
     }
 
     /// A server began to serve a request: what it said of a pause is over.
     pub fn note_served(&mut self, now: Time, tag: EngineTag) {
         let Some(record) = self.engines.get(&tag) else { return };
-        if let Some(pause) = self.notices.pauses.get_mut(&process(&record.entry)) {
+        if let Some(pause) = self.notices.pauses.get_mut(&process(tag, &record.entry)) {
             pause.is_over = pause.until <= now;
         }
     }
 
     /// Whether a server may get new work.
     pub fn is_usable(&self, now: Time, tag: EngineTag) -> bool {
-        let Some(record) = self.engines.get(&tag) else { return false };
-        let is_paused = self.notices.paused_until(&record.entry).is_some_and(|until| until > now);
-        self.is_serving(tag) && !is_paused
+        self.engines.get(&tag).is_some_and(|record| self.wants_work(now, tag, record))
     }
 
     /// Whether a server is there to stay, though it may want nothing for a time.
     pub fn is_serving(&self, tag: EngineTag) -> bool {
-        self.engines.get(&tag).is_some_and(|record| {
-            let entry = &record.entry;
-            !entry.is_leaving && !record.replaced && !self.notices.is_leaving(entry)
-        })
+        self.engines.get(&tag).is_some_and(|record| self.stays(tag, record))
+    }
+
+    fn stays(&self, tag: EngineTag, record: &EngineRecord) -> bool {
+        let entry = &record.entry;
+        !entry.is_leaving && !record.replaced && !self.notices.is_leaving(tag, entry)
+    }
+
+    pub(super) fn wants_work(&self, now: Time, tag: EngineTag, record: &EngineRecord) -> bool {
+        let until = self.notices.paused_until(tag, &record.entry);
+        self.stays(tag, record) && until.is_none_or(|until| until <= now)
     }
 
     /// Whether a server asked for a pause that is over, and has not served since.
     pub fn is_returning(&self, now: Time, tag: EngineTag) -> bool {
         let Some(record) = self.engines.get(&tag) else { return false };
-        self.notices.paused_until(&record.entry).is_some_and(|until| until <= now)
+        self.notices.paused_until(tag, &record.entry).is_some_and(|until| until <= now)
     }
 
     /// When the first of the service's servers that pause may be asked again, `excluded` aside.
     pub fn opens_at(&self, now: Time, service: &str, excluded: &[EngineTag]) -> Option<Time> {
-        let is_wanted = |tag: EngineTag| self.is_serving(tag) && !excluded.contains(&tag);
-        let of_service = self.iter().filter(|(_, record)| &*record.entry.service == service);
-        let pauses = of_service
-            .filter(|(tag, _)| is_wanted(*tag))
-            .filter_map(|(_, record)| self.notices.paused_until(&record.entry));
+        let is_wanted = |(tag, record): &(EngineTag, &EngineRecord)| {
+            &*record.entry.service == service && self.stays(*tag, record) && !excluded.contains(tag)
+        };
+        let wanted = self.iter().filter(is_wanted);
+        let pauses =
+            wanted.filter_map(|(tag, record)| self.notices.paused_until(tag, &record.entry));
         pauses.filter(|until| *until > now).min()
     }
 }
