Read and log the request limits that servers name

Cause: callers of a server in need were sent on to it at full rate, and no line of any host said that it had named a limit. The logs could not tell a limit that is not read from one that each host applies alone.

Nothing is decided by it yet.

--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -7,7 +7,10 @@
 use super::UrgentTarget;
 use crate::{
     catalog::ServingService,
-    fleet::{EngineEntry, EngineEstimate, EngineTag, EngineVerdict, ServerNotice},
+    fleet::{
+        EngineEntry, EngineEstimate, EngineTag, EngineVerdict, LimitReport, RequestRate,
+        ServerNotice,
+    },
     refusal::Reason,
     roster::HostTag,
     time::Time,
@@ -52,10 +55,12 @@
         /// Outcome of the attempt as far as it says something about the server.
         verdict: EngineVerdict,
     },
-    /// A backend server announced in a response that it leaves or pauses.
+    /// A backend server announced in a response that it leaves, pauses or limits requests.
     NoticeReceived {
         /// Server that sent the notice.
         engine: EngineTag,
+        /// When the request was sent that the response answers.
+        sent: Time,
         /// Content of the notice.
         notice: ServerNotice,
     },
@@ -77,6 +82,8 @@
         /// The peer's observations of failing or slow backend servers.
         estimates: Vec<EngineEstimate>,
     },
+    /// A peer sent statements about the limits of servers.
+    LimitsReported(Vec<LimitReport>),
     /// All server entries were read from discovery.
     ServersListed {
         /// Entries of all servers.
@@ -160,6 +167,15 @@
         /// End of the pause.
         until: Time,
     },
+    /// The rate of requests that a backend server takes from all hosts together changed.
+    ServerLimited {
+        /// Server that named the limit.
+        engine: EngineTag,
+        /// The limit; `None` if the server no longer names one.
+        rate: Option<RequestRate>,
+        /// Whether a peer reported it.
+        is_reported: bool,
+    },
     /// A backend server is no longer registered; its connections should be closed.
     ServerGone(EngineTag),
     /// A backend server was added, is leaving or has restarted.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -176,13 +176,28 @@
                     self.fleet.record_served(now, engine);
                 }
             }
-            DispatchInput::NoticeReceived { engine, notice } => {
-                let changes = self.fleet.record_notice(now, engine, &notice);
+            DispatchInput::NoticeReceived { engine, sent, notice } => {
+                let changes = self.fleet.record_notice(now, sent, engine, &notice);
                 outputs.extend(changes.into_iter().map(|change| match change {
                     NoticeChange::Leaving => DispatchOutput::ServerLeaving(engine),
                     NoticeChange::Paused(until) => DispatchOutput::ServerPaused { engine, until },
+                    NoticeChange::Limited(rate) => {
+                        DispatchOutput::ServerLimited { engine, rate, is_reported: false }
+                    }
                 }));
             }
+            DispatchInput::LimitsReported(reports) => {
+                for report in reports {
+                    if self.fleet.merge_limit(now, &report) {
+                        let (engine, rate) = (report.server, report.rate);
+                        outputs.push(DispatchOutput::ServerLimited {
+                            engine,
+                            rate,
+                            is_reported: true,
+                        });
+                    }
+                }
+            }
             DispatchInput::EventGap { engine, gap } => self.record_event_gap(now, engine, gap),
             DispatchInput::PeerUpdate { host, incarnation, update, estimates } => {
                 update.entries.iter().for_each(|(_, entry)| self.charge_account(entry));
--- a/crates/core/src/dispatch/tests.rs
+++ b/crates/core/src/dispatch/tests.rs
@@ -474,8 +474,8 @@
     let pause = Some(Duration::from_millis(millis));
     for index in 0..engines {
         let engine = entry(index, service).tag();
-        let notice = ServerNotice { is_leaving: false, pause };
-        dispatcher.step(at(0), DispatchInput::NoticeReceived { engine, notice });
+        let notice = ServerNotice { pause, ..ServerNotice::default() };
+        dispatcher.step(at(0), DispatchInput::NoticeReceived { engine, sent: at(0), notice });
     }
 }
 
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -12,12 +12,17 @@
 
 use crate::{roster::HostTag, time::Time};
 
+mod limit;
+#[cfg(test)]
+mod limit_tests;
 mod notice;
 #[cfg(test)]
 mod notice_tests;
 #[cfg(test)]
 mod tests;
 
+use limit::LimitTable;
+pub use limit::{LimitNotice, LimitReport, RequestRate};
 use notice::NoticeTable;
 pub use notice::{NoticeChange, ServerNotice};
 
@@ -245,6 +250,7 @@
 pub struct FleetTable {
     engines: BTreeMap<EngineTag, EngineRecord>,
     notices: NoticeTable,
+    limits: LimitTable,
     /// Tombstones: the revision at which each entry was removed, so that a delayed older update
     /// cannot restore it.
     tombstones: BTreeMap<EngineTag, u64>,
--- a/crates/core/src/fleet/notice.rs
+++ b/crates/core/src/fleet/notice.rs
@@ -1,5 +1,5 @@
-//! Notices that backend servers put into their answers: that they are leaving, or that they want no
-//! requests for some time.
+//! Notices that backend servers put into their answers: that they are leaving, that they want no
+//! requests for some time, or that they limit the rate of requests.
 //!
 //! Notices are stored apart from discovery entries because they outlive them: an entry that still
 //! says ready, expires or is registered again does not cancel a notice. A notice applies to one
@@ -11,7 +11,7 @@
 
 use parsley_macros::{key, value};
 
-use super::{EngineEntry, EngineRecord, EngineTag, FleetTable};
+use super::{EngineEntry, EngineRecord, EngineTag, FleetTable, LimitNotice, RequestRate};
 use crate::{roster::HostTag, time::Time};
 
 /// Longest accepted pause; longer ones are cut to this.
@@ -37,6 +37,8 @@
     pub is_leaving: bool,
     /// Time for which the server wants no requests from this host.
     pub pause: Option<Duration>,
+    /// Rate of requests that the server takes from all hosts together.
+    pub limit: LimitNotice,
 }
 
 /// Change that a notice caused.
@@ -46,14 +48,17 @@
     Leaving,
     /// The server gets no requests from this host until the given time.
     Paused(Time),
+    /// The server takes this rate of requests from all hosts together; `None` if it no longer names
+    /// a limit.
+    Limited(Option<RequestRate>),
 }
 
 /// One process of a server: its tag, start time and address.
-type ServerProcess = (EngineTag, u64, SocketAddr);
+pub(super) type ServerProcess = (EngineTag, u64, SocketAddr);
 
 /// Returns the process of an entry. The tag is a parameter because hashing the id is too expensive
 /// to repeat on every comparison of servers.
-fn process(tag: EngineTag, entry: &EngineEntry) -> ServerProcess {
+pub(super) fn process(tag: EngineTag, entry: &EngineEntry) -> ServerProcess {
     (tag, entry.started_ms, entry.address)
 }
 
@@ -145,17 +150,20 @@
 }
 
 impl FleetTable {
-    /// Stores a notice from an answer of a server. Returns the changes; none if the server is
-    /// unknown.
+    /// Stores a notice from a server's answer to a request that was sent at `sent`. Returns the
+    /// changes; none if the server is unknown.
     pub fn record_notice(
         &mut self,
         now: Time,
+        sent: Time,
         tag: EngineTag,
         notice: &ServerNotice,
     ) -> Vec<NoticeChange> {
         let Some(record) = self.engines.get(&tag) else { return Vec::new() };
         self.notices.purge(now);
-        self.notices.apply(now, process(tag, &record.entry), notice)
+        let mut changes = self.notices.apply(now, process(tag, &record.entry), notice);
+        changes.extend(self.record_limit(now, sent, tag, notice.limit));
+        changes
     }
 
     /// Records that a server began to serve a request, which closes a pause whose time is over.
--- a/crates/core/src/fleet/notice_tests.rs
+++ b/crates/core/src/fleet/notice_tests.rs
@@ -5,10 +5,11 @@
 }
 
 fn pause(millis: u64) -> ServerNotice {
-    ServerNotice { is_leaving: false, pause: Some(Duration::from_millis(millis)) }
+    ServerNotice { pause: Some(Duration::from_millis(millis)), ..ServerNotice::default() }
 }
 
-const LEAVING: ServerNotice = ServerNotice { is_leaving: true, pause: None };
+const LEAVING: ServerNotice =
+    ServerNotice { is_leaving: true, pause: None, limit: LimitNotice::Unknown };
 
 fn table(host: u64) -> (FleetTable, EngineTag) {
     let mut table = FleetTable::new(HostTag(host));
@@ -25,8 +26,8 @@
 #[test]
 fn leaving_server_gets_nothing_whatever_discovery_says() {
     let (mut table, tag) = table(1);
-    assert_eq!(table.record_notice(at(10), tag, &LEAVING), [NoticeChange::Leaving]);
-    assert_eq!(table.record_notice(at(11), tag, &LEAVING), [], "reported once");
+    assert_eq!(table.record_notice(at(10), at(10), tag, &LEAVING), [NoticeChange::Leaving]);
+    assert_eq!(table.record_notice(at(11), at(11), tag, &LEAVING), [], "reported once");
     assert!(!table.is_usable(at(10), tag));
     table.upsert(at(20), rewritten(1, 9));
     assert!(!table.is_usable(at(20), tag), "a heartbeat");
@@ -41,7 +42,7 @@
 #[test]
 fn pause_binds_until_its_end() {
     let (mut table, tag) = table(1);
-    let changes = table.record_notice(at(0), tag, &pause(1_000));
+    let changes = table.record_notice(at(0), at(0), tag, &pause(1_000));
     let [NoticeChange::Paused(until)] = changes[..] else { panic!("{changes:?}") };
     assert!(until >= at(1_000) && until <= at(1_250), "{until:?}");
     let last = until - Duration::from_millis(1);
@@ -49,7 +50,7 @@
     assert_eq!(table.next_pause_end(last, "s", &[]), Some(until));
     assert_eq!(table.next_pause_end(last, "s", &[tag]), None);
     assert!(
-        table.record_notice(at(100), tag, &pause(100)).is_empty(),
+        table.record_notice(at(100), at(100), tag, &pause(100)).is_empty(),
         "a shorter pause does not replace a longer one"
     );
     table.record_served(at(200), tag);
@@ -58,7 +59,12 @@
     table.record_served(until, tag);
     assert!(!table.is_half_open(until, tag));
     // An excessive pause is cut to the longest accepted one.
-    table.record_notice(until, tag, &ServerNotice { pause: Some(Duration::MAX), ..pause(1) });
+    table.record_notice(
+        until,
+        until,
+        tag,
+        &ServerNotice { pause: Some(Duration::MAX), ..pause(1) },
+    );
     assert!(table.next_pause_end(until, "s", &[]).unwrap() < until + Duration::from_secs(1_000));
 }
 
@@ -69,7 +75,7 @@
 fn hosts_return_to_a_server_one_after_the_other() {
     let returns = |host: u64| {
         let (mut table, tag) = table(host.wrapping_mul(0x2545_f491_4f6c_dd1d));
-        table.record_notice(at(0), tag, &pause(2_000));
+        table.record_notice(at(0), at(0), tag, &pause(2_000));
         table.next_pause_end(at(0), "s", &[]).unwrap()
     };
     let mut returns: Vec<_> = (1..=100).map(returns).collect();
@@ -84,7 +90,7 @@
 #[test]
 fn notices_reach_peers_as_a_worse_estimate() {
     let (mut table, tag) = table(1);
-    table.record_notice(at(0), tag, &LEAVING);
+    table.record_notice(at(0), at(0), tag, &LEAVING);
     let estimates = table.estimates(at(100));
     let (mut peer, _) = self::table(2);
     estimates.iter().for_each(|estimate| peer.merge_estimate(at(100), estimate));
--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -11,7 +11,7 @@
 };
 use parsley_core::{
     dispatch::DispatchInput,
-    fleet::{EngineTag, EngineVerdict, ServerNotice},
+    fleet::{EngineTag, EngineVerdict},
     time::Time,
 };
 
@@ -297,10 +297,7 @@
         let own_id = self.exchange.info.id.as_ref();
         let is_other_attempt = info.id.is_some() && info.id.as_ref() != own_id;
         if !info.is_replaced {
-            // A late response to an earlier attempt: its pause started earlier, so it is ignored.
-            let pause = info.notice.pause.filter(|_| !is_other_attempt);
-            let notice = ServerNotice { pause, ..info.notice };
-            self.exchange.gateway.apply_notice(self.placement.engine, notice);
+            self.exchange.gateway.apply_notice(self.placement.engine, self.sent, &info, own_id);
         }
         if is_other_attempt {
             return (
--- a/crates/node/src/gateway/edge.rs
+++ b/crates/node/src/gateway/edge.rs
@@ -7,7 +7,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::{HeaderMap, StatusCode, body::Bytes};
-use parsley_core::{fleet::ServerNotice, refusal::Refusal};
+use parsley_core::{
+    fleet::{LimitNotice, ServerNotice},
+    refusal::Refusal,
+};
 use parsley_macros::value;
 
 /// Values parsed from the headers of a caller's request.
@@ -59,8 +62,27 @@
     pub is_sealed: bool,
     /// Address of the server that caused the failure, if it is not the one that answered.
     pub at_fault: Option<SocketAddr>,
-    /// Shutdown or pause that the server announces.
+    /// What the server announces about itself.
     pub notice: ServerNotice,
+    /// Value of a request limit that is not valid.
+    pub invalid_limit: Option<Arc<str>>,
+}
+
+impl ResponseInfo {
+    /// Returns the part of the notice that a response to the attempt `id` can give; `None` is a
+    /// request without an id, such as a memory reservation.
+    pub fn notice_for(&self, id: Option<&Arc<str>>) -> ServerNotice {
+        let is_other_attempt = self.id.is_some() && self.id.as_ref() != id;
+        let ServerNotice { is_leaving, pause, limit } = self.notice;
+        if is_other_attempt {
+            // A late response to an earlier attempt: its pause and limit may have changed since.
+            return ServerNotice { is_leaving, ..ServerNotice::default() };
+        }
+        // Responses without an id may come from something else that answers for the server.
+        let is_unknown = limit == LimitNotice::Absent && self.id.is_none();
+        let limit = if is_unknown { LimitNotice::Unknown } else { limit };
+        ServerNotice { is_leaving, pause, limit }
+    }
 }
 
 /// Request to reserve memory on an engine or to release it.
--- a/crates/node/src/gateway/memory.rs
+++ b/crates/node/src/gateway/memory.rs
@@ -142,12 +142,13 @@
         let mut connection = ServerConnection::open(&gateway.executor, address)
             .await
             .map_err(|err| Arc::from(err.to_string()))?;
+        let sent = clock::now();
         let response = connection.send(request).await.map_err(|fault| {
             let (SendError::NotSent(err) | SendError::Unknown(err)) = fault;
             Arc::from(err.to_string())
         })?;
         let info = (gateway.codec.read_response_headers)(response.status(), response.headers());
-        gateway.apply_notice(tag, info.notice);
+        gateway.apply_notice(tag, sent, &info, None);
         Ok(response.status())
     };
     with_timeout(RESERVE_TIMEOUT, call).await.unwrap_or_else(|| Err("no answer in time".into()))
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -54,6 +54,8 @@
     pub live_hosts: IntGauge,
     /// Backend servers that may get work.
     pub usable_servers: IntGauge,
+    /// Backend servers that limit the rate of requests.
+    pub limited_servers: IntGauge,
     /// Retries left in the budgets of all services.
     pub retry_budget_left: IntGauge,
 }
@@ -146,6 +148,11 @@
                 "gateway_servers",
                 "Backend servers that may get work.",
             ),
+            limited_servers: gauge(
+                &registry,
+                "gateway_limited_servers",
+                "Backend servers that limit the rate of requests.",
+            ),
             retry_budget_left: gauge(
                 &registry,
                 "gateway_retry_budget_left",
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -25,7 +25,7 @@
         PrefillHelper, TICK_PERIOD,
     },
     evidence::{ConfigTrust, EvidenceKeeper, EvidenceLimits},
-    fleet::{EngineTag, EngineVerdict, ServerNotice},
+    fleet::{EngineTag, EngineVerdict, LimitNotice, RequestRate, ServerNotice},
     refusal::{Reason, Refusal},
     retry::{RetryBudget, RetryLimit},
     roster::{HostInfo, HostTag, PeerRoster, SETTLE_TIME},
@@ -61,6 +61,7 @@
 pub use listener::{serve_pages, with_timeout};
 pub use metrics::GatewayMetrics;
 
+use edge::ResponseInfo;
 use line_budget::LineBudget;
 use link::ConnectionPool;
 
@@ -348,6 +349,9 @@
                 let pause = until.since(clock::now()).as_millis() as u64;
                 event!(self.log, SERVER_PAUSED, "server" => engine.0, "pause_ms" => pause);
             }
+            DispatchOutput::ServerLimited { engine, rate, is_reported } => {
+                self.log_limit(engine, rate, is_reported);
+            }
             DispatchOutput::ServerGone(tag) => {
                 self.connections.remove_all(tag);
                 event!(self.log, SERVER_REMOVED, "server" => tag.0);
@@ -363,6 +367,22 @@
         }
     }
 
+    fn log_limit(&self, engine: EngineTag, rate: Option<RequestRate>, is_reported: bool) {
+        let kind = if rate.is_some() { "limit" } else { "limit_end" };
+        self.metrics.notices.with_label_values(&[kind]).inc();
+        if !self.log_budget.may_write(clock::now(), true) {
+            return;
+        }
+        let source = if is_reported { "peer" } else { "answer" };
+        match rate {
+            Some(rate) => event!(self.log, SERVER_LIMITED, "server" => engine.0,
+                "per_second" => rate.per_second(), "from" => source),
+            None => {
+                event!(self.log, SERVER_LIMIT_ENDED, "server" => engine.0, "from" => source);
+            }
+        }
+    }
+
     fn resolve_waiter(&self, number: WorkNumber, result: Result<Placement, Refusal>) {
         let waiter = self.state.borrow_mut().waiters.remove(&number);
         let Some(waiter) = waiter else { return };
@@ -370,10 +390,27 @@
         let _ = waiter.try_send(result);
     }
 
-    /// Applies what a server announced in a response.
-    fn apply_notice(self: &Rc<Self>, engine: EngineTag, notice: ServerNotice) {
+    /// Applies what a server announced in a response to the attempt `id`, which was sent at `sent`.
+    fn apply_notice(
+        self: &Rc<Self>,
+        engine: EngineTag,
+        sent: Time,
+        info: &ResponseInfo,
+        id: Option<&Arc<str>>,
+    ) {
+        if let Some(value) = &info.invalid_limit {
+            self.metrics.notices.with_label_values(&["invalid_limit"]).inc();
+            if self.log_budget.may_write(clock::now(), true) {
+                event!(self.log, SERVER_LIMIT_INVALID, "server" => engine.0, "value" => &**value);
+            }
+        }
+        let mut notice = info.notice_for(id);
+        let is_limited = self.state.borrow().dispatcher.fleet.limit(engine).is_some();
+        if notice.limit == LimitNotice::Absent && !is_limited {
+            notice.limit = LimitNotice::Unknown;
+        }
         if notice != ServerNotice::default() {
-            self.dispatch(DispatchInput::NoticeReceived { engine, notice });
+            self.dispatch(DispatchInput::NoticeReceived { engine, sent, notice });
         }
     }
 
@@ -414,6 +451,7 @@
         let fleet = &state.dispatcher.fleet;
         let usable = fleet.iter().filter(|(tag, _)| fleet.is_usable(now, *tag));
         self.metrics.usable_servers.set(usable.count() as i64);
+        self.metrics.limited_servers.set(fleet.limited_count() as i64);
         let dropped = self.log_budget.take_dropped();
         if dropped > 0 {
             self.metrics.dropped_log_lines.inc_by(dropped);
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -99,6 +99,9 @@
     MEMORY_ORDER_FAILED: "E2304" Warning "engine memory order failed" ["server", "name", "error"];
     SERVER_LEAVING: "E2305" Info "server announced that it is leaving" ["server"];
     SERVER_PAUSED: "E2306" Info "server requested a pause" ["server", "pause_ms"];
+    SERVER_LIMITED: "E2307" Info "server limited its request rate" ["server", "per_second", "from"];
+    SERVER_LIMIT_ENDED: "E2308" Info "server no longer limits its request rate" ["server", "from"];
+    SERVER_LIMIT_INVALID: "E2309" Warning "invalid request limit ignored" ["server", "value"];
     REQUEST_ARRIVED: "E2401" Info "request arrived"
         ["request", "route", "account", "priority", "prompt", "patience_ms", "config", "config_age_ms"];
     REQUEST_PLACED: "E2402" Info "request placed"
