Share a server's request limit among all hosts

Callers saw servers in need slow down and fail, because every host went on to send at full rate to a server that had named a limit.

Cause: the limit was not read, and no part of the dispatcher could hold a rate for the whole fleet: each host decides alone over a view that is a datagram old.

Ruled out: a share of the limit for each host (bursts of 9 or 2,000 buckets exceed small limits, and one busy host cannot use the whole); counting the sends that peers report (hosts race for the same opening, standby hosts get no reports).

Change: one member, drawn by the server's tag, issues permits from a token bucket; a dispatcher takes a limited server only with a permit, waits 30 ms for one if another server is free, else goes to the other; where only limited servers are left it refuses what gets no permit within its target, with its turn at that rate as Retry-After. Limits reach members with heartbeats, standby hosts with polls, restarted hosts at once.

--- a/crates/core/src/dispatch/choose.rs
+++ b/crates/core/src/dispatch/choose.rs
@@ -14,6 +14,7 @@
 use crate::{
     catalog::ServingService,
     fleet::{EngineRecord, EngineTag},
+    permit::PermitState,
     time::Time,
     work::{WorkDemand, WorkEntry, WorkPhase},
 };
@@ -69,6 +70,8 @@
     pub reserved: &'a BTreeSet<EngineTag>,
     /// Bounds for packing short requests.
     pub packing: PackingLimit,
+    /// Whether the request is one of this host, which may use the host's permits.
+    pub is_own: bool,
 }
 
 impl ChoiceInput<'_> {
@@ -104,11 +107,65 @@
     pub candidates: usize,
 }
 
+/// The best servers for a request.
+#[value]
+#[derive(Default)]
+pub(super) struct ChoiceResult {
+    /// The best server that may get the request now.
+    pub best: Option<PlacementChoice>,
+    /// A server that would be better, once this host has a permit for it.
+    pub without_permit: Option<PlacementChoice>,
+}
+
+/// The best candidates so far, with and without a permit where one is needed.
+struct CandidateRanking<S> {
+    best: Option<(S, PlacementChoice)>,
+    without_permit: Option<(S, PlacementChoice)>,
+    candidates: usize,
+    is_better: fn(&S, &S) -> bool,
+}
+
+impl<S> CandidateRanking<S> {
+    fn new(is_better: fn(&S, &S) -> bool) -> CandidateRanking<S> {
+        CandidateRanking { best: None, without_permit: None, candidates: 0, is_better }
+    }
+
+    fn add(&mut self, needs_permit: bool, score: S, choice: PlacementChoice) {
+        let leader = if needs_permit { &mut self.without_permit } else { &mut self.best };
+        if leader.as_ref().is_none_or(|(leading, _)| (self.is_better)(&score, leading)) {
+            *leader = Some((score, choice));
+        }
+    }
+
+    fn close(self) -> ChoiceResult {
+        let CandidateRanking { best, mut without_permit, candidates, is_better } = self;
+        if let (Some((score, _)), Some((leading, _))) = (&without_permit, &best)
+            && !is_better(score, leading)
+        {
+            without_permit = None;
+        }
+        let choice = |(_, choice)| PlacementChoice { candidates, ..choice };
+        ChoiceResult { best: best.map(choice), without_permit: without_permit.map(choice) }
+    }
+}
+
 impl Dispatcher {
-    /// Returns the server with the lowest cost, or `None` if none has room. After a pause, a server
-    /// takes one request at a time until it has served one.
-    pub(super) fn choose(&self, service: &str, input: &ChoiceInput) -> Option<PlacementChoice> {
-        let service = self.services.get(service)?;
+    /// Returns whether a candidate lacks a permit; `None` if it cannot get the request because no
+    /// permit is expected now.
+    fn needs_permit(&self, input: &ChoiceInput, tag: EngineTag) -> Option<bool> {
+        match self.permit_state(input.now, tag) {
+            None => Some(false),
+            Some(_) if !input.is_own => None,
+            Some(PermitState::Held) => Some(false),
+            Some(PermitState::Missing | PermitState::Requested) => Some(true),
+            Some(PermitState::Closed(_)) => None,
+        }
+    }
+
+    /// Returns the servers with the lowest cost. After a pause, a server takes one request at a time
+    /// until it has served one.
+    pub(super) fn choose(&self, service: &str, input: &ChoiceInput) -> ChoiceResult {
+        let Some(service) = self.services.get(service) else { return ChoiceResult::default() };
         let Some(model) = &service.latency_model else { return self.choose_plain(service, input) };
         // A prompt whose memory needs the reserved headroom too is exempt from it.
         let headroom = self
@@ -117,8 +174,7 @@
         let wanted = self.wanted_parts(model, input.demand);
         let parts =
             headroom.as_ref().map_or(wanted, |headroom| wanted.min(headroom.spare().max(1)));
-        let mut best: Option<(CandidateScore, PlacementChoice)> = None;
-        let mut candidates = 0;
+        let mut ranking = CandidateRanking::new(CandidateScore::is_better_than);
         for (tag, record) in self.fleet.usable(input.now, &service.name) {
             let load = input.load(tag);
             let slots = record.entry.slots.min(model.slots) as usize;
@@ -127,7 +183,8 @@
             if !input.is_allowed(model, tag) || load.requests >= slots || !may_resume() {
                 continue;
             }
-            candidates += 1;
+            let Some(needs_permit) = self.needs_permit(input, tag) else { continue };
+            ranking.candidates += 1;
             let helpers = self.find_helpers(service, model, input, tag, parts);
             let Some((helpers, parts)) = helpers else { continue };
             let allows_load =
@@ -140,22 +197,20 @@
             let forecast = load.forecast(model, input.demand, parts, slowdown, input.waited);
             let cost = forecast.delayed as f64 + f64::from(u8::from(forecast.is_late)) + failure;
             let score = self.score_candidate(model, input, record, load, &forecast, cost);
-            if best.as_ref().is_none_or(|(best_score, _)| score.is_better_than(best_score)) {
-                let requests = load.requests;
-                let engine = tag;
-                let choice = PlacementChoice {
-                    engine,
-                    helpers,
-                    forecast,
-                    cost,
-                    failure,
-                    requests,
-                    candidates: 0,
-                };
-                best = Some((score, choice));
-            }
+            let requests = load.requests;
+            let engine = tag;
+            let choice = PlacementChoice {
+                engine,
+                helpers,
+                forecast,
+                cost,
+                failure,
+                requests,
+                candidates: 0,
+            };
+            ranking.add(needs_permit, score, choice);
         }
-        best.map(|(_, choice)| PlacementChoice { candidates, ..choice })
+        ranking.close()
     }
 
     /// The headroom kept for requests more urgent than this one; `None` if it is itself urgent or
@@ -170,12 +225,11 @@
         if input.demand.priority <= target.priority {
             return None;
         }
-        let engines =
-            self.fleet.usable(input.now, &service.name).map(|(tag, record)| EngineSlots {
-                tag,
-                slots: record.entry.slots.min(model.slots) as usize,
-                slowdown: record.slowdown(input.now),
-            });
+        let engines = self.unlimited(input.now, &service.name).map(|(tag, record)| EngineSlots {
+            tag,
+            slots: record.entry.slots.min(model.slots) as usize,
+            slowdown: record.slowdown(input.now),
+        });
         let urgent = self.urgent_counts.get(&input.demand.service).copied().unwrap_or_default();
         Some(UrgentHeadroom::find(target, model, engines, input.loads, urgent))
     }
@@ -216,7 +270,7 @@
         if parts <= 1 {
             return Vec::new();
         }
-        let idle = self.fleet.usable(input.now, service).filter(|(tag, record)| {
+        let idle = self.unlimited(input.now, service).filter(|(tag, record)| {
             input.is_allowed(model, *tag)
                 && input.is_idle(*tag)
                 && record.failure_probability(input.now) < MAX_IMMEDIATE_COST
@@ -235,18 +289,14 @@
 
     /// Selects the plain server with the lowest slot utilization; recent failures count as
     /// utilization.
-    fn choose_plain(
-        &self,
-        service: &ServingService,
-        input: &ChoiceInput,
-    ) -> Option<PlacementChoice> {
-        let mut best: Option<(f64, PlacementChoice)> = None;
-        let mut candidates = 0;
+    fn choose_plain(&self, service: &ServingService, input: &ChoiceInput) -> ChoiceResult {
+        let mut ranking = CandidateRanking::new(|fill: &f64, other: &f64| fill < other);
         for (engine, record) in self.fleet.usable(input.now, &service.name) {
             if input.excluded.contains(&engine) {
                 continue;
             }
-            candidates += 1;
+            let Some(needs_permit) = self.needs_permit(input, engine) else { continue };
+            ranking.candidates += 1;
             let requests = input.load(engine).requests;
             let may_resume = || requests == 0 || !self.fleet.is_half_open(input.now, engine);
             if requests >= record.entry.slots as usize || !may_resume() {
@@ -257,22 +307,18 @@
             let fill = requests as f64 / f64::from(record.entry.slots)
                 + failure * PLAIN_FAILURE_WEIGHT
                 + if is_remote_domain { REMOTE_DOMAIN_PENALTY } else { 0.0 };
-            if best.as_ref().is_none_or(|(best_fill, _)| fill < *best_fill) {
-                let forecast = EngineForecast::default();
-                let helpers = Vec::new();
-                let choice = PlacementChoice {
-                    engine,
-                    helpers,
-                    forecast,
-                    cost: 0.0,
-                    failure,
-                    requests,
-                    candidates: 0,
-                };
-                best = Some((fill, choice));
-            }
+            let choice = PlacementChoice {
+                engine,
+                helpers: Vec::new(),
+                forecast: EngineForecast::default(),
+                cost: 0.0,
+                failure,
+                requests,
+                candidates: 0,
+            };
+            ranking.add(needs_permit, fill, choice);
         }
-        best.map(|(_, choice)| PlacementChoice { candidates, ..choice })
+        ranking.close()
     }
 
     /// Finds idle engines for the other parts of a prompt. Returns them and the number of parts,
@@ -297,7 +343,7 @@
                 && input.is_idle(tag)
                 && record.failure_probability(input.now) < MAX_IMMEDIATE_COST
         };
-        let engines = self.fleet.usable(input.now, &service.name);
+        let engines = self.unlimited(input.now, &service.name);
         let helpers: Vec<_> = engines
             .filter(|(tag, record)| fits(*tag, record))
             .map(|(tag, _)| tag)
--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -11,6 +11,7 @@
         EngineEntry, EngineEstimate, EngineTag, EngineVerdict, LimitReport, RequestRate,
         ServerNotice,
     },
+    permit::{PermitReply, PermitRequest},
     refusal::Reason,
     roster::HostTag,
     time::Time,
@@ -84,6 +85,8 @@
     },
     /// A peer sent statements about the limits of servers.
     LimitsReported(Vec<LimitReport>),
+    /// The issuer of permits for a limited server replied.
+    PermitsIssued(PermitReply),
     /// All server entries were read from discovery.
     ServersListed {
         /// Entries of all servers.
@@ -157,7 +160,11 @@
         reason: Reason,
         /// Time after which the caller may retry.
         retry_after: Duration,
+        /// Whether only servers that limit the rate of requests were left.
+        is_limited: bool,
     },
+    /// Request permits for a limited server from their issuer or its substitute.
+    RequestPermits(PermitRequest),
     /// A backend server announced that it leaves; its idle connections should be closed.
     ServerLeaving(EngineTag),
     /// A backend server asked for a pause in requests from this host.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -20,6 +20,7 @@
 use crate::{
     catalog::ServingService,
     fleet::{EngineEntry, EngineTag, EngineVerdict, FleetTable, NoticeChange, hash_name},
+    permit::PermitHolder,
     roster::HostTag,
     time::Time,
     turn::StartTagLedger,
@@ -29,6 +30,9 @@
 mod choose;
 mod forecast;
 mod headroom;
+mod limited;
+#[cfg(test)]
+mod limited_tests;
 #[cfg(test)]
 mod load_tests;
 mod message;
@@ -36,9 +40,13 @@
 #[cfg(test)]
 mod tests;
 
-use choose::{ChoiceInput, DENSE_PACKING, LOOSE_PACKING, MAX_PARTS, PlacementChoice, memory_parts};
+use choose::{
+    ChoiceInput, ChoiceResult, DENSE_PACKING, LOOSE_PACKING, MAX_PARTS, PlacementChoice,
+    memory_parts,
+};
 pub use forecast::{EngineForecast, EngineLoad, LatencyModel, collect_load, collect_loads};
 pub use headroom::UrgentTarget;
+use limited::{PERMIT_PATIENCE, PermitQueue};
 pub use message::{DispatchInput, DispatchOutput, PlacementReason, PrefillHelper};
 use refusal::MIN_RETRY_AFTER;
 
@@ -77,6 +85,16 @@
     excluded: Vec<EngineTag>,
 }
 
+/// What is ahead of a request in the queue of all hosts.
+#[value]
+#[derive(Copy)]
+struct QueuePosition {
+    /// Expected queueing delay of a long prompt, in milliseconds.
+    delay_ms: f64,
+    /// Waiting requests for the same service.
+    ahead: usize,
+}
+
 #[key]
 enum PlacementDecision {
     Place,
@@ -98,11 +116,15 @@
     urgent_targets: BTreeMap<Arc<str>, UrgentTarget>,
     waiting: BTreeMap<WorkNumber, WaitingRequest>,
     start_tags: StartTagLedger,
-    /// Usable servers of each service, by the hash of its name; recounted in each scheduling run.
+    /// Usable servers of each service without a limit, by the hash of its name; recounted in each scheduling run.
     engine_counts: BTreeMap<u64, usize>,
     /// Requests at or above the most urgent rank of each service, by the hash of its name;
     /// recounted in each scheduling run.
     urgent_counts: BTreeMap<u64, usize>,
+    /// Permits of this host for limited servers.
+    permits: BTreeMap<EngineTag, PermitHolder>,
+    /// End of the turns promised to refused callers, by the hash of the service's name and the rank.
+    return_turns: BTreeMap<(u64, u8), Time>,
     /// Earliest time of the next scheduling run.
     next_run: Time,
 }
@@ -135,6 +157,8 @@
         match input {
             DispatchInput::Tick => {
                 self.work_view.expire_peers(now);
+                self.purge_permits();
+                self.return_turns.retain(|_, end| *end > now);
                 outputs.extend(self.fleet.expire(now).into_iter().map(DispatchOutput::ServerGone));
             }
             DispatchInput::Services { services, urgent_targets } => {
@@ -206,6 +230,7 @@
                     self.fleet.merge_estimate(now, estimate);
                 }
             }
+            DispatchInput::PermitsIssued(reply) => self.record_permits(now, &reply),
             DispatchInput::ServersListed { entries, revision } => {
                 let known_tags: BTreeSet<_> = self.fleet.iter().map(|(tag, _)| tag).collect();
                 let tags: Vec<_> = entries.iter().map(EngineEntry::tag).collect();
@@ -294,6 +319,7 @@
         let has_long = queue.iter().any(|(_, _, entry)| is_long(&entry.demand));
         let packing = if has_long { DENSE_PACKING } else { LOOSE_PACKING };
         let mut reserved = BTreeSet::new();
+        let mut permit_queue = PermitQueue::default();
         for (host, number, entry) in queue {
             let work = if host.is_none() { self.waiting.get(&number).cloned() } else { None };
             let service = match &work {
@@ -312,22 +338,35 @@
                 loads: &loads,
                 reserved: &reserved,
                 packing,
+                is_own: work.is_some(),
             };
-            let choice = self.choose(&service, &input);
+            let ChoiceResult { best: choice, without_permit } = self.choose(&service, &input);
             let queue_delay_ms =
                 self.queue_delay_ms(now, &service, &entry.demand, &loads, ahead_ms);
-            let decision = self.decide_placement(
-                now,
-                &service,
-                &entry,
-                choice.as_ref(),
-                work.as_ref(),
-                queue_delay_ms,
-            );
+            let ahead = permit_queue.count_ahead(entry.demand.service);
+            let decide = |choice: Option<&PlacementChoice>| {
+                let work = work.as_ref();
+                let position = QueuePosition { delay_ms: queue_delay_ms, ahead };
+                self.decide_placement(now, &service, &entry, choice, work, position)
+            };
+            let mut decision = decide(choice.as_ref());
+            let preferred = without_permit.filter(|better| {
+                let may_wait = choice.is_none() || input.waited < PERMIT_PATIENCE;
+                may_wait
+                    && decision != PlacementDecision::Refuse
+                    && decide(Some(better)) == PlacementDecision::Place
+            });
+            if let Some(better) = preferred
+                && !permit_queue.yields_to_peer(&entry.demand)
+            {
+                permit_queue.record_wanted(better.engine);
+                decision = PlacementDecision::Wait;
+            }
             match (decision, choice) {
                 (PlacementDecision::Place, Some(choice)) => {
                     let placed = self.add_placed(now, &entry, &choice, &mut loads);
                     if work.is_some() {
+                        self.take_permit(&choice);
                         self.charge_account(&placed);
                         self.waiting.remove(&number);
                         self.work_view.insert(number, placed);
@@ -340,9 +379,11 @@
                 _ => {
                     ahead_ms += self.service_ms(&entry.demand);
                     reserved.extend(self.engines_to_reserve(&service, &input));
+                    permit_queue.record_waiting(&entry.demand, work.is_some());
                 }
             }
         }
+        self.request_permits(now, &permit_queue, outputs);
     }
 
     /// The waiting work of all hosts in scheduling order: by rank, then requests that can still
@@ -387,10 +428,12 @@
         model.map_or(0.0, |model| model.prefill_ms(demand.prompt_tokens) / parts(model))
     }
 
-    /// Recounts usable servers and urgent requests of each service.
+    /// Recounts usable servers without a limit and urgent requests of each service.
     fn refresh_counts(&mut self, now: Time) {
         self.engine_counts.clear();
-        for (_, record) in self.fleet.iter().filter(|(tag, _)| self.fleet.is_usable(now, *tag)) {
+        let fleet = &self.fleet;
+        let is_counted = |tag| fleet.is_usable(now, tag) && fleet.limit(tag).is_none();
+        for (_, record) in fleet.iter().filter(|(tag, _)| is_counted(*tag)) {
             *self.engine_counts.entry(hash_name(&record.entry.service)).or_default() += 1;
         }
         let count = |(name, target): (&Arc<str>, &UrgentTarget)| {
@@ -466,7 +509,7 @@
         let is_eligible =
             |load: &&EngineLoad| load.decodes.iter().all(|other| other.gap_target_ms >= gap / 2.0);
         let idle_load = EngineLoad::default();
-        let engines = self.fleet.usable(now, service);
+        let engines = self.unlimited(now, service);
         let eligible: Vec<_> = engines
             .map(|(tag, _)| loads.get(&tag).unwrap_or(&idle_load))
             .filter(is_eligible)
@@ -484,8 +527,9 @@
         entry: &WorkEntry,
         choice: Option<&PlacementChoice>,
         work: Option<&WaitingRequest>,
-        queue_delay_ms: f64,
+        position: QueuePosition,
     ) -> PlacementDecision {
+        let QueuePosition { delay_ms: queue_delay_ms, ahead } = position;
         let model = self.latency_models.get(&entry.demand.service).and_then(Option::as_ref);
         let prefill_ms = self.prefill_ms(&entry.demand);
         let excluded = work.map_or(&[][..], |work| &work.excluded);
@@ -513,10 +557,20 @@
                 PlacementDecision::Refuse
             };
         }
-        if model.is_some_and(|model| memory_parts(model, &entry.demand) > engines.min(MAX_PARTS)) {
+        // A limited server can only be the first of the engines that share a prompt.
+        let unlimited = self.unlimited(now, service).count();
+        let shared = if unlimited < engines { unlimited + 1 } else { unlimited };
+        if model.is_some_and(|model| memory_parts(model, &entry.demand) > shared.min(MAX_PARTS)) {
             return PlacementDecision::Refuse;
         }
         let Some(choice) = choice else {
+            if let Some((opening, _)) = self.permit_opening(now, service, excluded, ahead) {
+                return if self.is_permit_in_time(now, entry, opening, limit) {
+                    PlacementDecision::Wait
+                } else {
+                    PlacementDecision::Refuse
+                };
+            }
             let queued = Duration::from_secs_f64((queue_delay_ms + prefill_ms) / 1e3);
             return if now + queued < limit {
                 PlacementDecision::Wait
--- a/crates/core/src/dispatch/refusal.rs
+++ b/crates/core/src/dispatch/refusal.rs
@@ -21,7 +21,8 @@
 
 impl Dispatcher {
     /// Refuses a waiting request. `Retry-After` covers the expected queueing delay, and the end of
-    /// the pause if all servers of the service are paused.
+    /// the pause if all servers of the service are paused. If all of them limit the rate of requests,
+    /// it is the caller's turn at that rate.
     pub(super) fn refuse(
         &mut self,
         now: Time,
@@ -42,7 +43,13 @@
             Duration::from_secs_f64(queue_delay_ms / 1e3).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         let retry_after =
             delay.max(pause_left).mul_f64(1.0 + jitter_fraction(number, demand.priority));
-        DispatchOutput::Refuse { number, reason, retry_after }
+        let return_delay = self.return_delay(now, service, demand, &excluded);
+        DispatchOutput::Refuse {
+            number,
+            reason,
+            retry_after: return_delay.unwrap_or(retry_after),
+            is_limited: return_delay.is_some(),
+        }
     }
 }
 
--- a/crates/core/src/fleet/limit.rs
+++ b/crates/core/src/fleet/limit.rs
@@ -121,6 +121,18 @@
         self.limits.statements.get(&process(tag, &record.entry))?.rate
     }
 
+    /// Returns the start time of a limited server's process, its limit and the age of that
+    /// knowledge, as they are sent to the issuer of its permits.
+    pub fn limit_to_request(
+        &self,
+        now: Time,
+        tag: EngineTag,
+    ) -> Option<(u64, RequestRate, Duration)> {
+        let entry = &self.engines.get(&tag)?.entry;
+        let statement = self.limits.statements.get(&process(tag, entry))?;
+        Some((entry.started_ms, statement.rate?, now.since(statement.as_of)))
+    }
+
     /// Stores what a response to a request that was sent at `sent` says about the limit. Returns
     /// the change, if any.
     ///
@@ -153,11 +165,15 @@
             && self.limits.apply(now, process, report.rate, as_of)
     }
 
-    /// Returns up to `count` statements that changed lately, for this host's peers.
-    pub fn limit_reports(&self, now: Time, count: usize) -> Vec<LimitReport> {
-        let is_recent = |statement: &LimitStatement| now.since(statement.changed) < REPORT_TERM;
+    /// Returns up to `count` statements for this host's peers, the latest first: those that changed
+    /// lately, or for a host that has just started all limits.
+    pub fn limit_reports(&self, now: Time, count: usize, is_new_peer: bool) -> Vec<LimitReport> {
+        let is_reported = |statement: &LimitStatement| {
+            let is_recent = now.since(statement.changed) < REPORT_TERM;
+            is_recent || (is_new_peer && statement.rate.is_some())
+        };
         let mut recent: Vec<_> =
-            self.limits.statements.iter().filter(|(_, one)| is_recent(one)).collect();
+            self.limits.statements.iter().filter(|(_, one)| is_reported(one)).collect();
         recent.sort_unstable_by_key(|(_, statement)| std::cmp::Reverse(statement.changed));
         let report = |(process, statement): (&ServerProcess, &LimitStatement)| LimitReport {
             server: process.0,
--- a/crates/core/src/fleet/limit_tests.rs
+++ b/crates/core/src/fleet/limit_tests.rs
@@ -58,17 +58,17 @@
 fn limits_reach_peers_and_the_later_statement_counts() {
     let ((mut table, tag), (mut peer, _)) = (table(), table());
     table.record_notice(at(0), at(0), tag, &names(2.0));
-    let reports = table.limit_reports(at(100), 8);
+    let reports = table.limit_reports(at(100), 8, false);
     assert!(peer.merge_limit(at(101), &reports[0]));
     assert!(!peer.merge_limit(at(101), &reports[0]), "known already");
     assert_eq!(peer.limit(tag), Some(rate(2.0)));
     peer.record_notice(at(300), at(250), tag, &ABSENT);
     assert!(!peer.merge_limit(at(301), &reports[0]), "older than the response");
-    for report in peer.limit_reports(at(400), 8) {
+    for report in peer.limit_reports(at(400), 8, false) {
         assert!(table.merge_limit(at(401), &report));
     }
     assert_eq!(table.limit(tag), None);
-    assert!(table.limit_reports(at(10_000), 8).is_empty(), "reported for a short time only");
+    assert!(table.limit_reports(at(10_000), 8, false).is_empty(), "reported for a short time only");
     let other = LimitReport { started_ms: 7, rate: Some(rate(1.0)), age_us: 0, ..reports[0] };
     assert!(!table.merge_limit(at(500), &other), "another process");
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod key;
 pub mod member;
 pub mod order;
+pub mod permit;
 pub mod placement;
 pub mod record;
 pub mod refusal;
--- a/crates/core/src/roster/duty.rs
+++ b/crates/core/src/roster/duty.rs
@@ -93,7 +93,11 @@
     }
 
     /// Returns this host and the live peers, highest rank first.
-    fn live_hosts<'a>(&'a self, now: Time, me: &'a HostInfo) -> Vec<(HostTag, &'a HostInfo)> {
+    pub(super) fn live_hosts<'a>(
+        &'a self,
+        now: Time,
+        me: &'a HostInfo,
+    ) -> Vec<(HostTag, &'a HostInfo)> {
         let mut hosts: Vec<_> = self.alive(now).chain([(me.tag(), me)]).collect();
         hosts.sort_unstable_by_key(|(tag, info)| rank(*tag, info));
         hosts
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -17,6 +17,7 @@
 mod duty;
 #[cfg(test)]
 mod fleet_tests;
+mod issuer;
 #[cfg(test)]
 mod tests;
 
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -11,7 +11,8 @@
 use parsley_core::{
     dispatch::DispatchInput,
     evidence::{EvidenceEffect, PeerEvidence},
-    fleet::{EngineEstimate, FleetChange, FleetTable},
+    fleet::{EngineEstimate, FleetChange, FleetTable, LimitReport},
+    permit::{PermitReply, PermitRequest},
     roster::{HeartbeatTarget, HostInfo, HostTag, PeerChange, PeerRole, STANDBY_POLL_PERIOD},
     time::Time,
     work::WorkUpdate,
@@ -33,6 +34,11 @@
 
 /// Server changes in one response to a standby host.
 const SERVERS_PER_RESPONSE: usize = 12;
+/// Request limits in one datagram. While more change at once, the others reach the peers by their
+/// own requests.
+const LIMITS_PER_DATAGRAM: usize = 8;
+/// Request limits that a host is sent when it joins.
+const LIMITS_FOR_NEW_PEER: usize = 40;
 
 /// Datagram between two hosts.
 #[message]
@@ -77,6 +83,12 @@
         /// Digest of the sender's list of servers.
         servers_digest: u64,
     },
+    /// What servers named as their request limits.
+    LimitReports(Vec<LimitReport>),
+    /// Request for permits to the issuer of a limited server.
+    PermitRequest { reply_to: SocketAddr, request: PermitRequest },
+    /// Reply of the issuer.
+    PermitReply(PermitReply),
 }
 
 /// Binds the socket and starts the tasks that send and receive.
@@ -94,6 +106,14 @@
             send_work_delta(&sending, &to);
         }
     });
+    let (requesting, to) = (gateway.clone(), socket.clone());
+    gateway.spawn(async move {
+        while let Ok((target, request)) = requesting.permit_requests.1.recv().await {
+            let reply_to = requesting.settings.host_info.heartbeat_address;
+            let datagram = PeerDatagram::PermitRequest { reply_to, request };
+            send(&requesting, &to, target, &encode(&datagram));
+        }
+    });
     let (heartbeat, to) = (gateway.clone(), socket);
     gateway.spawn(async move {
         let mut last_role = "";
@@ -203,7 +223,9 @@
     let (targets, states) = {
         let state = &mut *gateway.state.borrow_mut();
         let targets = state.roster.heartbeat_targets(now, &state.host_info);
-        (targets, state_datagrams(state, now))
+        let mut states = state_datagrams(state, now);
+        states.extend(limit_datagram(state, now, false));
+        (targets, states)
     };
     for target in targets {
         send_heartbeat(gateway, socket, &target);
@@ -253,10 +275,17 @@
     std::iter::once(first).chain(rest).map(|datagram| encode(&datagram)).collect()
 }
 
+/// What servers named as their request limits; `None` if there is nothing to report.
+fn limit_datagram(state: &GatewayState, now: Time, is_new_peer: bool) -> Option<Vec<u8>> {
+    let count = if is_new_peer { LIMITS_FOR_NEW_PEER } else { LIMITS_PER_DATAGRAM };
+    let reports = state.dispatcher.fleet.limit_reports(now, count, is_new_peer);
+    (!reports.is_empty()).then(|| encode(&PeerDatagram::LimitReports(reports)))
+}
+
 /// Polls members on behalf of this standby host.
 fn poll_members(gateway: &Gateway, socket: &Async<UdpSocket>) {
     let now = clock::now();
-    let (targets, datagram) = {
+    let (targets, datagram, limits) = {
         let state = &mut *gateway.state.borrow_mut();
         let targets = state.roster.poll_targets(now, &mut state.rng);
         let datagram = PeerDatagram::SyncRequest {
@@ -266,9 +295,12 @@
             members_digest: state.roster.members_digest(),
             servers_revision: state.dispatcher.fleet.newest_revision(),
         };
-        (targets, encode(&datagram))
+        (targets, encode(&datagram), limit_datagram(state, now, false))
     };
-    targets.iter().for_each(|target| send(gateway, socket, *target, &datagram));
+    for target in targets {
+        send(gateway, socket, target, &datagram);
+        limits.iter().for_each(|bytes| send(gateway, socket, target, bytes));
+    }
 }
 
 fn encode(datagram: &PeerDatagram) -> Vec<u8> {
@@ -339,7 +371,18 @@
             let response =
                 sync_response(gateway, incarnation, clock, members_digest, servers_revision);
             send(gateway, socket, reply_to, &encode(&response));
+            // A host without a member list has just started.
+            let limits = limit_datagram(&gateway.state.borrow(), clock::now(), members_digest == 0);
+            limits.iter().for_each(|bytes| send(gateway, socket, reply_to, bytes));
+        }
+        PeerDatagram::LimitReports(reports) => {
+            gateway.dispatch(DispatchInput::LimitsReported(reports));
+        }
+        PeerDatagram::PermitRequest { reply_to, request } => {
+            let reply = PeerDatagram::PermitReply(gateway.issue_permits(&request));
+            send(gateway, socket, reply_to, &encode(&reply));
         }
+        PeerDatagram::PermitReply(reply) => gateway.receive_permits(reply),
         PeerDatagram::SyncResponse { evidence, members, servers, servers_digest } => {
             let now = clock::now();
             apply_server_changes(gateway, servers);
@@ -451,7 +494,12 @@
             socket,
             &HeartbeatTarget { tag, address: host_info.heartbeat_address, role },
         );
-        let states = state_datagrams(&gateway.state.borrow(), now);
+        let states = {
+            let state = gateway.state.borrow();
+            let mut states = state_datagrams(&state, now);
+            states.extend(limit_datagram(&state, now, true));
+            states
+        };
         states.iter().for_each(|bytes| send(gateway, socket, host_info.heartbeat_address, bytes));
     }
 }
--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -302,8 +302,10 @@
 
     /// Whether a usable server is left that was not tried.
     pub fn has_other_server(&self, tried: &[EngineTag]) -> bool {
-        let fleet = &self.gateway.state.borrow().dispatcher.fleet;
-        fleet.usable(clock::now(), &self.service).any(|(tag, _)| !tried.contains(&tag))
+        let now = clock::now();
+        let dispatcher = &self.gateway.state.borrow().dispatcher;
+        let mut usable = dispatcher.fleet.usable(now, &self.service);
+        usable.any(|(tag, _)| !tried.contains(&tag) && dispatcher.is_open(now, tag))
     }
 
     fn work_demand(&self) -> WorkDemand {
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -54,6 +54,9 @@
     pub live_hosts: IntGauge,
     /// Backend servers that may get work.
     pub usable_servers: IntGauge,
+    /// Permits for limited servers by what happened: issued to other hosts or this one, received,
+    /// denied, or requested from a substitute.
+    pub permits: IntCounterVec,
     /// Backend servers that limit the rate of requests.
     pub limited_servers: IntGauge,
     /// Retries left in the budgets of all services.
@@ -88,6 +91,12 @@
                 "Notices of servers about themselves.",
                 &["kind"],
             ),
+            permits: counters(
+                &registry,
+                "gateway_permits_total",
+                "Permits for servers that limit the rate of requests.",
+                &["event"],
+            ),
             held_back: register(
                 &registry,
                 IntCounter::new(
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -26,6 +26,7 @@
     },
     evidence::{ConfigTrust, EvidenceKeeper, EvidenceLimits},
     fleet::{EngineTag, EngineVerdict, LimitNotice, RequestRate, ServerNotice},
+    permit::{PermitIssuer, PermitReply, PermitRequest},
     refusal::{Reason, Refusal},
     retry::{RetryBudget, RetryLimit},
     roster::{HostInfo, HostTag, PeerRoster, SETTLE_TIME},
@@ -72,6 +73,9 @@
 /// Interval at which idle connections are closed and gauges updated.
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
 
+/// Requests for permits that may wait to be sent.
+const MAX_PERMIT_REQUESTS: usize = 64;
+
 /// Settings of a gateway.
 #[value]
 pub struct GatewaySettings {
@@ -95,6 +99,9 @@
     reason: PlacementReason,
 }
 
+/// Request for permits and the address of their issuer.
+type IssuerRequest = (SocketAddr, PermitRequest);
+
 /// Mutable state of a gateway.
 struct GatewayState {
     dispatcher: Dispatcher,
@@ -111,6 +118,8 @@
     drain_end: Option<Time>,
     /// Whether the store fails to answer for the configuration, and for discovery.
     store_lost: (bool, bool),
+    /// Issues the permits for limited servers that fall to this host.
+    permit_issuer: PermitIssuer,
     /// Since when the server list of a peer with store access differs from this host's.
     digest_mismatch_since: Option<Time>,
     /// Server changes to send to peers.
@@ -160,6 +169,8 @@
     work_changed: (Sender<()>, Receiver<()>),
     /// Wakes the tick task when the first request starts to wait.
     wait_started: (Sender<()>, Receiver<()>),
+    /// Requests for permits to other hosts. When the channel is full, further ones count as lost.
+    permit_requests: (Sender<IssuerRequest>, Receiver<IssuerRequest>),
     /// Wakes the driver when a peer reports a newer configuration.
     newer_config: (Sender<()>, Receiver<()>),
     /// Closed when the host stops accepting connections.
@@ -192,6 +203,7 @@
             next_number: 0,
             drain_end: None,
             store_lost: (false, false),
+            permit_issuer: PermitIssuer::default(),
             digest_mismatch_since: None,
             pending_server_changes: Vec::new(),
             peer_clocks: BTreeMap::new(),
@@ -213,6 +225,7 @@
             buffered_bytes: Cell::new(0),
             work_changed: async_channel::bounded(1),
             wait_started: async_channel::bounded(1),
+            permit_requests: async_channel::bounded(MAX_PERMIT_REQUESTS),
             newer_config: async_channel::bounded(1),
             closing: (RefCell::new(Some(closing)), closed),
         })
@@ -334,11 +347,15 @@
                     Placement { engine, helpers, first_event_timeout, gap_timeout, reason };
                 self.resolve_waiter(number, Ok(placement));
             }
-            DispatchOutput::Refuse { number, reason, retry_after } => {
-                let refusal = Refusal::not_run(reason, "no server can serve this in time")
-                    .retry_after(retry_after);
+            DispatchOutput::Refuse { number, reason, retry_after, is_limited } => {
+                let detail = match is_limited {
+                    true => "the request limits of the servers leave no room in time",
+                    false => "no server can serve this in time",
+                };
+                let refusal = Refusal::not_run(reason, detail).retry_after(retry_after);
                 self.resolve_waiter(number, Err(refusal));
             }
+            DispatchOutput::RequestPermits(request) => self.request_permits(request),
             DispatchOutput::ServerLeaving(tag) => {
                 self.connections.remove_all(tag);
                 self.metrics.notices.with_label_values(&["leaving"]).inc();
@@ -367,6 +384,47 @@
         }
     }
 
+    /// Requests permits from their issuer, which may be this host.
+    fn request_permits(self: &Rc<Self>, request: PermitRequest) {
+        if request.to_substitute {
+            self.metrics.permits.with_label_values(&["substitute"]).inc();
+        }
+        let target = {
+            let state = self.state.borrow();
+            let (server, is_substitute) = (request.server, request.to_substitute);
+            state.roster.permit_issuer(clock::now(), &state.host_info, server, is_substitute)
+        };
+        match target {
+            Some((tag, _)) if tag == self.settings.host_info.tag() => {
+                let reply = self.issue_permits(&request);
+                self.receive_permits(reply);
+            }
+            Some((_, address)) => {
+                // Fails only if the channel is full: the request counts as lost and is repeated.
+                let _ = self.permit_requests.0.try_send((address, request));
+            }
+            None => {}
+        }
+    }
+
+    /// Issues permits on behalf of a limited server.
+    fn issue_permits(&self, request: &PermitRequest) -> PermitReply {
+        let now = clock::now();
+        let state = &mut *self.state.borrow_mut();
+        let reply = state.permit_issuer.issue(now, request, state.roster.live_share(now));
+        self.metrics.permits.with_label_values(&["issued"]).inc_by(reply.issued.into());
+        reply
+    }
+
+    fn receive_permits(self: &Rc<Self>, reply: PermitReply) {
+        let received = self.metrics.permits.with_label_values(&["received"]);
+        received.inc_by(reply.issued.into());
+        if reply.issued == 0 {
+            self.metrics.permits.with_label_values(&["denied"]).inc();
+        }
+        self.dispatch(DispatchInput::PermitsIssued(reply));
+    }
+
     fn log_limit(&self, engine: EngineTag, rate: Option<RequestRate>, is_reported: bool) {
         let kind = if rate.is_some() { "limit" } else { "limit_end" };
         self.metrics.notices.with_label_values(&[kind]).inc();
