--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::fleet::EngineTag;
 
 fn info(name: &str, port: u16, incarnation: u64, is_ready: bool) -> HostInfo {
     HostInfo {
@@ -120,3 +121,46 @@
     roster.reset_unanswered();
     assert_eq!(roster.poll_targets(at(2_800), &mut rng).len(), 1);
 }
+
+/// Guards against hosts that ask different members for the permits of a server, and against an
+/// issuer that all servers share.
+#[test]
+fn all_hosts_draw_the_same_issuers() {
+    let infos: Vec<_> = (0..9).map(|port| info(&format!("host-{port}"), port, 1, true)).collect();
+    let mut drawn = BTreeMap::<_, u32>::new();
+    for server in 0..200 {
+        let server = EngineTag::from_id(&format!("i-{server}"));
+        let issuers = |me: &HostInfo, is_substitute| {
+            let mut roster = PeerRoster::default();
+            roster.set_listed();
+            for peer in infos.iter().filter(|peer| peer.name != me.name) {
+                roster.record_heartbeat(at(0), peer.clone());
+            }
+            roster.permit_issuer(at(100), me, server, is_substitute).unwrap()
+        };
+        let (issuer, substitute) = (issuers(&infos[0], false), issuers(&infos[0], true));
+        assert_ne!(issuer, substitute);
+        assert!(infos.iter().all(|me| issuers(me, false) == issuer));
+        assert!(infos.iter().all(|me| issuers(me, true) == substitute));
+        *drawn.entry(issuer).or_default() += 1;
+    }
+    assert!(drawn.len() == 9 && drawn.values().all(|count| *count <= 50), "{drawn:?}");
+}
+
+/// Guards against two sides of a partition that each issue a server's whole limit.
+#[test]
+fn shares_of_a_partition_add_up_to_one() {
+    let mut roster = PeerRoster::default();
+    for port in 2..=9 {
+        roster.record_heartbeat(at(0), info(&format!("host-{port}"), port, 1, true));
+    }
+    assert_eq!(roster.live_share(at(100)), 1.0);
+    for port in 2..=3 {
+        roster.record_heartbeat(at(5_000), info(&format!("host-{port}"), port, 1, true));
+    }
+    assert_eq!(roster.live_share(at(5_100)), 3.0 / 9.0, "with this host");
+    roster.purge_silent(at(60_100));
+    roster.record_heartbeat(at(60_100), info("host-2", 2, 1, true));
+    roster.record_heartbeat(at(60_100), info("host-3", 3, 1, true));
+    assert_eq!(roster.live_share(at(60_200)), 1.0, "the others are gone for good");
+}
