Search each byte of an event once

Callers of a server that sends an event without end were held until after their deadline (endless_event_is_ended, 4.12 to 4.27 s beside load, bound 4), and the host spent seconds of processor time on it.

Cause: the splitter searched its whole buffer anew with each piece, which is quadratic in the event's length. Ruled out: a slow server; the trial has none.

--- a/crates/node/src/gateway/body.rs
+++ b/crates/node/src/gateway/body.rs
@@ -142,6 +142,8 @@
 #[derive(Default)]
 pub struct EventSplitter {
     pending: Vec<u8>,
+    /// Length of the prefix of `pending` in which no event ends.
+    searched: usize,
 }
 
 /// Complete server-sent event.
@@ -158,18 +160,27 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<StreamEvent>, NodeError> {
         self.pending.extend_from_slice(bytes);
         let mut events = Vec::new();
-        while let Some(end) = event_end(&self.pending) {
-            let rest = self.pending.split_off(end);
+        while let Some(end) = event_end(&self.pending[self.searched..]) {
+            let rest = self.pending.split_off(self.searched + end);
             let event = std::mem::replace(&mut self.pending, rest);
+            self.searched = 0;
             let id = event_id(&event);
             events.push(StreamEvent { bytes: event.into(), id });
         }
+        // The last three bytes may begin the longest line ending, which has four.
+        self.searched = self.pending.len().saturating_sub(3);
         if self.pending.len() > MAX_EVENT_BYTES {
             return Err(NodeError::Protocol("an event is too long"));
         }
         Ok(events)
     }
 
+    /// Length of the buffered prefix that is not searched again.
+    #[cfg(test)]
+    pub fn searched(&self) -> usize {
+        self.searched
+    }
+
     /// Whether bytes of an incomplete event are buffered.
     pub fn has_partial_event(&self) -> bool {
         !self.pending.is_empty()
--- a/crates/node/src/gateway/tests.rs
+++ b/crates/node/src/gateway/tests.rs
@@ -52,3 +52,20 @@
     assert_eq!(budget.take_dropped(), 1_000 - written as u64);
     assert!(budget.may_write(now + Duration::from_secs(1), false));
 }
+
+/// Guards against a search that starts anew with each piece of an event, which took seconds for an
+/// event without end.
+#[test]
+fn bytes_of_an_event_are_searched_once() {
+    let mut splitter = EventSplitter::default();
+    for length in 1..=10_000 {
+        assert!(splitter.push(b"y").unwrap().is_empty());
+        assert!(splitter.searched() + 4 > length, "{} of {length}", splitter.searched());
+    }
+    assert_eq!(splitter.push(b"\r\n\r").unwrap(), []);
+    let events = splitter.push(b"\nid: 7\n\nid").unwrap();
+    assert_eq!(events.len(), 2);
+    assert_eq!((events[0].bytes.len(), events[1].id), (10_004, Some(7)));
+    assert_eq!(splitter.push(b": 8\n").unwrap(), []);
+    assert_eq!(splitter.push(b"\n").unwrap()[0].id, Some(8));
+}
