Refuse a request that was tried on every server

Callers whose request had failed on each server of a service were held until their deadline, though nothing could serve them: an event without end held its caller for 3 s.

Cause: the dispatcher counted all usable servers when it decided whether to wait, the ones that the request may not go to again included. Ruled out: the retry budget, which is asked after the placement.

Change: only servers that the request may go to count. A request without any waits 0.5 s from its arrival, as when a service has no server, in which one may register.

Before: request_that_was_tried_on_every_server_is_refused: no output until the deadline.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -536,7 +536,8 @@
         let limit = work.map_or(entry.arrived + Duration::from_secs(60), |work| work.deadline);
         let first_ms = choice.map_or(prefill_ms, |choice| choice.forecast.first_event_ms);
         let has_time = now + Duration::from_secs_f64(first_ms / 1e3) < limit;
-        let engines = self.fleet.usable(now, service).count();
+        let is_candidate = |(tag, _): &(EngineTag, _)| !excluded.contains(tag);
+        let engines = self.fleet.usable(now, service).filter(is_candidate).count();
         if engines == 0
             && let Some(pause_end) = self.fleet.next_pause_end(now, service, excluded)
         {
@@ -558,7 +559,7 @@
             };
         }
         // A limited server can only be the first of the engines that share a prompt.
-        let unlimited = self.unlimited(now, service).count();
+        let unlimited = self.unlimited(now, service).filter(is_candidate).count();
         let shared = if unlimited < engines { unlimited + 1 } else { unlimited };
         if model.is_some_and(|model| memory_parts(model, &entry.demand) > shared.min(MAX_PARTS)) {
             return PlacementDecision::Refuse;
--- a/crates/core/src/dispatch/tests.rs
+++ b/crates/core/src/dispatch/tests.rs
@@ -524,3 +524,30 @@
     let numbers: Vec<_> = next.iter().map(|(number, _, _)| *number).collect();
     assert_eq!(numbers, [3, 4, 1]);
 }
+
+fn submit_plain(number: u32, deadline: Time, excluded: Vec<EngineTag>) -> DispatchInput {
+    DispatchInput::Submit {
+        number: WorkNumber(number),
+        service: PLAIN.into(),
+        demand: demand(PLAIN, 0, 0, 300, 0, 1),
+        arrived: at(0),
+        deadline,
+        excluded,
+    }
+}
+
+fn is_refused(outputs: &[DispatchOutput]) -> bool {
+    matches!(outputs, [DispatchOutput::Refuse { .. }])
+}
+
+/// Guards against holding a request until its deadline although it was tried on every server.
+#[test]
+fn request_that_was_tried_on_every_server_is_refused() {
+    let mut dispatcher = dispatcher(0, 2);
+    let tried = (0..2).map(|index| entry(index, PLAIN).tag()).collect();
+    let mut outputs = dispatcher.step(at(0), submit_plain(1, at(10_000), tried));
+    for millis in (20..=MIN_RETRY_AFTER.as_millis() as u64).step_by(20) {
+        outputs.extend(dispatcher.step(at(millis), DispatchInput::Tick));
+    }
+    assert!(is_refused(&outputs), "{outputs:?}");
+}
