Refuse at once what a pause or permit would serve too late

Callers with little time got 504 in place of a refusal with a time to return (504 for 503 in server_is_asked_nothing_in_the_pause_that_it_named, twice in 11 runs beside builds).

Cause: a request waited for servers that pause, or for a permit, if these came any time before its deadline, even a moment, in which no answer fits. Ruled out: a slow machine alone, as virtual time shows the same.

Change: the opening must leave the lead that other decisions leave, 150 ms.

Before: request_is_refused_at_once_if_all_servers_open_just_before_its_deadline: no output.

--- a/crates/core/src/dispatch/limited.rs
+++ b/crates/core/src/dispatch/limited.rs
@@ -7,7 +7,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::{DispatchOutput, Dispatcher, choose::PlacementChoice, refusal::MIN_RETRY_AFTER};
+use super::{
+    DECISION_LEAD, DispatchOutput, Dispatcher, choose::PlacementChoice, refusal::MIN_RETRY_AFTER,
+};
 use crate::{
     fleet::{EngineRecord, EngineTag, RequestRate, hash_name},
     permit::{PermitReply, PermitRequest, PermitState, REPLY_TIMEOUT},
@@ -169,7 +171,7 @@
         let prefill = Duration::from_secs_f64(self.prefill_ms(&entry.demand) / 1e3);
         let target = Duration::from_millis(entry.demand.first_event_target_ms.into());
         let latest = entry.arrived + target.saturating_sub(prefill).max(REPLY_TIMEOUT);
-        opening.max(now) <= latest && opening + prefill < limit
+        opening.max(now) <= latest && opening + prefill + DECISION_LEAD < limit
     }
 
     /// Returns the time after which a caller that found only limited servers should return. Callers
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -541,9 +541,9 @@
         if engines == 0
             && let Some(pause_end) = self.fleet.next_pause_end(now, service, excluded)
         {
-            // All servers are paused: waits if the first pause ends early enough.
+            // All servers are paused: waits if the first pause ends early enough to be answered.
             let queued = Duration::from_secs_f64((queue_delay_ms + prefill_ms) / 1e3);
-            return if pause_end + queued < limit {
+            return if pause_end + queued + DECISION_LEAD < limit {
                 PlacementDecision::Wait
             } else {
                 PlacementDecision::Refuse
--- a/crates/core/src/dispatch/tests.rs
+++ b/crates/core/src/dispatch/tests.rs
@@ -551,3 +551,16 @@
     }
     assert!(is_refused(&outputs), "{outputs:?}");
 }
+
+/// Guards against holding a request for a server that opens too late to answer it: the caller then
+/// gets a time-out in place of a refusal.
+#[test]
+fn request_is_refused_at_once_if_all_servers_open_just_before_its_deadline() {
+    let mut dispatcher = dispatcher(0, 2);
+    pause_all(&mut dispatcher, PLAIN, 2, 1_000);
+    let opening = dispatcher.fleet.next_pause_end(at(0), PLAIN, &[]).unwrap();
+    let outputs = dispatcher.step(at(0), submit_plain(1, opening + TICK_PERIOD, Vec::new()));
+    assert!(is_refused(&outputs), "{outputs:?}");
+    let in_time = opening + Duration::from_millis(500);
+    assert_eq!(dispatcher.step(at(0), submit_plain(2, in_time, Vec::new())), []);
+}
