End an answer that consists of framing only

Cause: only bytes of the body counted against a limit, and such an answer has none, so nothing but the deadline ended it while the host read at full speed. Ruled out: the connection's own buffer limit, which the digits of a chunk size do not fill.

Change: the bytes on the wire are compared with those of the body every 50 ms; more than eight for each, and 256 KB, end the answer.

--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -331,8 +331,10 @@
         may_keep: bool,
     ) -> (EngineVerdict, AttemptEnd) {
         let (parts, body) = response.into_parts();
+        let received_bytes = connection.received_bytes();
         let received = {
-            let mut receiving = pin!(receive_body(&self.exchange.gateway, body));
+            let gateway = &self.exchange.gateway;
+            let mut receiving = pin!(receive_body(gateway, body, &received_bytes));
             match with_timeout(self.next_timeout(None), receiving.as_mut()).await {
                 None if !self.permit.acquire() => {
                     with_timeout(self.exchange.time_left(), receiving).await
--- a/crates/node/src/gateway/link.rs
+++ b/crates/node/src/gateway/link.rs
@@ -1,6 +1,13 @@
 //! HTTP connections to backend servers and to the store, and the pool of idle ones.
 
-use std::{cell::RefCell, collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use async_executor::{LocalExecutor, Task};
 use async_net::TcpStream;
@@ -50,6 +57,8 @@
 /// Open HTTP connection.
 pub struct ServerConnection {
     sender: SendRequest<Full<Bytes>>,
+    /// Bytes received so far.
+    received: Rc<Cell<u64>>,
     _connection: Task<()>,
     idle_since: Time,
     idle_limit: Duration,
@@ -79,9 +88,11 @@
         let stream = connect.or(limit).await?;
         stream.set_nodelay(true)?;
         enable_keepalive(&stream)?;
+        let stream = YieldingStream::new(stream);
+        let received = stream.received_bytes();
         let (sender, connection) = Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(FuturesIo::new(YieldingStream::new(stream)))
+            .handshake(FuturesIo::new(stream))
             .await
             .map_err(|err| NodeError::Http(err.to_string().into()))?;
         let connection = executor.spawn(async move {
@@ -90,6 +101,7 @@
         });
         Ok(ServerConnection {
             sender,
+            received,
             _connection: connection,
             idle_since: clock::now(),
             idle_limit: DEFAULT_IDLE_LIMIT,
@@ -110,6 +122,11 @@
         })
     }
 
+    /// Counter of the bytes received.
+    pub fn received_bytes(&self) -> Rc<Cell<u64>> {
+        self.received.clone()
+    }
+
     /// Whether it can carry a request now.
     pub fn is_open(&self) -> bool {
         self.sender.is_ready() && !self.sender.is_closed()
--- a/crates/node/src/gateway/receive.rs
+++ b/crates/node/src/gateway/receive.rs
@@ -1,8 +1,10 @@
 //! Receives response bodies that are not streams, within memory limits. A faulty server may send
 //! without end, and many may do so at once.
 
-use std::sync::Arc;
+use std::{cell::Cell, sync::Arc, time::Duration};
 
+use async_io::Timer;
+use futures_lite::FutureExt;
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
 
@@ -16,6 +18,13 @@
 /// of healthy servers.
 const GUARANTEED_BYTES: usize = 64 << 10;
 
+/// Bytes on the wire for each byte of a body, at most: a chunk of one byte takes six.
+const MAX_FRAMING_RATIO: u64 = 8;
+/// Bytes on the wire that a response may always take.
+const FRAMING_ALLOWANCE: u64 = 256 << 10;
+/// Interval at which the bytes on the wire are compared with those of the body.
+const FRAMING_CHECK_PERIOD: Duration = Duration::from_millis(50);
+
 /// Bytes buffered for one response; subtracted from the total when dropped.
 struct BufferedBytes<'a> {
     gateway: &'a Gateway,
@@ -42,11 +51,29 @@
     }
 }
 
-/// Receives a body. Errs if it exceeds the limit of one response or of all together.
-pub async fn receive_body(gateway: &Gateway, mut body: Incoming) -> Result<Bytes, Arc<str>> {
+/// Receives a body from a connection with the given counter of received bytes. Errs if the body
+/// exceeds the limit of one response or of all together, or consists almost only of framing.
+pub async fn receive_body(
+    gateway: &Gateway,
+    mut body: Incoming,
+    received: &Cell<u64>,
+) -> Result<Bytes, Arc<str>> {
     let mut buffered = BufferedBytes { gateway, length: 0 };
     let mut bytes = Vec::new();
-    while let Some(frame) = body.frame().await {
+    let start = received.get();
+    loop {
+        let limit = start + bytes.len() as u64 * MAX_FRAMING_RATIO + FRAMING_ALLOWANCE;
+        let next = async { Some(body.frame().await) };
+        let exceeded = async {
+            while received.get() <= limit {
+                Timer::after(FRAMING_CHECK_PERIOD).await;
+            }
+            None
+        };
+        let Some(frame) = next.or(exceeded).await else {
+            return Err("the answer is framed without end".into());
+        };
+        let Some(frame) = frame else { break };
         let frame = frame.map_err(|err| Arc::from(err.to_string()))?;
         let Some(data) = frame.data_ref() else { continue };
         if !buffered.try_add(data.len()) {
