Stop accepting connections well within the grace time

Callers of a deployment with a short grace time would be cut off in every planned stop: the host kept its listener for 2.5 s whatever the grace time and was killed.

Ruled out: the wait for open requests, which ends in time.

Change: the listener stays for the lifetime of a resolved address and 0.5 s, at most 0.4 of the time for draining. Nothing changes at the 8 s of all deployments so far.

--- a/crates/node/src/gateway/drain.rs
+++ b/crates/node/src/gateway/drain.rs
@@ -3,15 +3,18 @@
 use std::{rc::Rc, time::Duration};
 
 use async_io::Timer;
+use parsley_core::roster::ADDRESS_LIFETIME;
 
 use super::{Gateway, beats, clock};
 use crate::event;
 
 /// Share of the grace time after which requests that are still open are abandoned.
 const DRAIN_SHARE: f64 = 0.93;
-/// Time for which connections are still accepted and kept open after draining begins: callers may
-/// use a resolved address until its lifetime ends.
-const LINGER_TIME: Duration = Duration::from_millis(2_500);
+/// Time after the lifetime of a resolved address for which connections are still accepted.
+const LINGER_MARGIN: Duration = Duration::from_millis(500);
+/// Share of the time for draining after which no more connections are accepted, so that accepted
+/// requests can be finished.
+const MAX_LINGER_SHARE: f64 = 0.4;
 /// Interval of the checks for open work.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -28,7 +31,10 @@
         beats::broadcast_state(self);
         event!(self.log, GATEWAY_DRAINING, "open" => self.open_requests.get(),
             "grace_ms" => self.settings.grace.as_millis() as u64);
-        let linger = start + LINGER_TIME;
+        // Callers may use a resolved address until its lifetime ends.
+        let drain_time = end.since(start);
+        let linger =
+            start + (ADDRESS_LIFETIME + LINGER_MARGIN).min(drain_time.mul_f64(MAX_LINGER_SHARE));
         while clock::now() < linger {
             Timer::after(DRAIN_POLL_PERIOD).await;
         }
