Derive the term of reservations from the deployment

Deployments that call unused memory leaked earlier than after 4 s would see LEAK whenever a host died, or have every reservation refused that exceeds their longest term.

Ruled out: the release at a request's end, which does not wait.

Before: reservation_ends_before_unused_memory_counts_as_leaked, free_ms 2000, hold_max_ms 1500: 3200.

--- a/crates/node/src/gateway/memory.rs
+++ b/crates/node/src/gateway/memory.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
 use parsley_core::fleet::EngineTag;
+use parsley_macros::value;
 
 use super::{
     GatewayRef, Placement, clock,
@@ -21,13 +22,30 @@
 };
 use crate::event;
 
-/// Term of a reservation; it ends before the operators count unused memory as leaked.
-const RESERVATION_TERM: Duration = Duration::from_millis(3_200);
-/// Interval of renewals.
-const RENEW_PERIOD: Duration = Duration::from_millis(1_000);
+/// Share of the limits on reservations that a term takes.
+const TERM_SHARE: f64 = 0.8;
+/// Renewals in one term, of which all but one may get lost.
+const RENEWALS_PER_TERM: u32 = 3;
 /// Timeout of a reservation request.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Limits of a deployment on memory reservations.
+#[value]
+#[derive(Copy)]
+pub struct ReservationLimits {
+    /// Time after which memory that no request uses counts as leaked.
+    pub release_limit: Duration,
+    /// Longest term that engines accept.
+    pub longest_term: Duration,
+}
+
+impl ReservationLimits {
+    /// Returns the term of a reservation, after which engines release it unless it is renewed.
+    fn term(&self) -> Duration {
+        self.release_limit.min(self.longest_term).mul_f64(TERM_SHARE)
+    }
+}
+
 /// Guard of the memory reserved for one request; dropping it releases the memory.
 pub struct MemoryReservation {
     /// Name of the reservation, the same on every engine.
@@ -56,12 +74,12 @@
     if targets.is_empty() {
         return Ok(MemoryReservation { name, _done: None });
     }
+    let term = gateway.settings.reservation.term();
     let (done, ended) = async_channel::bounded(1);
     gateway.spawn(renew_until_done(gateway.clone(), name.clone(), targets.clone(), ended));
     let guard = MemoryReservation { name: name.clone(), _done: Some(done) };
     for (tag, address, tokens) in targets {
-        let reservation =
-            ReservationRequest { name: name.clone(), tokens: Some(tokens), term: RESERVATION_TERM };
+        let reservation = ReservationRequest { name: name.clone(), tokens: Some(tokens), term };
         let status = send_reservation(gateway, tag, address, &reservation).await;
         if status != Ok(StatusCode::OK) {
             log_failure(gateway, tag, &name, status);
@@ -87,9 +105,10 @@
     targets: Vec<(EngineTag, SocketAddr, u32)>,
     ended: Receiver<()>,
 ) {
+    let term = gateway.settings.reservation.term();
     loop {
         let due = async {
-            Timer::after(RENEW_PERIOD).await;
+            Timer::after(term / RENEWALS_PER_TERM).await;
             false
         };
         let done = async {
@@ -100,8 +119,7 @@
         let is_done = done.or(due).await;
         for (tag, address, tokens) in &targets {
             let tokens = (!is_done).then_some(*tokens);
-            let reservation =
-                ReservationRequest { name: name.clone(), tokens, term: RESERVATION_TERM };
+            let reservation = ReservationRequest { name: name.clone(), tokens, term };
             let status = send_reservation(&gateway, *tag, *address, &reservation).await;
             if status != Ok(StatusCode::OK) {
                 log_failure(&gateway, *tag, &name, status);
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -60,6 +60,7 @@
 pub use edge::WireCodec;
 pub use feed::ServerChange;
 pub use listener::{serve_pages, with_timeout};
+pub use memory::ReservationLimits;
 pub use metrics::GatewayMetrics;
 
 use edge::ResponseInfo;
@@ -87,6 +88,8 @@
     pub grace: Duration,
     /// Retry limit over all hosts.
     pub retry: RetryLimit,
+    /// Limits on memory reservations.
+    pub reservation: ReservationLimits,
 }
 
 /// Server chosen for a request.
