--- a/crates/core/src/dispatch/load_tests.rs
+++ b/crates/core/src/dispatch/load_tests.rs
@@ -1,7 +1,11 @@
 //! Overload simulations in virtual time: which requests are on time, wait or are refused.
 
 use super::{tests::*, *};
-use crate::work::AccountTag;
+use crate::{
+    fleet::{LimitNotice, RequestRate, ServerNotice},
+    permit::PermitIssuer,
+    work::AccountTag,
+};
 
 /// A simulated fleet whose engines behave exactly as the latency model says.
 struct LoadRun {
@@ -10,6 +14,11 @@
     open: BTreeMap<u32, (u64, WorkDemand)>,
     engines: BTreeMap<u32, EngineTag>,
     free_at: BTreeMap<EngineTag, u64>,
+    /// Limits that engines name.
+    limits: BTreeMap<EngineTag, RequestRate>,
+    issuer: PermitIssuer,
+    /// Requests sent to limited engines.
+    limited_sends: usize,
     /// Demand, arrival and time to the first event of each started response.
     started: Vec<(WorkDemand, u64, u64)>,
     /// Demand, arrival and time until the refusal of each refused request.
@@ -24,6 +33,9 @@
             open: BTreeMap::new(),
             engines: BTreeMap::new(),
             free_at: BTreeMap::new(),
+            limits: BTreeMap::new(),
+            issuer: PermitIssuer::default(),
+            limited_sends: 0,
             started: Vec::new(),
             refused: Vec::new(),
         }
@@ -56,6 +68,46 @@
             };
             let outputs = self.dispatcher.step(at(now), input);
             self.carry_out(now, outputs);
+            if !is_started {
+                self.name_limit(now, self.engines[&number]);
+            }
+        }
+    }
+
+    /// The response of an engine names its limit, if it has one.
+    fn name_limit(&mut self, now: u64, engine: EngineTag) {
+        let Some(rate) = self.limits.get(&engine) else { return };
+        let notice = ServerNotice { limit: LimitNotice::Rate(*rate), ..ServerNotice::default() };
+        let input = DispatchInput::NoticeReceived { engine, sent: at(now), notice };
+        let outputs = self.dispatcher.step(at(now), input);
+        self.carry_out(now, outputs);
+    }
+
+    /// Removes engines from discovery.
+    fn remove(&mut self, engines: &[EngineTag]) {
+        for tag in engines {
+            let input = DispatchInput::ServerRemoved { tag: *tag, revision: 9 };
+            self.dispatcher.step(at(0), input);
+        }
+    }
+
+    /// A steady load of short prompts with some medium and long ones.
+    fn run_mix(&mut self, until_ms: u64) {
+        for now in (0..until_ms + 5_000).step_by(10) {
+            if now < until_ms && now % 30 == 0 {
+                self.submit(now, of_account(1, short()), 10_000);
+            }
+            if now < until_ms && now % 450 == 0 {
+                self.submit(
+                    now,
+                    of_account(2, demand(SERVICE, 45_000, 1_000, 1_500, 500, 1)),
+                    10_000,
+                );
+            }
+            if now < until_ms && now % 1_080 == 0 {
+                self.submit(now, of_account(3, long(210_000)), 15_000);
+            }
+            self.tick(now);
         }
     }
 
@@ -73,6 +125,13 @@
                     self.free_at.extend(engines.into_iter().map(|engine| (engine, done)));
                     self.events.insert((done, number.0), false);
                     self.engines.insert(number.0, engine);
+                    self.limited_sends += usize::from(self.limits.contains_key(&engine));
+                }
+                DispatchOutput::RequestPermits(request) => {
+                    let reply = self.issuer.issue(at(now), &request, 1.0);
+                    let input = DispatchInput::PermitsIssued(reply);
+                    let outputs = self.dispatcher.step(at(now), input);
+                    self.carry_out(now, outputs);
                 }
                 DispatchOutput::Refuse { number, .. } => {
                     let (arrived, demand) = self.open[&number.0].clone();
@@ -262,3 +321,37 @@
     let median = refused_after[refused_after.len() / 2];
     assert!(median <= 6_000, "half of the refusals come after {median} ms");
 }
+
+/// Guards against limited engines that harm more than their absence would, or that stay unused
+/// while the others cannot serve all requests.
+#[test]
+fn limited_engines_are_better_than_none() {
+    const SECONDS: u64 = 20;
+    for (limited, rate) in [(4, 1.3), (8, 1.3), (12, 1.0)] {
+        let run = |is_absent: bool| {
+            let mut run = LoadRun::new(14);
+            let tags: Vec<_> = run.dispatcher.fleet.iter().map(|(tag, _)| tag).collect();
+            if is_absent {
+                run.remove(&tags[..limited]);
+            } else {
+                let rate = RequestRate::from_per_second(rate).unwrap();
+                run.limits = tags[..limited].iter().map(|tag| (*tag, rate)).collect();
+                tags[..limited].iter().for_each(|tag| run.name_limit(0, *tag));
+            }
+            run.run_mix(SECONDS * 1_000);
+            run
+        };
+        let (absent, used) = (run(true), run(false));
+        for account in 1..=3 {
+            let (absent, used) = (absent.on_time(account), used.on_time(account));
+            assert!(used * 20 >= absent * 19, "{limited}: {used} on time, {absent} without them");
+        }
+        let served = |run: &LoadRun| (1..=3).map(|account| run.on_time(account)).sum::<usize>();
+        assert!(served(&used) >= served(&absent));
+        if used.started.len() < used.open.len() {
+            let allowed = limited as f64 * rate * SECONDS as f64;
+            let share = used.limited_sends as f64 / allowed;
+            assert!(share >= 0.7, "{limited}: {share:.2} of the limits used");
+        }
+    }
+}
