Respect the notices of own engines

Callers of the own interface waited longer: an engine that refused requests and named a pause was asked again at once.

Cause: the adapter dropped the head of every answer but its status. Ruled out: ejection after three failures, which a refusal without a run does not count as.

Change: Retry-After of a refusal and Parsley-Leaving of any answer reach the health tracker, which gives the engine no work until the pause or the process ends; probes wait as well. E1308 shows it. The parser of Retry-After is shared with the platform's.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -23,8 +23,9 @@
 
 use limit::LimitTable;
 pub use limit::{LimitNotice, LimitReport, RequestRate};
+pub(crate) use notice::LONGEST_PAUSE;
 use notice::NoticeTable;
-pub use notice::{NoticeChange, ServerNotice};
+pub use notice::{NoticeChange, ServerNotice, pause_in_seconds};
 
 /// Grace period after an outage of the store: entries that expired meanwhile are kept this long, so
 /// that their servers can register again.
--- a/crates/core/src/fleet/notice.rs
+++ b/crates/core/src/fleet/notice.rs
@@ -15,7 +15,7 @@
 use crate::{roster::HostTag, time::Time};
 
 /// Longest accepted pause; longer ones are cut to this.
-const LONGEST_PAUSE: Duration = Duration::from_secs(600);
+pub(crate) const LONGEST_PAUSE: Duration = Duration::from_secs(600);
 /// Greatest jitter on a pause, as a fraction of the pause.
 const PAUSE_JITTER: f64 = 0.25;
 /// Time for which notices are kept. A leaving server may go on serving for minutes while its entry
@@ -41,6 +41,13 @@
     pub limit: LimitNotice,
 }
 
+/// Returns the pause that a value of `Retry-After` names in seconds, with fractions. `None` if it is
+/// not positive or not a number, as a date.
+pub fn pause_in_seconds(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.trim().parse().ok().filter(|seconds| *seconds > 0.0)?;
+    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
 /// Change that a notice caused.
 #[key]
 pub enum NoticeChange {
--- a/crates/core/src/health/mod.rs
+++ b/crates/core/src/health/mod.rs
@@ -1,4 +1,4 @@
-//! Decides which engines get no work: slow, failing, unreachable and leaving ones.
+//! Decides which engines get no work: slow, failing, unreachable, paused and leaving ones.
 //!
 //! Owns one record per engine of this host, and the rates that other owners report for engines of
 //! the same pool. An engine that does not answer the request for its load report gets no work until
@@ -9,6 +9,7 @@
 use parsley_macros::{key, value};
 
 use crate::{
+    fleet::LONGEST_PAUSE,
     key::{EngineKey, ModelKey},
     time::Time,
 };
@@ -45,6 +46,8 @@
     Report,
     /// The backend server's configuration, set by the operators.
     Spec,
+    /// An answer of the engine itself. It holds until the engine's process ends.
+    Answer,
 }
 
 /// Input of [`HealthTracker::step`].
@@ -102,6 +105,13 @@
         /// Whether the engine is leaving according to this source.
         is_leaving: bool,
     },
+    /// The engine refused a request and wants none for some time.
+    Paused {
+        /// The engine.
+        engine: EngineKey,
+        /// Time for which it wants no requests; a shorter one does not end a pause early.
+        pause: Duration,
+    },
     /// The result of a probe request. It is ignored if the engine is not being probed.
     ProbeResult {
         /// The engine.
@@ -142,7 +152,9 @@
     last_ejection: Duration,
     is_answering: bool,
     /// Whether each [`LeavingSource`] says that the engine is leaving.
-    leaving_sources: [bool; 3],
+    leaving_sources: [bool; 4],
+    /// End of the pause that the engine asked for.
+    paused_until: Time,
     /// Last value reported by [`HealthOutput::UsabilityChanged`]; true at first.
     is_usable: bool,
 }
@@ -190,6 +202,9 @@
             HealthInput::Answering { engine, is_answering } => {
                 if let Some(record) = self.engines.get_mut(&engine) {
                     record.is_answering = is_answering;
+                    if !is_answering {
+                        record.leaving_sources[LeavingSource::Answer as usize] = false;
+                    }
                 }
             }
             HealthInput::Leaving { engine, source, is_leaving } => {
@@ -197,11 +212,17 @@
                     record.leaving_sources[source as usize] = is_leaving;
                 }
             }
+            HealthInput::Paused { engine, pause } => {
+                if let Some(record) = self.engines.get_mut(&engine) {
+                    let until = now + pause.min(LONGEST_PAUSE);
+                    record.paused_until = record.paused_until.max(until);
+                }
+            }
             HealthInput::ProbeResult { engine, is_success } => {
                 self.finish_probe(now, engine, is_success)
             }
         }
-        self.report_changes(&mut outputs);
+        self.report_changes(now, &mut outputs);
         outputs
     }
 
@@ -215,7 +236,8 @@
             rate_samples: 0,
             last_ejection: Duration::ZERO,
             is_answering: true,
-            leaving_sources: [false; 3],
+            leaving_sources: [false; 4],
+            paused_until: Time::ZERO,
             is_usable: true,
         });
         record.pool = pool;
@@ -226,7 +248,7 @@
         let mut failed = Vec::new();
         for (engine, record) in &mut self.engines {
             match record.state {
-                EngineState::Ejected { until } if until <= now => {
+                EngineState::Ejected { until } if until.max(record.paused_until) <= now => {
                     record.state = EngineState::Probing { since: now };
                     outputs.push(HealthOutput::Probe(*engine));
                 }
@@ -317,10 +339,11 @@
     }
 
     /// Reports every engine whose usability changed in this step.
-    fn report_changes(&mut self, outputs: &mut Vec<HealthOutput>) {
+    fn report_changes(&mut self, now: Time, outputs: &mut Vec<HealthOutput>) {
         for (engine, record) in &mut self.engines {
             let is_usable = record.is_answering
                 && !record.leaving_sources.contains(&true)
+                && record.paused_until <= now
                 && matches!(record.state, EngineState::Healthy { .. });
             if is_usable != record.is_usable {
                 record.is_usable = is_usable;
--- a/crates/core/src/health/tests.rs
+++ b/crates/core/src/health/tests.rs
@@ -118,3 +118,24 @@
     set_leaving(&mut tracker, LeavingSource::HostList, true);
     assert_eq!(set_leaving(&mut tracker, LeavingSource::HostList, false), vec![]);
 }
+
+/// Guards against work for an engine that asked for a pause or said in an answer that it leaves,
+/// and against either lasting for good.
+#[test]
+fn engine_gets_no_work_while_its_own_notices_hold() {
+    let mut tracker = tracker(2);
+    let at = |millis| Time::ZERO + Duration::from_millis(millis);
+    let engine = EngineKey(1);
+    let pause = |millis| HealthInput::Paused { engine, pause: Duration::from_millis(millis) };
+    assert_eq!(tracker.step(at(0), pause(2_000)), vec![usable(1, false)]);
+    assert_eq!(tracker.step(at(10), pause(100)), vec![], "a shorter one");
+    assert_eq!(tracker.step(at(1_999), HealthInput::Tick), vec![]);
+    assert_eq!(tracker.step(at(2_000), HealthInput::Tick), vec![usable(1, true)]);
+    let source = LeavingSource::Answer;
+    let leaving = HealthInput::Leaving { engine, source, is_leaving: true };
+    assert_eq!(tracker.step(at(3_000), leaving), vec![usable(1, false)]);
+    let answering = |is_answering| HealthInput::Answering { engine, is_answering };
+    assert_eq!(tracker.step(at(60_000), answering(true)), vec![], "it still runs");
+    assert_eq!(tracker.step(at(61_000), answering(false)), vec![]);
+    assert_eq!(tracker.step(at(62_000), answering(true)), vec![usable(1, true)], "a new process");
+}
--- a/crates/node/src/adapter/engine.rs
+++ b/crates/node/src/adapter/engine.rs
@@ -5,6 +5,7 @@
 use futures_lite::AsyncBufReadExt;
 use http_types::{Method, Response, StatusCode};
 use parsley_core::{
+    fleet::pause_in_seconds,
     order::{OrderAction, OrderResult, RoleOrder},
     placement::CacheEvent,
     request::ListedStream,
@@ -23,6 +24,9 @@
 /// keep-alive line every 500 ms.
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
+/// Present with the value 1 if the engine is shutting down.
+const LEAVING_FIELD: &str = "parsley-leaving";
+
 /// A request to an engine to generate a stream of tokens.
 pub struct EngineOrder {
     /// Stream id, unique on the engine.
@@ -53,6 +57,15 @@
     Refused,
 }
 
+/// What an engine says of itself in the head of an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EngineNotice {
+    /// Whether it is shutting down.
+    pub is_leaving: bool,
+    /// Time for which it wants no requests.
+    pub pause: Option<Duration>,
+}
+
 /// An event of an engine's stream.
 pub enum EngineEvent {
     /// Generated tokens.
@@ -92,7 +105,10 @@
 }
 
 /// Submits a stream. Submitting an existing stream id attaches to that stream.
-pub async fn submit(address: &str, order: &EngineOrder) -> Result<EngineAnswer, NodeError> {
+pub async fn submit(
+    address: &str,
+    order: &EngineOrder,
+) -> Result<(EngineAnswer, EngineNotice), NodeError> {
     let body = json!({
         "stream": order.stream, "model": order.model, "prompt": order.prompt,
         "offset": order.offset, "max_tokens": order.max_tokens, "priority": order.priority,
@@ -116,7 +132,7 @@
     address: &str,
     order: &EngineOrder,
     segment: &PromptSegment<'_>,
-) -> Result<EngineAnswer, NodeError> {
+) -> Result<(EngineAnswer, EngineNotice), NodeError> {
     let body = json!({
         "stream": order.stream, "model": order.model, "prompt": order.prompt,
         "offset": order.offset, "max_tokens": order.max_tokens, "priority": order.priority,
@@ -173,7 +189,7 @@
     stream: &str,
     offset: u64,
     owner: &str,
-) -> Result<EngineAnswer, NodeError> {
+) -> Result<(EngineAnswer, EngineNotice), NodeError> {
     let path = format!("/streams/{stream}?offset={offset}&owner={owner}");
     let response = http::send(address, Method::Get, &path, None, HEAD_LIMIT).await?;
     Ok(engine_answer(response))
@@ -220,14 +236,21 @@
         .collect())
 }
 
-fn engine_answer(response: Response) -> EngineAnswer {
-    match response.status() {
+fn engine_answer(response: Response) -> (EngineAnswer, EngineNotice) {
+    let field = |name| response.header(name).map(|values| values.last().as_str());
+    let is_refusal = response.status() == StatusCode::ServiceUnavailable;
+    let notice = EngineNotice {
+        is_leaving: field(LEAVING_FIELD).is_some_and(|value| value == "1"),
+        pause: field("retry-after").filter(|_| is_refusal).and_then(pause_in_seconds),
+    };
+    let answer = match response.status() {
         StatusCode::Ok => {
             EngineAnswer::Stream(Box::new(EngineStream { body: response, line: String::new() }))
         }
         StatusCode::Conflict => EngineAnswer::NoMemory,
         _ => EngineAnswer::Refused,
-    }
+    };
+    (answer, notice)
 }
 
 impl EngineStream {
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -63,6 +63,7 @@
     RELEASE_FAILED: "E1305" Warning "reservation release failed" ["group", "error"];
     GROUP_FAILED: "E1306" Warning "engine group failed" ["work", "error"];
     ORPHAN_CANCELLED: "E1307" Warning "orphaned stream cancelled" ["stream", "owner"];
+    ENGINE_NOTICE_RECEIVED: "E1308" Info "engine wants no work" ["engine", "leaving", "pause_ms"];
     RESOURCE_APPLIED: "E1401" Info "resource applied"
         ["operator", "resource", "revision", "write_id"];
     RESOURCE_DELETED: "E1402" Info "resource deleted"
--- a/crates/node/src/pool/assign.rs
+++ b/crates/node/src/pool/assign.rs
@@ -20,7 +20,7 @@
 
 use super::{PoolWork, end, step};
 use crate::{
-    adapter::engine::{self, EngineAnswer, EngineEvent, EngineOrder},
+    adapter::engine::{self, EngineAnswer, EngineEvent, EngineNotice, EngineOrder},
     event,
     host::{HostRef, HostState},
     peer::{self, datagram::PeerDatagram},
@@ -439,6 +439,23 @@
     Some((name.clone(), server.address.clone()))
 }
 
+/// Passes what an engine said of itself in an answer to the health tracker.
+pub(super) fn apply_notice(host: &HostRef, engine: EngineKey, notice: EngineNotice) {
+    let source = LeavingSource::Answer;
+    let leaving =
+        notice.is_leaving.then_some(HealthInput::Leaving { engine, source, is_leaving: true });
+    let paused = notice.pause.map(|pause| HealthInput::Paused { engine, pause });
+    for input in leaving.into_iter().chain(paused) {
+        let outputs = host.state.borrow_mut().health.step(host.now(), input);
+        if !outputs.is_empty() {
+            event!(host.log, ENGINE_NOTICE_RECEIVED, "engine" => engine.0,
+                "leaving" => notice.is_leaving,
+                "pause_ms" => notice.pause.map_or(0, |pause| pause.as_millis() as u64));
+        }
+        carry_out(host, outputs);
+    }
+}
+
 /// Reads an engine's load report and passes it to the health tracker and the scheduler.
 async fn report(host: HostRef, engine: EngineKey) {
     let Some((_, address)) = engine_address(&host, engine) else { return };
@@ -492,7 +509,9 @@
         time_left: PROBE_LIMIT,
     };
     let run = async {
-        let EngineAnswer::Stream(mut stream) = engine::submit(&address, &order).await? else {
+        let (answer, notice) = engine::submit(&address, &order).await?;
+        apply_notice(&host, engine, notice);
+        let EngineAnswer::Stream(mut stream) = answer else {
             return Ok(false);
         };
         loop {
--- a/crates/node/src/pool/group.rs
+++ b/crates/node/src/pool/group.rs
@@ -242,7 +242,9 @@
         start = end;
         let reader = if is_last { place_last_member(host, work, member, &order) } else { 0 };
         let part = PromptSegment { group: &group, import: import.as_deref() };
-        let answer = engine::submit_segment(&address, &order, &part).await?;
+        let (answer, notice) = engine::submit_segment(&address, &order, &part).await?;
+        let engine = host.state.borrow().engines.get(&member.engine).map(EngineKey);
+        engine.iter().for_each(|engine| super::assign::apply_notice(host, *engine, notice));
         let EngineAnswer::Stream(mut stream) = answer else {
             return Err(NodeError::Protocol(
                 "engine refused a prompt segment despite its reservation",
--- a/crates/node/src/pool/stream.rs
+++ b/crates/node/src/pool/stream.rs
@@ -12,7 +12,7 @@
 
 use super::{EventSink, assign::record_failure, detect_pause, end, work_item};
 use crate::{
-    adapter::engine::{self, EngineAnswer, EngineEvent, EngineOrder, EngineStream},
+    adapter::engine::{self, EngineAnswer, EngineEvent, EngineNotice, EngineOrder, EngineStream},
     error::NodeError,
     event,
     host::HostRef,
@@ -238,9 +238,14 @@
     host: &HostRef,
     work: WorkKey,
     reader: u64,
-    answer: Result<EngineAnswer, NodeError>,
+    answer: Result<(EngineAnswer, EngineNotice), NodeError>,
 ) {
     detect_pause(host);
+    let answer = answer.map(|(answer, notice)| {
+        let placed = host.state.borrow().pool.streams.placed(work).map(|(engine, _)| *engine);
+        placed.iter().for_each(|engine| super::assign::apply_notice(host, *engine, notice));
+        answer
+    });
     let reply = match answer {
         Ok(EngineAnswer::Stream(stream)) => return read(host, work, reader, stream).await,
         Ok(EngineAnswer::NoMemory) => EngineReply::NoMemory,
--- a/crates/node/tests/engines.rs
+++ b/crates/node/tests/engines.rs
@@ -73,3 +73,26 @@
     fixture::assert_quiet(&fleet);
     fleet.close();
 }
+
+/// Guards against requests to an engine during a pause that it asked for.
+#[test]
+fn engine_that_asked_for_a_pause_gets_no_request_in_it() {
+    let pause = std::time::Duration::from_secs(4);
+    let fleet = fixture::fleet().start().unwrap();
+    fleet.engine_faults(0).refuse_with_pause(pause);
+    let load =
+        PromptLoad::start(&fixture::addresses(&fleet), fixture::prompts("paused", 60, 50), 10);
+    let refusals = || fleet.engine_faults(0).refusals();
+    while refusals() == 0 {
+        fixture::pause(10);
+    }
+    // Requests may be under way when the first refusal arrives.
+    fixture::pause(500);
+    let before = refusals();
+    fixture::pause(3_000);
+    assert!(refusals() - before <= 2, "{} requests within one pause", refusals() - before);
+    fleet.engine_faults(0).refuse(false);
+    fixture::assert_all_complete(&load.finish(), 60);
+    fixture::assert_quiet(&fleet);
+    fleet.close();
+}
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -78,6 +78,8 @@
 pub struct EngineFaults {
     frozen: AtomicBool,
     refusing: AtomicBool,
+    pause_ms: AtomicU64,
+    refusals: AtomicU64,
     silent_streams: AtomicU64,
     runs: Mutex<Vec<String>>,
 }
@@ -98,6 +100,17 @@
         self.refusing.store(on, Ordering::Relaxed);
     }
 
+    /// Refuses new streams and names a pause for which it wants none.
+    pub fn refuse_with_pause(&self, pause: Duration) {
+        self.pause_ms.store(pause.as_millis() as u64, Ordering::Relaxed);
+        self.refuse(true);
+    }
+
+    /// Number of streams that it refused.
+    pub fn refusals(&self) -> u64 {
+        self.refusals.load(Ordering::Relaxed)
+    }
+
     /// Makes every open connection to a stream silent; streams go on and new connections work.
     pub fn silence_streams(&self) {
         self.silent_streams.fetch_add(1, Ordering::Relaxed);
@@ -291,7 +304,13 @@
     };
     let mut engine = engine.borrow_mut();
     if engine.faults.refusing.load(Ordering::Relaxed) {
-        return server::json(503, &json!({"reason": "refusing"}));
+        engine.faults.refusals.fetch_add(1, Ordering::Relaxed);
+        let mut response = server::json(503, &json!({"reason": "refusing"}));
+        let pause_ms = engine.faults.pause_ms.load(Ordering::Relaxed);
+        if pause_ms > 0 {
+            response.insert_header("retry-after", (pause_ms as f64 / 1e3).to_string());
+        }
+        return response;
     }
     let offset = order.offset;
     if order.group.is_some() {
