Bound what a peer may say of request limits

One malformed datagram with a rate of 0 would have ended the process of every host that received it: an interval of infinite length panics.

Cause: the lower bound was applied when a response is read and not when a peer's message is. Found by reading the diff; ruled out elsewhere: ages and numbers of permits saturate.

Change: the bound is applied where the rate is used; an issuer keeps at most 20,000 buckets and drops old ones only when it adds one.

Before: rates_are_bounded with a rate of 0 from a peer expects 0.1, was 0. After: passes; dispatch::tests, limit and permit tests, 40 passed.

--- a/crates/core/src/dispatch/limited.rs
+++ b/crates/core/src/dispatch/limited.rs
@@ -100,7 +100,7 @@
         outputs: &mut Vec<DispatchOutput>,
     ) {
         for (tag, count) in &queue.wanted {
-            let Some((started_ms, rate, rate_age)) = self.fleet.limit_to_request(now, *tag) else {
+            let Some((started_ms, rate, rate_age)) = self.fleet.limit_with_age(now, *tag) else {
                 continue;
             };
             let holder = self.permits.entry(*tag).or_default();
@@ -155,8 +155,10 @@
             opening = Some(opening.map_or(open_at, |first: Time| first.min(open_at)));
             rate += self.fleet.limit(tag).map_or(0.0, RequestRate::per_second);
         }
-        let queued = Duration::from_secs_f64(ahead as f64 / rate.max(f64::MIN_POSITIVE));
-        opening.map(|first| (first + queued.min(MAX_RETURN_DELAY), rate))
+        opening.map(|first| {
+            let queued = Duration::from_secs_f64(ahead as f64 / rate);
+            (first + queued.min(MAX_RETURN_DELAY), rate)
+        })
     }
 
     /// Returns whether a request that needs a permit gets one early enough to be on time. The first
@@ -190,8 +192,7 @@
         let ranks = (service, 0)..=(service, demand.priority);
         let promised = self.return_turns.range(ranks).map(|(_, end)| *end).max();
         let turn = opening.max(promised.unwrap_or_default()).min(now + MAX_RETURN_DELAY);
-        let interval = Duration::from_secs_f64(1.0 / rate.max(f64::MIN_POSITIVE));
-        let end = turn + interval.min(MAX_RETURN_DELAY);
+        let end = turn + Duration::from_secs_f64(1.0 / rate);
         self.return_turns.insert((service, demand.priority), end);
         Some(turn.since(now))
     }
--- a/crates/core/src/fleet/limit.rs
+++ b/crates/core/src/fleet/limit.rs
@@ -35,9 +35,10 @@
         is_valid.then(|| RequestRate(((rate * 1e3) as u32).max(MIN_MILLI_RATE)))
     }
 
-    /// Returns the rate in requests per second.
+    /// Returns the rate in requests per second, which is never 0.
     pub fn per_second(self) -> f64 {
-        f64::from(self.0) / 1e3
+        // A peer may have sent any number.
+        f64::from(self.0.max(MIN_MILLI_RATE)) / 1e3
     }
 }
 
@@ -123,7 +124,7 @@
 
     /// Returns the start time of a limited server's process, its limit and the age of that
     /// knowledge, as they are sent to the issuer of its permits.
-    pub fn limit_to_request(
+    pub fn limit_with_age(
         &self,
         now: Time,
         tag: EngineTag,
--- a/crates/core/src/fleet/limit_tests.rs
+++ b/crates/core/src/fleet/limit_tests.rs
@@ -29,6 +29,8 @@
     }
     assert_eq!(rate(0.0).per_second(), 0.1);
     assert_eq!(rate(1.3).per_second(), 1.3);
+    let from_peer: RequestRate = serde_json::from_str("0").unwrap();
+    assert_eq!(from_peer.per_second(), 0.1);
     assert!(rate(1e300).per_second() > 1e6);
 }
 
--- a/crates/core/src/permit/mod.rs
+++ b/crates/core/src/permit/mod.rs
@@ -34,6 +34,8 @@
 const SUBSTITUTE_SHARE: f64 = 0.3;
 /// Time without requests after which a bucket is dropped.
 const BUCKET_RETENTION: Duration = Duration::from_secs(60);
+/// Most buckets that are kept.
+const BUCKET_LIMIT: usize = 20_000;
 
 /// Request of a host for permits.
 #[message]
@@ -90,7 +92,10 @@
     /// Issues the permits that the server's limit allows now. `share` is the fraction of the limit
     /// that this side of a partition may use.
     pub fn issue(&mut self, now: Time, request: &PermitRequest, share: f64) -> PermitReply {
-        self.buckets.retain(|_, bucket| now.since(bucket.last_request) < BUCKET_RETENTION);
+        let key = (request.server, request.started_ms);
+        if !self.buckets.contains_key(&key) {
+            self.purge(now);
+        }
         let rate_as_of = Time(now.0.saturating_sub(request.rate_age_us));
         let share = if request.to_substitute { share * SUBSTITUTE_SHARE } else { share };
         let interval = |rate: RequestRate| {
@@ -100,7 +105,6 @@
         let burst = |interval: Duration| BURST_TIME.saturating_sub(interval);
         let first_interval = interval(request.rate);
         let full_at = now + burst(first_interval) + first_interval.min(MAX_START_DELAY);
-        let key = (request.server, request.started_ms);
         let bucket = self.buckets.entry(key).or_insert_with(|| PermitBucket {
             rate: request.rate,
             rate_as_of,
@@ -130,4 +134,12 @@
         let next_us = next.since(now).as_micros() as u64;
         PermitReply { server: request.server, number: request.number, issued, next_us }
     }
+
+    /// Drops buckets that are not used any more, and any one above [`BUCKET_LIMIT`].
+    fn purge(&mut self, now: Time) {
+        self.buckets.retain(|_, bucket| now.since(bucket.last_request) < BUCKET_RETENTION);
+        if self.buckets.len() >= BUCKET_LIMIT {
+            self.buckets.pop_first();
+        }
+    }
 }
