--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -15,7 +15,7 @@
     time::Duration,
 };
 
-use parsley_macros::{key, value};
+use parsley_macros::value;
 
 use crate::{
     catalog::ServingService,
@@ -28,6 +28,7 @@
 };
 
 mod choose;
+mod decide;
 mod forecast;
 mod headroom;
 mod limited;
@@ -40,15 +41,12 @@
 #[cfg(test)]
 mod tests;
 
-use choose::{
-    ChoiceInput, ChoiceResult, DENSE_PACKING, LOOSE_PACKING, MAX_PARTS, PlacementChoice,
-    memory_parts,
-};
+use choose::{ChoiceInput, ChoiceResult, DENSE_PACKING, LOOSE_PACKING, PlacementChoice};
+use decide::{DECISION_LEAD, PlacementDecision, QueuePosition};
 pub use forecast::{EngineForecast, EngineLoad, LatencyModel, collect_load, collect_loads};
 pub use headroom::UrgentTarget;
 use limited::{PERMIT_PATIENCE, PermitQueue};
 pub use message::{DispatchInput, DispatchOutput, PlacementReason, PrefillHelper};
-use refusal::MIN_RETRY_AFTER;
 
 /// Interval between two [`DispatchInput::Tick`] while requests wait.
 pub const TICK_PERIOD: Duration = Duration::from_millis(20);
@@ -62,10 +60,6 @@
 /// Cost, in requests made late, below which a placement is taken at once instead of waiting for a
 /// better one.
 const MAX_IMMEDIATE_COST: f64 = 0.5;
-/// Highest cost, in requests made late, of a placement for a request that cannot wait any longer.
-const MAX_FINAL_COST: f64 = 3.0;
-/// How long before its latest possible start a waiting request is decided.
-const DECISION_LEAD: Duration = Duration::from_millis(150);
 /// Minimum margin over the forecast of the first event before another engine is tried.
 const MIN_FIRST_EVENT_GRACE: Duration = Duration::from_millis(500);
 /// Timeout of an attempt of a request that is not streamed, as a multiple of its target time.
@@ -85,23 +79,6 @@
     excluded: Vec<EngineTag>,
 }
 
-/// What is ahead of a request in the queue of all hosts.
-#[value]
-#[derive(Copy)]
-struct QueuePosition {
-    /// Expected queueing delay of a long prompt, in milliseconds.
-    delay_ms: f64,
-    /// Waiting requests for the same service.
-    ahead: usize,
-}
-
-#[key]
-enum PlacementDecision {
-    Place,
-    Wait,
-    Refuse,
-}
-
 /// Schedules the requests of one host onto backend servers.
 #[derive(Default)]
 pub struct Dispatcher {
@@ -116,7 +93,8 @@
     urgent_targets: BTreeMap<Arc<str>, UrgentTarget>,
     waiting: BTreeMap<WorkNumber, WaitingRequest>,
     start_tags: StartTagLedger,
-    /// Usable servers of each service without a limit, by the hash of its name; recounted in each scheduling run.
+    /// Usable servers of each service without a request limit, by the hash of its name; recounted in
+    /// each scheduling run.
     engine_counts: BTreeMap<u64, usize>,
     /// Requests at or above the most urgent rank of each service, by the hash of its name;
     /// recounted in each scheduling run.
@@ -517,108 +495,6 @@
         let busy: f64 = eligible.iter().map(|load| load.busy_ms).sum();
         (busy + ahead_ms) / eligible.len().max(1) as f64
     }
-
-    /// Decides whether a request takes the best current placement, waits for a better one, or is
-    /// refused because none can meet its deadline.
-    fn decide_placement(
-        &self,
-        now: Time,
-        service: &str,
-        entry: &WorkEntry,
-        choice: Option<&PlacementChoice>,
-        work: Option<&WaitingRequest>,
-        position: QueuePosition,
-    ) -> PlacementDecision {
-        let QueuePosition { delay_ms: queue_delay_ms, ahead } = position;
-        let model = self.latency_models.get(&entry.demand.service).and_then(Option::as_ref);
-        let prefill_ms = self.prefill_ms(&entry.demand);
-        let excluded = work.map_or(&[][..], |work| &work.excluded);
-        let limit = work.map_or(entry.arrived + Duration::from_secs(60), |work| work.deadline);
-        let first_ms = choice.map_or(prefill_ms, |choice| choice.forecast.first_event_ms);
-        let has_time = now + Duration::from_secs_f64(first_ms / 1e3) < limit;
-        let is_candidate = |(tag, _): &(EngineTag, _)| !excluded.contains(tag);
-        let engines = self.fleet.usable(now, service).filter(is_candidate).count();
-        if engines == 0
-            && let Some(pause_end) = self.fleet.next_pause_end(now, service, excluded)
-        {
-            // All servers are paused: waits if the first pause ends early enough to be answered.
-            let queued = Duration::from_secs_f64((queue_delay_ms + prefill_ms) / 1e3);
-            return if pause_end + queued + DECISION_LEAD < limit {
-                PlacementDecision::Wait
-            } else {
-                PlacementDecision::Refuse
-            };
-        }
-        if engines == 0 {
-            // The server list may still be loading, or the servers are being replaced.
-            let wait_until = entry.arrived + MIN_RETRY_AFTER;
-            return if now < wait_until && has_time {
-                PlacementDecision::Wait
-            } else {
-                PlacementDecision::Refuse
-            };
-        }
-        // A limited server can only be the first of the engines that share a prompt.
-        let unlimited = self.unlimited(now, service).filter(is_candidate).count();
-        let shared = if unlimited < engines { unlimited + 1 } else { unlimited };
-        if model.is_some_and(|model| memory_parts(model, &entry.demand) > shared.min(MAX_PARTS)) {
-            return PlacementDecision::Refuse;
-        }
-        let Some(choice) = choice else {
-            if let Some((opening, _)) = self.permit_opening(now, service, excluded, ahead) {
-                return if self.is_permit_in_time(now, entry, opening, limit) {
-                    PlacementDecision::Wait
-                } else {
-                    PlacementDecision::Refuse
-                };
-            }
-            let queued = Duration::from_secs_f64((queue_delay_ms + prefill_ms) / 1e3);
-            return if now + queued < limit {
-                PlacementDecision::Wait
-            } else {
-                PlacementDecision::Refuse
-            };
-        };
-        if choice.cost - choice.failure < MAX_IMMEDIATE_COST {
-            return PlacementDecision::Place;
-        }
-        if !has_time {
-            return PlacementDecision::Refuse;
-        }
-        let target =
-            entry.arrived + Duration::from_millis(entry.demand.first_event_target_ms.into());
-        if choice.forecast.delayed == 0 {
-            // The request itself would be late; a less loaded engine, or more engines, may still
-            // become free in time.
-            let latest = now + DECISION_LEAD + Duration::from_secs_f64(prefill_ms / 1e3);
-            return if latest < target {
-                PlacementDecision::Wait
-            } else {
-                PlacementDecision::Place
-            };
-        }
-        if now + Duration::from_secs_f64((queue_delay_ms + prefill_ms) / 1e3) > limit {
-            return PlacementDecision::Refuse;
-        }
-        let start_by =
-            |end: Time| end - Duration::from_secs_f64(choice.forecast.first_event_ms / 1e3);
-        if now + DECISION_LEAD < start_by(target) {
-            return PlacementDecision::Wait;
-        }
-        if model.is_some_and(|model| !model.is_long_prompt(&entry.demand))
-            && choice.forecast.delayed_more_urgent == 0
-        {
-            return PlacementDecision::Place;
-        }
-        if now + DECISION_LEAD < start_by(limit) {
-            return PlacementDecision::Wait;
-        }
-        if choice.cost <= MAX_FINAL_COST {
-            PlacementDecision::Place
-        } else {
-            PlacementDecision::Refuse
-        }
-    }
 }
 
 /// Builds the assignment of a request to the chosen server, with its timeouts.
--- a/crates/core/src/dispatch/tests.rs
+++ b/crates/core/src/dispatch/tests.rs
@@ -546,7 +546,7 @@
     let mut dispatcher = dispatcher(0, 2);
     let tried = (0..2).map(|index| entry(index, PLAIN).tag()).collect();
     let mut outputs = dispatcher.step(at(0), submit_plain(1, at(10_000), tried));
-    for millis in (20..=MIN_RETRY_AFTER.as_millis() as u64).step_by(20) {
+    for millis in (20..=refusal::MIN_RETRY_AFTER.as_millis() as u64).step_by(20) {
         outputs.extend(dispatcher.step(at(millis), DispatchInput::Tick));
     }
     assert!(is_refused(&outputs), "{outputs:?}");
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -25,8 +25,8 @@
         PrefillHelper, TICK_PERIOD,
     },
     evidence::{ConfigTrust, EvidenceKeeper, EvidenceLimits},
-    fleet::{EngineTag, EngineVerdict, LimitNotice, RequestRate, ServerNotice},
-    permit::{PermitIssuer, PermitReply, PermitRequest},
+    fleet::{EngineTag, EngineVerdict, LimitNotice, ServerNotice},
+    permit::{PermitIssuer, PermitRequest},
     refusal::{Reason, Refusal},
     retry::{RetryBudget, RetryLimit},
     roster::{HostInfo, HostTag, PeerRoster, SETTLE_TIME},
@@ -46,6 +46,7 @@
 pub mod edge;
 mod exchange;
 mod feed;
+mod limits;
 pub mod line_budget;
 pub mod link;
 mod listener;
@@ -387,63 +388,6 @@
         }
     }
 
-    /// Requests permits from their issuer, which may be this host.
-    fn request_permits(self: &Rc<Self>, request: PermitRequest) {
-        if request.to_substitute {
-            self.metrics.permits.with_label_values(&["substitute"]).inc();
-        }
-        let target = {
-            let state = self.state.borrow();
-            let (server, is_substitute) = (request.server, request.to_substitute);
-            state.roster.permit_issuer(clock::now(), &state.host_info, server, is_substitute)
-        };
-        match target {
-            Some((tag, _)) if tag == self.settings.host_info.tag() => {
-                let reply = self.issue_permits(&request);
-                self.receive_permits(reply);
-            }
-            Some((_, address)) => {
-                // Fails only if the channel is full: the request counts as lost and is repeated.
-                let _ = self.permit_requests.0.try_send((address, request));
-            }
-            None => {}
-        }
-    }
-
-    /// Issues permits on behalf of a limited server.
-    fn issue_permits(&self, request: &PermitRequest) -> PermitReply {
-        let now = clock::now();
-        let state = &mut *self.state.borrow_mut();
-        let reply = state.permit_issuer.issue(now, request, state.roster.live_share(now));
-        self.metrics.permits.with_label_values(&["issued"]).inc_by(reply.issued.into());
-        reply
-    }
-
-    fn receive_permits(self: &Rc<Self>, reply: PermitReply) {
-        let received = self.metrics.permits.with_label_values(&["received"]);
-        received.inc_by(reply.issued.into());
-        if reply.issued == 0 {
-            self.metrics.permits.with_label_values(&["denied"]).inc();
-        }
-        self.dispatch(DispatchInput::PermitsIssued(reply));
-    }
-
-    fn log_limit(&self, engine: EngineTag, rate: Option<RequestRate>, is_reported: bool) {
-        let kind = if rate.is_some() { "limit" } else { "limit_end" };
-        self.metrics.notices.with_label_values(&[kind]).inc();
-        if !self.log_budget.may_write(clock::now(), true) {
-            return;
-        }
-        let source = if is_reported { "peer" } else { "answer" };
-        match rate {
-            Some(rate) => event!(self.log, SERVER_LIMITED, "server" => engine.0,
-                "per_second" => rate.per_second(), "from" => source),
-            None => {
-                event!(self.log, SERVER_LIMIT_ENDED, "server" => engine.0, "from" => source);
-            }
-        }
-    }
-
     fn resolve_waiter(&self, number: WorkNumber, result: Result<Placement, Refusal>) {
         let waiter = self.state.borrow_mut().waiters.remove(&number);
         let Some(waiter) = waiter else { return };
