Let only requests that can take a permit wait for one

Callers of a limited server could be refused, and the server left unused, while a prompt beyond one engine's memory waited at a peer.

Cause: each waiting request of the service counted as ahead in the queue for permits, and a more urgent one of a peer held permits back, whether it could take one or not. Ruled out: own requests, which need a placement on the server to count as wanting a permit.

Change: only requests that fit one engine count.

Before: waiting_long_prompt_of_a_peer_holds_no_permit_back: refused.

--- a/crates/core/src/dispatch/limited.rs
+++ b/crates/core/src/dispatch/limited.rs
@@ -8,7 +8,9 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use super::{
-    DECISION_LEAD, DispatchOutput, Dispatcher, choose::PlacementChoice, refusal::MIN_RETRY_AFTER,
+    DECISION_LEAD, DispatchOutput, Dispatcher,
+    choose::{PlacementChoice, memory_parts},
+    refusal::MIN_RETRY_AFTER,
 };
 use crate::{
     fleet::{EngineRecord, EngineTag, RequestRate, hash_name},
@@ -36,7 +38,7 @@
 }
 
 impl PermitQueue {
-    /// Counts a request that goes on waiting.
+    /// Counts a request that goes on waiting and may take a permit.
     pub fn record_waiting(&mut self, demand: &WorkDemand, is_own: bool) {
         *self.waiting.entry(demand.service).or_default() += 1;
         if !is_own {
@@ -85,6 +87,12 @@
         self.fleet.usable(now, service).filter(|(tag, _)| self.fleet.limit(*tag).is_none())
     }
 
+    /// Returns whether a request needs no more than one engine, as it must to wait for a permit.
+    pub(super) fn fits_one_engine(&self, demand: &WorkDemand) -> bool {
+        let model = self.latency_models.get(&demand.service).and_then(Option::as_ref);
+        model.is_none_or(|model| memory_parts(model, demand) <= 1)
+    }
+
     /// Uses up the permit for a placed request, if its server needs one.
     pub(super) fn take_permit(&mut self, choice: &PlacementChoice) {
         if let Some(holder) = self.permits.get_mut(&choice.engine) {
--- a/crates/core/src/dispatch/limited_tests.rs
+++ b/crates/core/src/dispatch/limited_tests.rs
@@ -392,3 +392,36 @@
     assert_eq!(assigned.len(), 6, "the other server takes them all");
     assert!(!assigned.contains(&engine));
 }
+
+/// Guards against a limited server that nobody uses while a long prompt of a peer waits, which
+/// needs several idle engines and gets no permit.
+#[test]
+fn waiting_long_prompt_of_a_peer_holds_no_permit_back() {
+    for (prompt, is_held_back) in [(5_000, true), (600_000, false)] {
+        let mut dispatcher = dispatcher(1, 0);
+        let engine = dispatcher.fleet.iter().next().unwrap().0;
+        let limit = LimitNotice::Rate(RequestRate::from_per_second(1.0).unwrap());
+        let notice = ServerNotice { limit, ..ServerNotice::default() };
+        dispatcher.step(at(0), DispatchInput::NoticeReceived { engine, sent: at(0), notice });
+        let entry = WorkEntry {
+            demand: demand(SERVICE, prompt, 800, 6_000, 800, 0),
+            phase: WorkPhase::Waiting,
+            start_tag_us: 0,
+            engines: Vec::new(),
+            arrived: Time(0),
+            phase_start: Time(0),
+        };
+        let update = WorkUpdate {
+            covered_range: None,
+            entries: vec![(WorkNumber(1), entry)],
+            ended: Vec::new(),
+        };
+        let (host, incarnation, estimates) = (HostTag(9), 1, Vec::new());
+        dispatcher.step(at(0), DispatchInput::PeerUpdate { host, incarnation, update, estimates });
+        let demand = demand(SERVICE, 5_000, 800, 1_000, 200, 1);
+        let outputs = submit(&mut dispatcher, at(0), 2, demand, 10_000);
+        let requests =
+            |output: &DispatchOutput| matches!(output, DispatchOutput::RequestPermits(_));
+        assert_eq!(!outputs.iter().any(requests), is_held_back, "{prompt}: {outputs:?}");
+    }
+}
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -357,7 +357,9 @@
                 _ => {
                     ahead_ms += self.service_ms(&entry.demand);
                     reserved.extend(self.engines_to_reserve(&service, &input));
-                    permit_queue.record_waiting(&entry.demand, work.is_some());
+                    if self.fits_one_engine(&entry.demand) {
+                        permit_queue.record_waiting(&entry.demand, work.is_some());
+                    }
                 }
             }
         }
