Give the list of servers a proof of its own

Cause: nothing bounded the age of a host's list of servers. A removal that peers saw was taken for an expiry while the host had no access to the store and 2.2 s after; a lost datagram was noticed by digests that a second host with the same gap reset; a standby host asked for changes after its newest revision, so a hole stayed for 3 s and more; without leads hosts called the store by the age of the configuration's proof.

Ruled out: paths that skip the check when a request is sent (read: placement, repeat, continued stream, waiting request).

--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -102,6 +102,8 @@
         tag: EngineTag,
         /// Revision of the store at which it was removed.
         revision: u64,
+        /// Whether a peer reported it; otherwise this host's own call to the store showed it.
+        is_reported: bool,
     },
     /// The connection to the store was lost or restored.
     StoreStatus {
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -227,8 +227,12 @@
                     outputs.push(DispatchOutput::ServerChanged(tag));
                 }
             }
-            DispatchInput::ServerRemoved { tag, revision } => {
-                if self.fleet.remove(now, tag, revision) {
+            DispatchInput::ServerRemoved { tag, revision, is_reported } => {
+                let is_removed = match is_reported {
+                    true => self.fleet.remove_reported(tag, revision),
+                    false => self.fleet.remove(now, tag, revision),
+                };
+                if is_removed {
                     outputs.push(DispatchOutput::ServerGone(tag));
                 }
             }
--- a/crates/core/src/evidence/mod.rs
+++ b/crates/core/src/evidence/mod.rs
@@ -65,6 +65,20 @@
     pub held_ms: u32,
 }
 
+impl PeerEvidence {
+    /// Returns the time on the receiver's clock of something that the peer knew to hold `age_ms`
+    /// before it sent this. `None` if that cannot be derived.
+    ///
+    /// `incarnation` is the receiver's. The peer received the receiver's datagram after `echo`, so
+    /// the time is no earlier than the one returned, however long the reply was in flight.
+    pub fn confirmed_at(&self, now: Time, incarnation: u64, age_ms: Option<u32>) -> Option<Time> {
+        let sent = Time(self.echo) + Duration::from_millis(self.held_ms.into());
+        let confirmed = sent - Duration::from_millis(age_ms?.into());
+        let is_own = self.incarnation == incarnation && self.echo > 0;
+        (is_own && sent <= now && confirmed > Time::ZERO).then_some(confirmed)
+    }
+}
+
 /// Effect of a peer's evidence on this host.
 #[key]
 pub enum EvidenceEffect {
@@ -176,16 +190,10 @@
     /// Adopts the confirmation of a peer with the same version if it is later than the known one.
     /// Returns whether it was adopted.
     fn extend(&mut self, now: Time, evidence: &PeerEvidence) -> bool {
-        let Some(age) = evidence.age_ms else { return false };
-        let sent = Time(evidence.echo) + Duration::from_millis(evidence.held_ms.into());
-        let confirmed = sent - Duration::from_millis(age.into());
-        let is_own = evidence.incarnation == self.incarnation && evidence.echo > 0;
-        let is_later = self.confirmed.is_none_or(|before| confirmed > before);
-        let is_valid = is_own && sent <= now && confirmed > Time::ZERO && is_later;
-        if is_valid {
-            self.confirmed = Some(confirmed);
-        }
-        is_valid
+        let confirmed = evidence.confirmed_at(now, self.incarnation, evidence.age_ms);
+        let later = confirmed.filter(|at| self.confirmed.is_none_or(|before| *at > before));
+        self.confirmed = later.or(self.confirmed);
+        later.is_some()
     }
 
     /// Returns the time since the version in force was last known to be the newest; `None` if that
--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -26,7 +26,7 @@
 pub const LEAD_COUNT: usize = 2;
 /// Time beyond the wait of a watch, or for a read, after which a call counts as lost.
 pub const CALL_LIMIT: Duration = Duration::from_millis(700);
-/// Time for which the server list may differ from a lead's, because changes may be in flight.
+/// Time for which a peer may have a later list of servers, because changes may be in flight.
 const DIVERGENCE_LIMIT: Duration = Duration::from_millis(600);
 /// The same limit for a standby host, which gets changes only when it polls a member.
 const STANDBY_DIVERGENCE_LIMIT: Duration = Duration::from_secs(3);
@@ -72,27 +72,25 @@
     pub allows_stale: bool,
 }
 
-/// Times derived from the limit within which a change must be in force.
+/// Times derived from the limit within which every host must know a change.
 #[value]
 #[derive(Copy)]
 pub struct FeedTiming {
-    /// Age of the proof that the configuration is the newest from which on a host calls the store
-    /// itself.
+    /// Age of the proof that a part is the newest from which on a host calls the store itself.
     pub proof_age: Duration,
     /// Time for which a watch of a lead waits at the store.
     pub watch_wait: Duration,
 }
 
 impl FeedTiming {
-    /// Returns the times for changes that must be in force within `apply_limit`.
+    /// Returns the times for changes that every host must know within `limit`.
     ///
-    /// A version that a host lacks was written after its proof. So the version is in force in time
-    /// if the host calls the store early enough for one lost call and one successful call. Watches
+    /// A change that a host lacks was written after its proof. So the change is known in time if the host calls the store early enough for one lost call and one successful call. Watches
     /// are short enough that the proofs passed on by leads stay younger than that, also at standby
     /// hosts.
-    pub fn for_apply_limit(apply_limit: Duration) -> FeedTiming {
+    pub fn for_limit(limit: Duration) -> FeedTiming {
         let reserve = IDLE_TIME + CALL_LIMIT + FIRST_PAUSE + READ_TIME;
-        let proof_age = apply_limit.saturating_sub(reserve).max(LEAST_PROOF_AGE);
+        let proof_age = limit.saturating_sub(reserve).max(LEAST_PROOF_AGE);
         let in_flight = HEARTBEAT_PERIOD + STANDBY_POLL_PERIOD;
         let wait = proof_age.saturating_sub(in_flight) / 2;
         FeedTiming { proof_age, watch_wait: wait.clamp(WATCH_WAITS.0, WATCH_WAITS.1) }
@@ -105,19 +103,19 @@
 pub struct FeedFacts {
     /// Whether the part is the configuration rather than the servers.
     pub is_config: bool,
-    /// Time within which a change of the configuration must be in force.
-    pub apply_limit: Duration,
+    /// Time within which every host must know a change of the part.
+    pub limit: Duration,
     /// Whether this host is a lead.
     pub is_lead: bool,
     /// Whether this host is a member, which exchanges heartbeats with the other members.
     pub is_member: bool,
-    /// Version of the configuration in force, if there is one.
-    pub version: Option<u64>,
-    /// Age of the proof that the version in force is the newest; `None` without a proof.
+    /// Whether the host knows the part, so that a proof can show it to be the newest.
+    pub is_known: bool,
+    /// Age of the proof that what is known is the newest; `None` without a proof.
     pub proof_age: Option<Duration>,
-    /// Newest version that a peer reported; 0 if none did.
-    pub newest_known: u64,
-    /// Time for which the server list has differed from a lead's; `None` if they agree.
+    /// Whether a peer reported a newer version of the configuration.
+    pub has_newer: bool,
+    /// Time for which a peer has been known to have a later list of servers; `None` if none has.
     pub divergence: Option<Duration>,
 }
 
@@ -126,18 +124,14 @@
     pub fn from_facts(facts: &FeedFacts) -> FeedContext {
         let divergence_limit =
             if facts.is_member { DIVERGENCE_LIMIT } else { STANDBY_DIVERGENCE_LIMIT };
-        let is_behind = if facts.is_config {
-            facts.newest_known > facts.version.unwrap_or_default()
-        } else {
-            facts.divergence.is_some_and(|time| time >= divergence_limit)
-        };
-        let timing = FeedTiming::for_apply_limit(facts.apply_limit);
+        let timing = FeedTiming::for_limit(facts.limit);
         FeedContext {
             is_lead: facts.is_lead,
             watch_wait: timing.watch_wait,
-            needs_proof: facts.version.is_some()
+            needs_proof: facts.is_known
                 && facts.proof_age.is_none_or(|age| age >= timing.proof_age),
-            is_behind,
+            is_behind: facts.has_newer
+                || facts.divergence.is_some_and(|time| time >= divergence_limit),
             // A new configuration must be in force within seconds. Changes of servers reach a
             // standby host through members as well.
             allows_stale: !facts.is_config && !facts.is_member,
@@ -205,6 +199,12 @@
 }
 
 impl FeedFollower {
+    /// Records that the part is known up to `revision` without a call of this host, so that its
+    /// next watch does not return older changes.
+    pub fn advance(&mut self, revision: u64) {
+        self.revision = self.revision.map(|known| known.max(revision));
+    }
+
     /// Returns the next call and the pause before it.
     pub fn next_action(&self, now: Time, context: &FeedContext) -> (Duration, FeedAction) {
         let pause = match self.failures {
--- a/crates/core/src/feed/spread_tests.rs
+++ b/crates/core/src/feed/spread_tests.rs
@@ -1,5 +1,5 @@
-//! Simulates how a change of the configuration spreads through fleets of different sizes, without a
-//! network. Hosts send heartbeats, poll members and call a store in virtual time, each with its own
+//! Simulates how a change of the configuration or of a server spreads through fleets of different
+//! sizes, without a network. Hosts send heartbeats, poll members and call a store in virtual time, each with its own
 //! phase.
 //!
 //! The simulated fault is a partition: hosts without access to the store go on sending heartbeats
@@ -9,7 +9,8 @@
 
 use super::*;
 use crate::{
-    evidence::{EvidenceEffect, EvidenceKeeper, EvidenceLimits},
+    evidence::{EvidenceEffect, EvidenceKeeper, EvidenceLimits, PeerEvidence},
+    fleet::{EngineEntry, FleetChange, FleetTable, ListEffect},
     roster::{HostInfo, HostTag, PeerRole, PeerRoster, STANDBY_POLL_PERIOD},
 };
 
@@ -21,6 +22,8 @@
     info: HostInfo,
     roster: PeerRoster,
     evidence: EvidenceKeeper,
+    /// List of the only server, whose entry changes with each version.
+    fleet: FleetTable,
     follower: FeedFollower,
     /// Clock reading in each peer's last heartbeat, and when it arrived.
     clocks: BTreeMap<HostTag, (u64, Time)>,
@@ -29,9 +32,15 @@
     /// The call in flight, when it was sent and when it ends.
     call: Option<(FeedAction, Time, Time)>,
     is_cut: bool,
+    /// Whether the host does nothing, like a frozen one.
+    is_frozen: bool,
 }
 
 struct SpreadFleet {
+    /// Whether the hosts follow the configuration rather than the servers.
+    is_config: bool,
+    /// Share of the datagrams with changes that are lost, in percent.
+    loss_percent: u8,
     now: Time,
     hosts: Vec<SpreadHost>,
     places: BTreeMap<SocketAddr, usize>,
@@ -61,6 +70,7 @@
             }
             SpreadHost {
                 evidence: EvidenceKeeper::new(limits, info.incarnation),
+                fleet: FleetTable::new(info.tag()),
                 info: info.clone(),
                 roster,
                 follower: FeedFollower::default(),
@@ -69,12 +79,14 @@
                 next_call: now + Duration::from_millis(rng.u64(0..300)),
                 call: None,
                 is_cut: false,
+                is_frozen: false,
             }
         };
         let hosts: Vec<_> = infos.iter().map(host).collect();
         let places =
             infos.iter().enumerate().map(|(place, info)| (info.heartbeat_address, place)).collect();
-        SpreadFleet { now, hosts, places, version: 1, apply, rng }
+        let (is_config, loss_percent) = (true, 0);
+        SpreadFleet { is_config, loss_percent, now, hosts, places, version: 1, apply, rng }
     }
 
     fn run(&mut self, span: Duration) {
@@ -82,6 +94,9 @@
         while self.now < end {
             self.now = self.now + STEP;
             for place in 0..self.hosts.len() {
+                if self.hosts[place].is_frozen {
+                    continue;
+                }
                 self.follow(place);
                 if self.hosts[place].next_heartbeat <= self.now {
                     self.send_heartbeats(place);
@@ -91,16 +106,27 @@
     }
 
     fn facts(&self, place: usize) -> FeedFacts {
-        let SpreadHost { info, roster, evidence, .. } = &self.hosts[place];
-        FeedFacts {
-            is_config: true,
-            apply_limit: self.apply,
+        let SpreadHost { info, roster, evidence, fleet, .. } = &self.hosts[place];
+        let facts = FeedFacts {
+            is_config: self.is_config,
+            limit: self.apply,
             is_lead: roster.is_lead(self.now, info, LEAD_COUNT),
             is_member: roster.is_member(self.now, info),
-            version: Some(evidence.version()).filter(|version| *version > 0),
+            ..FeedFacts::default()
+        };
+        if !self.is_config {
+            return FeedFacts {
+                is_known: fleet.list_revision() > 0,
+                proof_age: fleet.list_age(self.now),
+                divergence: fleet.list_divergence(self.now),
+                ..facts
+            };
+        }
+        FeedFacts {
+            is_known: evidence.version() > 0,
             proof_age: evidence.age(self.now),
-            newest_known: evidence.newest_known().0,
-            divergence: None,
+            has_newer: evidence.newest_known().0 > evidence.version(),
+            ..facts
         }
     }
 
@@ -123,16 +149,25 @@
             };
             if result != FeedResult::Failed {
                 host.evidence.confirm(version, *asked);
+                host.fleet.upsert(now, entry(version));
+                host.fleet.confirm_list(*asked, version);
             }
             host.follower.step(now, result);
             host.info.has_store = !host.follower.is_lost();
             (host.call, host.next_call) = (None, now);
+            if is_changed && !host.is_cut && !self.is_config {
+                self.push_change(place);
+            }
         }
+        let host = &self.hosts[place];
         if host.next_call > now {
             return;
         }
         let context = FeedContext::from_facts(&self.facts(place));
         let host = &mut self.hosts[place];
+        if !self.is_config {
+            host.follower.advance(host.fleet.list_revision());
+        }
         let (pause, action) = host.follower.next_action(now, &context);
         let wait = match action {
             FeedAction::Idle => return host.next_call = now + IDLE_TIME,
@@ -144,6 +179,18 @@
         host.call = Some((action, asked, asked + wait + answer));
     }
 
+    /// Sends the change that a host read to the live members.
+    fn push_change(&mut self, place: usize) {
+        let now = self.now;
+        let alive = self.hosts[place].roster.alive(now);
+        let targets: Vec<_> = alive.map(|(_, info)| self.places[&info.heartbeat_address]).collect();
+        for target in targets {
+            if self.rng.u8(0..100) >= self.loss_percent {
+                self.hosts[target].fleet.upsert(now, entry(self.version));
+            }
+        }
+    }
+
     fn send_heartbeats(&mut self, place: usize) {
         let now = self.now;
         let FeedFacts { is_lead, is_member, .. } = self.facts(place);
@@ -195,7 +242,13 @@
         to: usize,
         (incarnation, echo, held): (u64, u64, Duration),
     ) {
+        if self.hosts[from].is_frozen || self.hosts[to].is_frozen {
+            return;
+        }
         let evidence = self.hosts[from].evidence.attest(self.now, incarnation, echo, held);
+        if !self.is_config {
+            return self.send_list(from, to, &evidence);
+        }
         let host = &mut self.hosts[to];
         match host.evidence.merge(self.now, &evidence) {
             EvidenceEffect::Unchanged => return,
@@ -205,9 +258,34 @@
         host.roster.reset_unanswered();
     }
 
+    /// Sends what a host knows of the servers, and the changes that the receiver lacks.
+    fn send_list(&mut self, from: usize, to: usize, evidence: &PeerEvidence) {
+        let now = self.now;
+        let list = self.hosts[from].fleet.attest_list(now);
+        let host = &mut self.hosts[to];
+        let confirmed = evidence.confirmed_at(now, host.info.incarnation, list.age_ms);
+        match host.fleet.merge_list(now, &list, confirmed) {
+            ListEffect::Unchanged => return,
+            ListEffect::Extended => {}
+            ListEffect::Behind => {
+                let revision = host.fleet.list_revision();
+                for change in self.hosts[from].fleet.changes_after(revision) {
+                    let FleetChange::Entry(entry) = change else { continue };
+                    self.hosts[to].fleet.upsert(now, entry);
+                }
+            }
+        }
+        self.hosts[to].roster.reset_unanswered();
+    }
+
     /// Returns the number of hosts with access to the store that have an older version than it.
     fn behind(&self) -> usize {
-        let is_behind = |host: &&SpreadHost| !host.is_cut && host.evidence.version() < self.version;
+        let version = |host: &SpreadHost| match self.is_config {
+            true => host.evidence.version(),
+            false => host.fleet.get(entry(1).tag()).map_or(0, |record| record.entry.revision),
+        };
+        let is_behind =
+            |host: &&SpreadHost| !host.is_cut && !host.is_frozen && version(host) < self.version;
         self.hosts.iter().filter(is_behind).count()
     }
 }
@@ -251,3 +329,46 @@
     }
     assert!(late.is_empty(), "hosts, seed, hosts behind: {late:?}");
 }
+
+/// Entry of the server at a version; from the second one on, it leaves.
+fn entry(version: u64) -> EngineEntry {
+    EngineEntry {
+        id: "engine".into(),
+        service: "s".into(),
+        address: ([127, 0, 0, 3], 80).into(),
+        failure_domain: "a".into(),
+        slots: 8,
+        is_leaving: version > 1,
+        started_ms: 1,
+        revision: version,
+    }
+}
+
+/// Guards against hosts that go on using a server that leaves because both leads are frozen, or
+/// because the datagrams that tell of it are lost. Each host has to notice that its list is old.
+#[test]
+fn server_that_leaves_is_known_in_time_without_leads_or_datagrams() {
+    let mut late = Vec::new();
+    for (count, limit_ms) in [(8, 2_000), (84, 3_000), (295, 4_000), (1_000, 4_000)] {
+        let limit = Duration::from_millis(limit_ms);
+        let cases = [(1, true, 0), (2, false, 100), (3, true, 0), (4, true, 0), (5, false, 70)];
+        let case_count = if count < 1_000 { cases.len() } else { 2 };
+        for (seed, is_frozen, loss_percent) in cases.into_iter().take(case_count) {
+            let mut fleet = SpreadFleet::start(count, limit, seed);
+            (fleet.is_config, fleet.loss_percent) = (false, loss_percent);
+            fleet.run(Duration::from_secs(8));
+            assert_eq!(fleet.behind(), 0, "{count} hosts, seed {seed}: the first version");
+            for place in 0..fleet.hosts.len() {
+                fleet.hosts[place].is_frozen = is_frozen && fleet.facts(place).is_lead;
+            }
+            let since_frozen = Duration::from_millis(fleet.rng.u64(0..800));
+            fleet.run(since_frozen);
+            fleet.version = 2;
+            fleet.run(limit);
+            if fleet.behind() > 0 {
+                late.push((count, seed, fleet.behind()));
+            }
+        }
+    }
+    assert!(late.is_empty(), "hosts, seed, hosts that do not know it: {late:?}");
+}
--- a/crates/core/src/feed/tests.rs
+++ b/crates/core/src/feed/tests.rs
@@ -68,22 +68,26 @@
     assert_eq!(action, FeedAction::Watch { after: 40, wait: URGENT_WAIT });
     for is_member in [true, false] {
         for apply in [2_000, 3_000, 4_000].map(Duration::from_millis) {
-            let timing = FeedTiming::for_apply_limit(apply);
+            let timing = FeedTiming::for_limit(apply);
             assert!(
                 timing.proof_age >= timing.watch_wait * 2 + HEARTBEAT_PERIOD,
                 "no call is due while proofs arrive"
             );
             assert!(timing.proof_age + IDLE_TIME + CALL_LIMIT + FIRST_PAUSE < apply);
-            let mut facts = FeedFacts {
-                apply_limit: apply,
-                is_member,
-                is_config: true,
-                ..FeedFacts::default()
-            };
-            (facts.version, facts.proof_age) = (Some(1), Some(timing.proof_age));
-            assert!(FeedContext::from_facts(&facts).needs_proof, "for members and standby hosts");
-            facts.proof_age = Some(timing.proof_age - Duration::from_millis(1));
-            assert!(!FeedContext::from_facts(&facts).needs_proof);
+            for is_config in [true, false] {
+                let mut facts = FeedFacts {
+                    limit: apply,
+                    is_member,
+                    is_config,
+                    is_known: true,
+                    proof_age: Some(timing.proof_age),
+                    ..FeedFacts::default()
+                };
+                let needs_proof = |facts: &FeedFacts| FeedContext::from_facts(facts).needs_proof;
+                assert!(needs_proof(&facts), "for members and standby hosts");
+                facts.proof_age = Some(timing.proof_age - Duration::from_millis(1));
+                assert!(!needs_proof(&facts));
+            }
         }
     }
 }
@@ -140,6 +144,19 @@
     assert_eq!(follower.next_action(at(2_100), &behind).1, STALE);
 }
 
+/// Guards against a first watch after minutes that returns every change since the host's last call,
+/// although its peers told it of them.
+#[test]
+fn watch_continues_after_what_peers_told() {
+    let needs = FeedContext { needs_proof: true, ..STANDBY };
+    let mut follower = follower();
+    follower.advance(90);
+    let watch = FeedAction::Watch { after: 90, wait: URGENT_WAIT };
+    assert_eq!(follower.next_action(at(1), &needs).1, watch);
+    follower.advance(50);
+    assert_eq!(follower.next_action(at(2), &needs).1, watch);
+}
+
 /// Guards against a watch that repeats old changes because the revision of a stale answer is lower
 /// than the host's own.
 #[test]
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -15,6 +15,9 @@
 mod limit;
 #[cfg(test)]
 mod limit_tests;
+mod listing;
+#[cfg(test)]
+mod listing_tests;
 mod notice;
 #[cfg(test)]
 mod notice_tests;
@@ -23,6 +26,8 @@
 
 use limit::LimitTable;
 pub use limit::{LimitNotice, LimitReport, RequestRate};
+use listing::ListState;
+pub use listing::{ListEffect, ListEvidence};
 pub(crate) use notice::LONGEST_PAUSE;
 use notice::NoticeTable;
 pub use notice::{NoticeChange, ServerNotice, pause_in_seconds};
@@ -121,7 +126,7 @@
 
 impl FleetChange {
     /// Returns the revision of the store at which the change was seen.
-    fn revision(&self) -> u64 {
+    pub fn revision(&self) -> u64 {
         match self {
             FleetChange::Entry(entry) => entry.revision,
             FleetChange::Removed { revision, .. } => *revision,
@@ -193,8 +198,9 @@
     /// Slowdown that this host measured, as of `slowdown_updated`.
     slowdown: f64,
     slowdown_updated: Time,
-    /// When the entry went missing during an outage of the store or the grace period after it.
-    missing_since: Option<Time>,
+    /// Revision at which the entry was absent during an outage of the store or the grace period
+    /// after it.
+    missing: Option<u64>,
     /// Whether another instance was found at the server's address.
     replaced: bool,
 }
@@ -212,7 +218,7 @@
             reported_at: now,
             slowdown: 1.0,
             slowdown_updated: now,
-            missing_since: None,
+            missing: None,
             replaced: false,
         }
     }
@@ -252,6 +258,7 @@
     engines: BTreeMap<EngineTag, EngineRecord>,
     notices: NoticeTable,
     limits: LimitTable,
+    list: ListState,
     /// Tombstones: the revision at which each entry was removed, so that a delayed older update
     /// cannot restore it.
     tombstones: BTreeMap<EngineTag, u64>,
@@ -312,7 +319,7 @@
                 }
                 record.digest = entry.digest();
                 record.entry = entry;
-                record.missing_since = None;
+                record.missing = None;
                 is_state_changed
             }
             _ => {
@@ -322,19 +329,28 @@
         }
     }
 
-    /// Handles an entry that discovery no longer lists at `revision`. Returns whether the server
-    /// was removed.
+    /// Handles an entry that this host's call to the store no longer found at `revision`. Returns
+    /// whether the server was removed.
     ///
     /// An entry newer than `revision` stays. During an outage of the store and the grace period
     /// after it, the entry of a server that is not leaving is only marked as missing.
     pub fn remove(&mut self, now: Time, tag: EngineTag, revision: u64) -> bool {
         let is_grace = self.store_lost || self.is_grace_period(now);
         let Some(record) = self.engines.get_mut(&tag) else { return false };
-        if record.entry.revision > revision {
+        if is_grace && !record.entry.is_leaving && record.entry.revision <= revision {
+            record.missing.get_or_insert(revision);
             return false;
         }
-        if is_grace && !record.entry.is_leaving {
-            record.missing_since.get_or_insert(now);
+        self.remove_reported(tag, revision)
+    }
+
+    /// Removes a server that a peer knows to be gone at `revision`. Returns whether it was removed;
+    /// an entry newer than `revision` stays.
+    ///
+    /// Peers report only removals that they saw without an outage, so this host's own access to the
+    /// store does not matter.
+    pub fn remove_reported(&mut self, tag: EngineTag, revision: u64) -> bool {
+        if self.engines.get(&tag).is_none_or(|record| record.entry.revision > revision) {
             return false;
         }
         self.engines.remove(&tag);
@@ -352,20 +368,12 @@
     /// Returns a digest of the entries, which two hosts compare to find out whether their tables
     /// agree. It does not depend on the order of the entries.
     pub fn digest(&self) -> u64 {
-        let listed = self.engines.iter().filter(|(_, record)| record.missing_since.is_none());
-        listed.map(|(_, record)| record.digest).fold(0, u64::wrapping_add)
-    }
-
-    /// Returns the revision of the newest known change, or 0 if there is none.
-    pub fn newest_revision(&self) -> u64 {
-        let entries = self.engines.values().map(|record| record.changed_revision);
-        entries.chain(self.tombstones.values().copied()).max().unwrap_or_default()
+        self.engines.values().map(|record| record.digest).fold(0, u64::wrapping_add)
     }
 
     /// Returns the changes after `revision`, oldest first.
     pub fn changes_after(&self, revision: u64) -> Vec<FleetChange> {
-        let listed = self.engines.values().filter(|record| record.missing_since.is_none());
-        let changed = listed.filter(|record| record.changed_revision > revision);
+        let changed = self.engines.values().filter(|record| record.changed_revision > revision);
         let entries = changed.map(|record| {
             let entry = EngineEntry { revision: record.changed_revision, ..record.entry.clone() };
             FleetChange::Entry(entry)
@@ -380,7 +388,7 @@
     /// Returns whether the table holds this entry, whatever its revision.
     pub fn has_entry(&self, entry: &EngineEntry) -> bool {
         let Some(record) = self.engines.get(&entry.tag()) else { return false };
-        record.entry.eq_ignoring_revision(entry) && record.missing_since.is_none()
+        record.entry.eq_ignoring_revision(entry) && record.missing.is_none()
     }
 
     /// Removes the servers that did not register again within the grace period after an outage of
@@ -389,16 +397,13 @@
         if self.store_lost || self.is_grace_period(now) {
             return Vec::new();
         }
-        let missing: Vec<_> = self
-            .engines
-            .iter()
-            .filter(|(_, record)| record.missing_since.is_some())
-            .map(|(tag, _)| *tag)
-            .collect();
-        for tag in &missing {
-            self.engines.remove(tag);
-        }
+        let missing = self.engines.iter().filter_map(|(tag, record)| Some((*tag, record.missing?)));
+        let missing: Vec<_> = missing.collect();
         missing
+            .into_iter()
+            .filter(|(tag, revision)| self.remove_reported(*tag, *revision))
+            .map(|(tag, _)| tag)
+            .collect()
     }
 
     /// Updates the failure estimate of a server after an attempt. Returns the new estimate of this
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -11,7 +11,7 @@
 use parsley_core::{
     dispatch::DispatchInput,
     evidence::{EvidenceEffect, PeerEvidence},
-    fleet::{EngineEstimate, FleetChange, FleetTable, LimitReport},
+    fleet::{EngineEstimate, LimitReport, ListEvidence},
     permit::{PermitReply, PermitRequest},
     roster::{HeartbeatTarget, HostInfo, HostTag, PeerChange, PeerRole, STANDBY_POLL_PERIOD},
     time::Time,
@@ -19,21 +19,19 @@
 };
 use parsley_macros::message;
 
-use super::{Gateway, GatewayRef, GatewayState, ServerChange, clock};
+use super::{
+    Gateway, GatewayRef, GatewayState, ServerChange, clock,
+    listing::{self, ListUpdate},
+};
 use crate::{error::NodeError, event};
 
 /// Largest datagram that is received, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 /// Delay after a failed receive.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Server changes in one datagram.
-const SERVERS_PER_DATAGRAM: usize = 8;
 /// Work entries in one datagram, which keeps it below the size that networks carry. Further entries
 /// go into further datagrams.
 const WORK_ENTRIES_PER_DATAGRAM: usize = 16;
-
-/// Server changes in one response to a standby host.
-const SERVERS_PER_RESPONSE: usize = 12;
 /// Request limits in one datagram. While more change at once, the others reach the peers by their
 /// own requests.
 const LIMITS_PER_DATAGRAM: usize = 8;
@@ -42,15 +40,14 @@
 
 /// Datagram between two hosts.
 #[message]
-enum PeerDatagram {
+pub(super) enum PeerDatagram {
     /// Heartbeat of a member, sent to each peer separately because the evidence echoes its clock.
     Heartbeat {
         host_info: HostInfo,
         /// Clock of the sender, in microseconds.
         clock: u64,
         evidence: PeerEvidence,
-        /// Digest of the sender's list of servers.
-        servers_digest: u64,
+        list: ListEvidence,
         /// Whether the sender counts the receiver as a member.
         counts_receiver: bool,
     },
@@ -69,8 +66,8 @@
         clock: u64,
         /// Digest of the members known to the sender.
         members_digest: u64,
-        /// Revision of the newest server entry known to the sender.
-        servers_revision: u64,
+        /// Revision up to which the sender knows every change of the servers.
+        list_revision: u64,
     },
     /// Response to a [`PeerDatagram::SyncRequest`], or unsolicited to a host that wrongly acts as a
     /// member.
@@ -78,10 +75,7 @@
         evidence: PeerEvidence,
         /// Infos of the live members; `None` if the requester's digest matches.
         members: Option<Vec<HostInfo>>,
-        /// Server changes after the requester's revision, oldest first.
-        servers: Vec<ServerChange>,
-        /// Digest of the sender's list of servers.
-        servers_digest: u64,
+        list: ListUpdate,
     },
     /// What servers named as their request limits.
     LimitReports(Vec<LimitReport>),
@@ -89,6 +83,17 @@
     PermitRequest { reply_to: SocketAddr, request: PermitRequest },
     /// Reply of the issuer.
     PermitReply(PermitReply),
+    /// Request for the changes that the sender's list of servers lacks.
+    ListRequest {
+        reply_to: SocketAddr,
+        incarnation: u64,
+        /// Clock of the sender, in microseconds.
+        clock: u64,
+        /// Revision up to which the sender knows every change of the servers.
+        list_revision: u64,
+    },
+    /// Response to a [`PeerDatagram::ListRequest`].
+    ListResponse { evidence: PeerEvidence, list: ListUpdate },
 }
 
 /// Binds the socket and starts the tasks that send and receive.
@@ -160,7 +165,7 @@
     with_ephemeral_socket(gateway, |socket| send_heartbeats(gateway, socket));
 }
 
-fn with_ephemeral_socket(gateway: &Gateway, work: impl FnOnce(&Async<UdpSocket>)) {
+pub(super) fn with_ephemeral_socket(gateway: &Gateway, work: impl FnOnce(&Async<UdpSocket>)) {
     let from = SocketAddr::new(gateway.settings.host_info.heartbeat_address.ip(), 0);
     match Async::<UdpSocket>::bind(from) {
         Ok(socket) => work(&socket),
@@ -169,25 +174,6 @@
     }
 }
 
-/// Sends the queued server changes to every live peer.
-pub fn broadcast_server_changes(gateway: &Gateway) {
-    let changes = std::mem::take(&mut gateway.state.borrow_mut().pending_server_changes);
-    if changes.is_empty() {
-        return;
-    }
-    with_ephemeral_socket(gateway, |socket| {
-        let now = clock::now();
-        let targets: Vec<_> = {
-            let state = gateway.state.borrow();
-            state.roster.alive(now).map(|(_, info)| info.heartbeat_address).collect()
-        };
-        for part in changes.chunks(SERVERS_PER_DATAGRAM) {
-            let bytes = encode(&PeerDatagram::ServerChanges(part.to_vec()));
-            targets.iter().for_each(|target| send(gateway, socket, *target, &bytes));
-        }
-    });
-}
-
 fn send_work_delta(gateway: &Gateway, socket: &Async<UdpSocket>) {
     let (bytes, targets) = {
         let mut state = gateway.state.borrow_mut();
@@ -242,22 +228,21 @@
         let (echo, heard) = state.peer_clocks.get(&target.tag).copied().unwrap_or((0, now));
         let incarnation = state.roster.incarnation(target.tag).unwrap_or_default();
         let evidence = state.evidence.attest(now, incarnation, echo, now.since(heard));
-        let servers_digest = state.dispatcher.fleet.digest();
+        let list = state.dispatcher.fleet.attest_list(now);
         match target.role {
             PeerRole::Demoted => {
                 let (_, members) = state.roster.member_list(now, &state.host_info);
                 PeerDatagram::SyncResponse {
                     evidence,
                     members: Some(members),
-                    servers: Vec::new(),
-                    servers_digest,
+                    list: ListUpdate::without_changes(list),
                 }
             }
             role => PeerDatagram::Heartbeat {
                 host_info: state.host_info.clone(),
                 clock: now.0,
                 evidence,
-                servers_digest,
+                list,
                 counts_receiver: role == PeerRole::Member,
             },
         }
@@ -293,7 +278,7 @@
             incarnation: state.host_info.incarnation,
             clock: now.0,
             members_digest: state.roster.members_digest(),
-            servers_revision: state.dispatcher.fleet.newest_revision(),
+            list_revision: state.dispatcher.fleet.list_revision(),
         };
         (targets, encode(&datagram), limit_datagram(state, now, false))
     };
@@ -303,11 +288,11 @@
     }
 }
 
-fn encode(datagram: &PeerDatagram) -> Vec<u8> {
+pub(super) fn encode(datagram: &PeerDatagram) -> Vec<u8> {
     postcard::to_stdvec(datagram).expect("every datagram can be encoded")
 }
 
-fn send(gateway: &Gateway, socket: &Async<UdpSocket>, target: SocketAddr, bytes: &[u8]) {
+pub(super) fn send(gateway: &Gateway, socket: &Async<UdpSocket>, target: SocketAddr, bytes: &[u8]) {
     // A datagram that cannot be sent counts as lost: the next heartbeat makes up for it.
     let is_sent = socket.get_ref().send_to(bytes, target).is_ok();
     let direction = if is_sent { "out" } else { "unsent" };
@@ -360,16 +345,16 @@
         PeerDatagram::FullState { host, incarnation, work, estimates } => {
             apply_work(gateway, host, incarnation, work, estimates);
         }
-        PeerDatagram::ServerChanges(changes) => apply_server_changes(gateway, changes),
+        PeerDatagram::ServerChanges(changes) => listing::apply_changes(gateway, changes),
         PeerDatagram::SyncRequest {
             reply_to,
             incarnation,
             clock,
             members_digest,
-            servers_revision,
+            list_revision,
         } => {
             let response =
-                sync_response(gateway, incarnation, clock, members_digest, servers_revision);
+                sync_response(gateway, incarnation, clock, members_digest, list_revision);
             send(gateway, socket, reply_to, &encode(&response));
             // A host without a member list has just started.
             let limits = limit_datagram(&gateway.state.borrow(), clock::now(), members_digest == 0);
@@ -383,20 +368,35 @@
             send(gateway, socket, reply_to, &encode(&reply));
         }
         PeerDatagram::PermitReply(reply) => gateway.receive_permits(reply),
-        PeerDatagram::SyncResponse { evidence, members, servers, servers_digest } => {
+        PeerDatagram::SyncResponse { evidence, members, list } => {
             let now = clock::now();
-            apply_server_changes(gateway, servers);
             {
                 let state = &mut *gateway.state.borrow_mut();
                 state.roster.merge_members(now, &state.host_info, members);
-                state.compare_digest(now, servers_digest);
             }
+            listing::merge_update(gateway, socket, from, &evidence, list);
             merge_evidence(gateway, now, from, &evidence);
         }
-        PeerDatagram::Heartbeat { host_info, clock, evidence, servers_digest, counts_receiver } => {
-            handle_heartbeat(gateway, socket, host_info, clock, servers_digest, counts_receiver);
+        PeerDatagram::Heartbeat { host_info, clock, evidence, list, counts_receiver } => {
+            let address = host_info.heartbeat_address;
+            handle_heartbeat(gateway, socket, host_info, clock, counts_receiver);
+            listing::merge_evidence(gateway, socket, address, &evidence, &list);
             merge_evidence(gateway, clock::now(), from, &evidence);
         }
+        PeerDatagram::ListRequest { reply_to, incarnation, clock, list_revision } => {
+            let now = clock::now();
+            let response = {
+                let state = gateway.state.borrow();
+                PeerDatagram::ListResponse {
+                    evidence: state.evidence.attest(now, incarnation, clock, Duration::ZERO),
+                    list: ListUpdate::after(now, &state.dispatcher.fleet, list_revision),
+                }
+            };
+            send(gateway, socket, reply_to, &encode(&response));
+        }
+        PeerDatagram::ListResponse { evidence, list } => {
+            listing::merge_update(gateway, socket, from, &evidence, list);
+        }
     }
 }
 
@@ -413,53 +413,29 @@
     }
 }
 
-fn apply_server_changes(gateway: &GatewayRef, changes: Vec<ServerChange>) {
-    for change in changes {
-        gateway.dispatch(match change {
-            ServerChange::Changed(entry) => DispatchInput::ServerChanged(entry),
-            ServerChange::Removed { tag, revision } => {
-                DispatchInput::ServerRemoved { tag, revision }
-            }
-        });
-    }
-}
-
 /// Response that brings a standby host up to date.
 fn sync_response(
     gateway: &Gateway,
     incarnation: u64,
     clock: u64,
     known_digest: u64,
-    servers_revision: u64,
+    list_revision: u64,
 ) -> PeerDatagram {
     let now = clock::now();
     let state = gateway.state.borrow();
     let (members_digest, members) = state.roster.member_list(now, &state.host_info);
-    let fleet = &state.dispatcher.fleet;
     PeerDatagram::SyncResponse {
         evidence: state.evidence.attest(now, incarnation, clock, Duration::ZERO),
         members: (members_digest != known_digest).then_some(members),
-        servers: server_changes_after(fleet, servers_revision),
-        servers_digest: fleet.digest(),
+        list: ListUpdate::after(now, &state.dispatcher.fleet, list_revision),
     }
 }
 
-/// Oldest server changes after a revision, at most [`SERVERS_PER_RESPONSE`].
-fn server_changes_after(fleet: &FleetTable, after: u64) -> Vec<ServerChange> {
-    let changes = fleet.changes_after(after).into_iter().take(SERVERS_PER_RESPONSE);
-    let changes = changes.map(|change| match change {
-        FleetChange::Entry(entry) => ServerChange::Changed(entry),
-        FleetChange::Removed { tag, revision } => ServerChange::Removed { tag, revision },
-    });
-    changes.collect()
-}
-
 fn handle_heartbeat(
     gateway: &GatewayRef,
     socket: &Async<UdpSocket>,
     host_info: HostInfo,
     clock: u64,
-    servers_digest: u64,
     counts_receiver: bool,
 ) {
     let now = clock::now();
@@ -476,9 +452,6 @@
         if counts_receiver {
             state.roster.confirm_member(now);
         }
-        if host_info.has_store {
-            state.compare_digest(now, servers_digest);
-        }
         peer_change == PeerChange::Joined
     };
     if !has_joined {
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -13,7 +13,7 @@
 };
 use parsley_macros::message;
 
-use super::{Gateway, beats, clock};
+use super::{Gateway, beats, clock, listing};
 use crate::event;
 
 /// Change of a server's entry that a lead read from the store.
@@ -137,18 +137,44 @@
     pub fn feed_context(&self, is_config: bool) -> FeedContext {
         let now = clock::now();
         let state = self.state.borrow();
+        let fleet = &state.dispatcher.fleet;
+        let is_lead = state.roster.is_lead(now, &state.host_info, LEAD_COUNT);
+        let is_member = state.roster.is_member(now, &state.host_info);
+        if is_config {
+            return FeedContext::from_facts(&FeedFacts {
+                is_config,
+                limit: self.settings.evidence.apply_limit,
+                is_lead,
+                is_member,
+                is_known: state.catalog.is_some(),
+                proof_age: state.evidence.age(now),
+                has_newer: state.evidence.newest_known().0 > state.evidence.version(),
+                ..FeedFacts::default()
+            });
+        }
         FeedContext::from_facts(&FeedFacts {
-            is_config,
-            apply_limit: self.settings.evidence.apply_limit,
-            is_lead: state.roster.is_lead(now, &state.host_info, LEAD_COUNT),
-            is_member: state.roster.is_member(now, &state.host_info),
-            version: state.catalog.as_ref().map(|_| state.evidence.version()),
-            proof_age: state.evidence.age(now),
-            newest_known: state.evidence.newest_known().0,
-            divergence: state.digest_mismatch_since.map(|at| now.since(at)),
+            limit: self.settings.leave_limit,
+            is_lead,
+            is_member,
+            // Whether entries that are missing return shows by itself within the grace period.
+            is_known: fleet.list_revision() > 0 && !fleet.has_missing(),
+            proof_age: fleet.list_age(now),
+            divergence: fleet.list_divergence(now),
+            ..FeedFacts::default()
         })
     }
 
+    /// Records that the store returned every change of the servers up to `revision` in a call that
+    /// was sent at `call_start`.
+    pub fn confirm_servers(&self, call_start: Time, revision: u64) {
+        self.state.borrow_mut().dispatcher.fleet.confirm_list(call_start, revision);
+    }
+
+    /// Revision up to which this host knows every change of the servers.
+    pub fn server_list_revision(&self) -> u64 {
+        self.state.borrow().dispatcher.fleet.list_revision()
+    }
+
     /// Waits until a peer reports a newer configuration.
     pub async fn wait_for_newer_config(&self) {
         // An error means that the channel is closed, which happens only with the gateway.
@@ -171,20 +197,25 @@
         self.state.borrow().roster.is_isolated(clock::now())
     }
 
-    /// Queues a server change for the peers unless it is known already.
-    pub fn queue_server_change(&self, change: ServerChange) {
+    /// Queues a new or changed entry for the peers unless it is known already.
+    pub fn queue_server_entry(&self, entry: EngineEntry) {
         let mut state = self.state.borrow_mut();
-        let is_known = match &change {
-            ServerChange::Changed(entry) => state.dispatcher.fleet.has_entry(entry),
-            ServerChange::Removed { .. } => false,
-        };
-        if !is_known {
-            state.pending_server_changes.push(change);
+        if !state.dispatcher.fleet.has_entry(&entry) {
+            state.pending_server_changes.push(ServerChange::Changed(entry));
+        }
+    }
+
+    /// Queues the removal of an entry for the peers, unless it may have expired during an outage and
+    /// is kept for now.
+    pub fn queue_server_removal(&self, tag: EngineTag, revision: u64) {
+        let mut state = self.state.borrow_mut();
+        if state.dispatcher.fleet.get(tag).is_none() {
+            state.pending_server_changes.push(ServerChange::Removed { tag, revision });
         }
     }
 
     /// Sends the queued server changes to the peers.
     pub fn flush_server_changes(&self) {
-        beats::broadcast_server_changes(self);
+        listing::broadcast_changes(self);
     }
 }
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -59,6 +59,9 @@
     pub permits: IntCounterVec,
     /// Backend servers that limit the rate of requests.
     pub limited_servers: IntGauge,
+    /// Age of the proof that the list of servers is complete, in milliseconds; the maximum if there
+    /// is none.
+    pub server_list_age: IntGauge,
     /// Retries left in the budgets of all services.
     pub retry_budget_left: IntGauge,
 }
@@ -162,6 +165,11 @@
                 "gateway_limited_servers",
                 "Backend servers that limit the rate of requests.",
             ),
+            server_list_age: gauge(
+                &registry,
+                "gateway_server_list_age_milliseconds",
+                "Age of the proof that the list of servers is complete.",
+            ),
             retry_budget_left: gauge(
                 &registry,
                 "gateway_retry_budget_left",
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -50,6 +50,7 @@
 pub mod line_budget;
 pub mod link;
 mod listener;
+mod listing;
 mod memory;
 mod metrics;
 mod receive;
@@ -87,6 +88,8 @@
     pub evidence: EvidenceLimits,
     /// Time from SIGTERM to the end of the process.
     pub grace: Duration,
+    /// Time after which a server that leaves gets no request any more.
+    pub leave_limit: Duration,
     /// Retry limit over all hosts.
     pub retry: RetryLimit,
     /// Limits on memory reservations.
@@ -124,8 +127,8 @@
     store_lost: (bool, bool),
     /// Issues the permits for limited servers that fall to this host.
     permit_issuer: PermitIssuer,
-    /// Since when the server list of a peer with store access differs from this host's.
-    digest_mismatch_since: Option<Time>,
+    /// When changes of the server list were last requested from a peer.
+    list_requested: Option<Time>,
     /// Server changes to send to peers.
     pending_server_changes: Vec<ServerChange>,
     /// Clock in each peer's last heartbeat, and when it arrived.
@@ -138,15 +141,6 @@
     fn trust(&self, now: Time) -> ConfigTrust {
         self.evidence.trust(now, self.store_lost.0)
     }
-
-    /// Compares this host's list of servers with that of a peer with store access.
-    fn compare_digest(&mut self, now: Time, digest: u64) {
-        if digest == self.dispatcher.fleet.digest() {
-            self.digest_mismatch_since = None;
-        } else {
-            self.digest_mismatch_since.get_or_insert(now);
-        }
-    }
 }
 
 /// Running gateway.
@@ -208,7 +202,7 @@
             drain_end: None,
             store_lost: (false, false),
             permit_issuer: PermitIssuer::default(),
-            digest_mismatch_since: None,
+            list_requested: None,
             pending_server_changes: Vec::new(),
             peer_clocks: BTreeMap::new(),
             rng: fastrand::Rng::new(),
@@ -457,6 +451,8 @@
         let usable = fleet.iter().filter(|(tag, _)| fleet.is_usable(now, *tag));
         self.metrics.usable_servers.set(usable.count() as i64);
         self.metrics.limited_servers.set(fleet.limited_count() as i64);
+        let list_age = fleet.list_age(now).map_or(i64::MAX, |age| age.as_millis() as i64);
+        self.metrics.server_list_age.set(list_age);
         let dropped = self.log_budget.take_dropped();
         if dropped > 0 {
             self.metrics.dropped_log_lines.inc_by(dropped);
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -103,6 +103,8 @@
     SERVER_LIMITED: "E2307" Info "server limited its request rate" ["server", "per_second", "from"];
     SERVER_LIMIT_ENDED: "E2308" Info "server no longer limits its request rate" ["server", "from"];
     SERVER_LIMIT_INVALID: "E2309" Warning "invalid request limit ignored" ["server", "value"];
+    SERVER_LIST_BEHIND: "E2310" Info "a peer has a later list of servers"
+        ["from", "revision", "peer_revision", "age_ms"];
     REQUEST_ARRIVED: "E2401" Info "request arrived"
         ["request", "route", "account", "priority", "prompt", "patience_ms", "config", "config_age_ms"];
     REQUEST_PLACED: "E2402" Info "request placed"
