Release memory at all engines of a split prompt at once

Cause: one task renewed and released a prompt's reservations, engine after engine, and waited up to 0.4 s for each. When the caller left while an engine did not answer, the others kept its memory for 0.4 s and more, longer if a renewal was in progress.

Change: a task for each engine, which the request's end interrupts.

Before: memory_of_a_caller_that_left_is_released_at_all_engines_at_once fails (0 releases after 0.5 s where 1 is due). After: passes, one run. Whether this is what the operators saw is suspected, not shown.

--- a/crates/node/src/gateway/memory.rs
+++ b/crates/node/src/gateway/memory.rs
@@ -76,7 +76,10 @@
     }
     let term = gateway.settings.reservation.term();
     let (done, ended) = async_channel::bounded(1);
-    gateway.spawn(renew_until_done(gateway.clone(), name.clone(), targets.clone(), ended));
+    for target in &targets {
+        // A task for each engine: one that does not answer must not delay the others.
+        gateway.spawn(renew_until_done(gateway.clone(), name.clone(), *target, ended.clone()));
+    }
     let guard = MemoryReservation { name: name.clone(), _done: Some(done) };
     for (tag, address, tokens) in targets {
         let reservation = ReservationRequest { name: name.clone(), tokens: Some(tokens), term };
@@ -89,7 +92,10 @@
     Ok(guard)
 }
 
-fn helper_targets(exchange: &Exchange, placement: &Placement) -> Vec<(EngineTag, SocketAddr, u32)> {
+/// Engine on which memory is reserved, its address and the number of tokens.
+type ReservationTarget = (EngineTag, SocketAddr, u32);
+
+fn helper_targets(exchange: &Exchange, placement: &Placement) -> Vec<ReservationTarget> {
     let state = exchange.gateway.state.borrow();
     let helpers = placement.helpers.iter().filter_map(|helper| {
         let record = state.dispatcher.fleet.get(helper.engine)?;
@@ -98,37 +104,33 @@
     helpers.collect()
 }
 
-/// Renews the reservations until the request ends, then releases them.
+/// Renews the reservation on one engine until the request ends, then releases it.
 async fn renew_until_done(
     gateway: GatewayRef,
     name: Arc<str>,
-    targets: Vec<(EngineTag, SocketAddr, u32)>,
+    (tag, address, tokens): ReservationTarget,
     ended: Receiver<()>,
 ) {
     let term = gateway.settings.reservation.term();
-    loop {
-        let due = async {
-            Timer::after(term / RENEWALS_PER_TERM).await;
-            false
-        };
-        let done = async {
-            // Nothing is sent on this channel; it closes with the request.
-            let _ = ended.recv().await;
-            true
-        };
-        let is_done = done.or(due).await;
-        for (tag, address, tokens) in &targets {
-            let tokens = (!is_done).then_some(*tokens);
-            let reservation = ReservationRequest { name: name.clone(), tokens, term };
-            let status = send_reservation(&gateway, *tag, *address, &reservation).await;
-            if status != Ok(StatusCode::OK) {
-                log_failure(&gateway, *tag, &name, status);
-            }
+    let send = async |tokens: Option<u32>| {
+        let reservation = ReservationRequest { name: name.clone(), tokens, term };
+        let status = send_reservation(&gateway, tag, address, &reservation).await;
+        if status != Ok(StatusCode::OK) {
+            log_failure(&gateway, tag, &name, status);
         }
-        if is_done {
-            return;
+    };
+    let renew = async {
+        loop {
+            Timer::after(term / RENEWALS_PER_TERM).await;
+            send(Some(tokens)).await;
         }
-    }
+    };
+    let done = async {
+        // Nothing is sent on this channel; it closes with the request.
+        let _ = ended.recv().await;
+    };
+    done.or(renew).await;
+    send(None).await;
 }
 
 fn log_failure(
