Refuse parts of prompts that crash engines

Cause: no host noted which parts a prompt has or which of them was under way as an engine ended, and none told the others. Each host saw a few crashes, each repeat caused one more.

Change: a quarantine of parts (core/quarantine, decisions/quarantine.md). A crash is a connection that ends before the first event at a server that then refuses connections; hosts add up all crashes in separate incidents; answers speak for a part at all hosts. Refused at once as not run, before each send; shown and lifted on the metrics address.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod order;
 pub mod permit;
 pub mod placement;
+pub mod quarantine;
 pub mod record;
 pub mod refusal;
 pub mod request;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -74,6 +74,8 @@
     ServiceFailed,
     /// The engine failed and no retry is allowed.
     EngineFailed,
+    /// The prompt has a part that crashes engines.
+    PromptQuarantined,
     /// The host is shutting down.
     Draining,
     /// The caller cancelled the request.
@@ -86,7 +88,7 @@
 
 impl Reason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [Reason; 25] = [
+    pub const ALL: [Reason; 26] = [
         Reason::BadRequest,
         Reason::Unauthenticated,
         Reason::Forbidden,
@@ -108,6 +110,7 @@
         Reason::ServiceUnavailable,
         Reason::ServiceFailed,
         Reason::EngineFailed,
+        Reason::PromptQuarantined,
         Reason::Draining,
         Reason::Cancelled,
         Reason::InProgress,
@@ -138,6 +141,7 @@
             Reason::ServiceUnavailable => "service-unavailable",
             Reason::ServiceFailed => "service-failed",
             Reason::EngineFailed => "engine-failed",
+            Reason::PromptQuarantined => "prompt-quarantined",
             Reason::Draining => "draining",
             Reason::Cancelled => "cancelled",
             Reason::InProgress => "in-progress",
@@ -168,6 +172,7 @@
             | Reason::ServiceUnavailable
             | Reason::ServiceFailed
             | Reason::EngineFailed
+            | Reason::PromptQuarantined
             | Reason::Draining => 503,
         }
     }
--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -24,6 +24,7 @@
     link::{SendError, ServerConnection},
     listener::with_timeout,
     memory::{self, MemoryReservation},
+    quarantine::SentProcess,
     receive::receive_body,
 };
 
@@ -61,6 +62,9 @@
     NotRun(Arc<str>),
     /// The request may have run. Holds the cause.
     Unknown(Arc<str>),
+    /// The connection ended before the first event or the whole response. The request may have run,
+    /// and the server's process may have ended. Holds the cause.
+    ConnectionLost(Arc<str>),
 }
 
 /// Streamed response to a caller, continued across attempts.
@@ -137,11 +141,14 @@
             return AttemptEnd::NotRun(fault);
         }
     };
-    // The server may have announced a shutdown or a pause in the meantime.
-    if server_target(exchange, engine).is_none() {
+    // The server may have announced a shutdown or a pause in the meantime, and engines may have
+    // crashed under the prompt.
+    let is_quarantined = gateway.quarantine_refusal(&exchange.info.shared_parts).is_some();
+    if server_target(exchange, engine).is_none() || is_quarantined {
         reservation.release();
         return not_sent();
     }
+    let sent_process = SentProcess::find(&gateway.state.borrow(), engine);
     let request = build_request(exchange, &instance, placement, &reservation, stream.last_event);
     progress.attempts.set(progress.attempts.get() + 1);
     let sent = clock::now();
@@ -167,7 +174,7 @@
             (EngineVerdict::Failed, AttemptEnd::NotRun(err.to_string().into()))
         }
         Some(Err(SendError::Unknown(err))) => {
-            (EngineVerdict::Failed, AttemptEnd::Unknown(err.to_string().into()))
+            (EngineVerdict::Failed, AttemptEnd::ConnectionLost(err.to_string().into()))
         }
         Some(Ok(response)) => {
             let mut relay =
@@ -178,9 +185,21 @@
     gateway.metrics.sends.with_label_values(&[verdict_name(verdict)]).inc();
     gateway.report_verdict(engine, verdict, &exchange.id);
     reservation.release();
+    if let (AttemptEnd::ConnectionLost(_), Some(process)) = (&end, sent_process) {
+        process.report_end(exchange);
+    }
     end
 }
 
+/// Result of an attempt whose stream broke off.
+fn broken_off(has_event: bool, fault: &str) -> (EngineVerdict, AttemptEnd) {
+    let end = match has_event {
+        true => AttemptEnd::Unknown(fault.into()),
+        false => AttemptEnd::ConnectionLost(fault.into()),
+    };
+    (EngineVerdict::Failed, end)
+}
+
 fn verdict_name(verdict: EngineVerdict) -> &'static str {
     match verdict {
         EngineVerdict::Good => "good",
@@ -365,6 +384,9 @@
             return (EngineVerdict::Failed, AttemptEnd::ServerError(response));
         }
         self.progress.first_part.set(Some(clock::now()));
+        if status.is_success() {
+            self.exchange.gateway.record_answer(self.exchange);
+        }
         // Fails only if the caller has left; it needs no response then.
         let _ = self.exchange.reply.try_send(response);
         let verdict =
@@ -402,15 +424,10 @@
                     return (verdict, AttemptEnd::Unknown(fault.into()));
                 }
                 Some(None) if splitter.has_partial_event() => {
-                    return (
-                        EngineVerdict::Failed,
-                        AttemptEnd::Unknown("an event broke off".into()),
-                    );
+                    return broken_off(has_event, "an event broke off");
                 }
                 Some(None) => break,
-                Some(Some(Err(err))) => {
-                    return (EngineVerdict::Failed, AttemptEnd::Unknown(err.to_string().into()));
-                }
+                Some(Some(Err(err))) => return broken_off(has_event, &err.to_string()),
                 Some(Some(Ok(frame))) => frame,
             };
             let Some(bytes) = frame.data_ref() else { continue };
@@ -470,6 +487,7 @@
             self.progress.first_part.set(Some(clock::now()));
         }
         self.exchange.gateway.dispatch(DispatchInput::ResponseStarted(self.exchange.number));
+        self.exchange.gateway.record_answer(self.exchange);
     }
 
     /// Reports a sample of the gaps between events as a measure of the engine's pace.
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -13,6 +13,7 @@
     evidence::{EvidenceEffect, PeerEvidence},
     fleet::{EngineEstimate, LimitReport, ListEvidence},
     permit::{PermitReply, PermitRequest},
+    quarantine::PartReport,
     roster::{HeartbeatTarget, HostInfo, HostTag, PeerChange, PeerRole, STANDBY_POLL_PERIOD},
     time::Time,
     work::WorkUpdate,
@@ -48,6 +49,8 @@
         clock: u64,
         evidence: PeerEvidence,
         list: ListEvidence,
+        /// Digest of what the sender knows of suspect parts of prompts.
+        parts_digest: u64,
         /// Whether the sender counts the receiver as a member.
         counts_receiver: bool,
     },
@@ -68,6 +71,8 @@
         members_digest: u64,
         /// Revision up to which the sender knows every change of the servers.
         list_revision: u64,
+        /// Digest of what the sender knows of suspect parts of prompts.
+        parts_digest: u64,
     },
     /// Response to a [`PeerDatagram::SyncRequest`], or unsolicited to a host that wrongly acts as a
     /// member.
@@ -76,6 +81,8 @@
         /// Infos of the live members; `None` if the requester's digest matches.
         members: Option<Vec<HostInfo>>,
         list: ListUpdate,
+        /// Digest of what the sender knows of suspect parts of prompts.
+        parts_digest: u64,
     },
     /// What servers named as their request limits.
     LimitReports(Vec<LimitReport>),
@@ -94,6 +101,8 @@
     },
     /// Response to a [`PeerDatagram::ListRequest`].
     ListResponse { evidence: PeerEvidence, list: ListUpdate },
+    /// What the sender knows of parts of prompts under which engines crashed.
+    PartReports { reply_to: SocketAddr, reports: Vec<PartReport> },
 }
 
 /// Binds the socket and starts the tasks that send and receive.
@@ -229,6 +238,7 @@
         let incarnation = state.roster.incarnation(target.tag).unwrap_or_default();
         let evidence = state.evidence.attest(now, incarnation, echo, now.since(heard));
         let list = state.dispatcher.fleet.attest_list(now);
+        let parts_digest = state.quarantine.digest();
         match target.role {
             PeerRole::Demoted => {
                 let (_, members) = state.roster.member_list(now, &state.host_info);
@@ -236,6 +246,7 @@
                     evidence,
                     members: Some(members),
                     list: ListUpdate::without_changes(list),
+                    parts_digest,
                 }
             }
             role => PeerDatagram::Heartbeat {
@@ -243,6 +254,7 @@
                 clock: now.0,
                 evidence,
                 list,
+                parts_digest,
                 counts_receiver: role == PeerRole::Member,
             },
         }
@@ -279,6 +291,7 @@
             clock: now.0,
             members_digest: state.roster.members_digest(),
             list_revision: state.dispatcher.fleet.list_revision(),
+            parts_digest: state.quarantine.digest(),
         };
         (targets, encode(&datagram), limit_datagram(state, now, false))
     };
@@ -352,7 +365,9 @@
             clock,
             members_digest,
             list_revision,
+            parts_digest,
         } => {
+            gateway.sync_parts(reply_to, parts_digest);
             let response =
                 sync_response(gateway, incarnation, clock, members_digest, list_revision);
             send(gateway, socket, reply_to, &encode(&response));
@@ -368,7 +383,8 @@
             send(gateway, socket, reply_to, &encode(&reply));
         }
         PeerDatagram::PermitReply(reply) => gateway.receive_permits(reply),
-        PeerDatagram::SyncResponse { evidence, members, list } => {
+        PeerDatagram::SyncResponse { evidence, members, list, parts_digest } => {
+            gateway.sync_parts(from, parts_digest);
             let now = clock::now();
             {
                 let state = &mut *gateway.state.borrow_mut();
@@ -377,8 +393,16 @@
             listing::merge_update(gateway, socket, from, &evidence, list);
             merge_evidence(gateway, now, from, &evidence);
         }
-        PeerDatagram::Heartbeat { host_info, clock, evidence, list, counts_receiver } => {
+        PeerDatagram::Heartbeat {
+            host_info,
+            clock,
+            evidence,
+            list,
+            parts_digest,
+            counts_receiver,
+        } => {
             let address = host_info.heartbeat_address;
+            gateway.sync_parts(address, parts_digest);
             handle_heartbeat(gateway, socket, host_info, clock, counts_receiver);
             listing::merge_evidence(gateway, socket, address, &evidence, &list);
             merge_evidence(gateway, clock::now(), from, &evidence);
@@ -397,6 +421,9 @@
         PeerDatagram::ListResponse { evidence, list } => {
             listing::merge_update(gateway, socket, from, &evidence, list);
         }
+        PeerDatagram::PartReports { reply_to, reports } => {
+            gateway.merge_part_reports(reply_to, &reports);
+        }
     }
 }
 
@@ -428,6 +455,7 @@
         evidence: state.evidence.attest(now, incarnation, clock, Duration::ZERO),
         members: (members_digest != known_digest).then_some(members),
         list: ListUpdate::after(now, &state.dispatcher.fleet, list_revision),
+        parts_digest: state.quarantine.digest(),
     }
 }
 
--- a/crates/node/src/gateway/edge.rs
+++ b/crates/node/src/gateway/edge.rs
@@ -9,6 +9,7 @@
 use hyper::{HeaderMap, StatusCode, body::Bytes};
 use parsley_core::{
     fleet::{LimitNotice, ServerNotice},
+    quarantine::PartTag,
     refusal::Refusal,
 };
 use parsley_macros::value;
@@ -29,6 +30,8 @@
     pub prompt_tokens: u32,
     /// Upper bound on the output, in tokens.
     pub max_output_tokens: u32,
+    /// Parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<PartTag>,
 }
 
 /// Values that are written into the headers of a request forwarded to a backend server.
--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -355,6 +355,9 @@
         let mut fallback = None;
         progress.prompt_tokens.set(self.info.prompt_tokens);
         for placement_count in 1..=MAX_PLACEMENTS {
+            if let Some(refusal) = gateway.quarantine_refusal(&self.info.shared_parts) {
+                return self.fail(refusal, may_have_run, &stream, fallback);
+            }
             let wait_start = clock::now();
             let placement = match self.wait_for_placement(&excluded).await {
                 Ok(placement) => placement,
@@ -373,6 +376,7 @@
             };
             let end = attempt::run(&self, &placement, &mut stream, progress, alive, &permit).await;
             let is_paid = permit.is_granted.get();
+            let is_lost = matches!(end, AttemptEnd::ConnectionLost(_));
             let (fault, not_run) = match end {
                 AttemptEnd::Answered(status) => return RequestEnd::Answered(status),
                 AttemptEnd::ServerError(response) => {
@@ -382,7 +386,7 @@
                     (Arc::from(fault), false)
                 }
                 AttemptEnd::NotRun(fault) => (fault, true),
-                AttemptEnd::Unknown(fault) => {
+                AttemptEnd::Unknown(fault) | AttemptEnd::ConnectionLost(fault) => {
                     may_have_run = true;
                     (fault, false)
                 }
@@ -395,6 +399,9 @@
             let was_sent = progress.attempts.get() > sends;
             let obstacle = match () {
                 () if !not_run && !self.is_repeatable() => Some("it may run only once"),
+                () if is_lost && gateway.is_suspect(&self.info.shared_parts) => {
+                    Some("engines ended under a part of its prompt")
+                }
                 () if progress.attempts.get() >= self.route.max_attempts => {
                     Some("the route allows no further server")
                 }
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -62,6 +62,12 @@
     /// Age of the proof that the list of servers is complete, in milliseconds; the maximum if there
     /// is none.
     pub server_list_age: IntGauge,
+    /// Engine processes that ended under requests whose prompts may be the cause.
+    pub engine_crashes: IntCounter,
+    /// Parts of prompts under which engines ended, those in quarantine included.
+    pub suspect_parts: IntGauge,
+    /// Parts of prompts in quarantine.
+    pub quarantined_parts: IntGauge,
     /// Retries left in the budgets of all services.
     pub retry_budget_left: IntGauge,
 }
@@ -170,6 +176,23 @@
                 "gateway_server_list_age_milliseconds",
                 "Age of the proof that the list of servers is complete.",
             ),
+            engine_crashes: register(
+                &registry,
+                IntCounter::new(
+                    "parsley_gateway_engine_crashes_total",
+                    "Engine processes that ended under requests whose prompts may be the cause.",
+                ),
+            ),
+            suspect_parts: gauge(
+                &registry,
+                "gateway_suspect_parts",
+                "Parts of prompts under which engines ended.",
+            ),
+            quarantined_parts: gauge(
+                &registry,
+                "gateway_quarantined_parts",
+                "Parts of prompts in quarantine.",
+            ),
             retry_budget_left: gauge(
                 &registry,
                 "gateway_retry_budget_left",
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -27,6 +27,7 @@
     evidence::{ConfigTrust, EvidenceKeeper, EvidenceLimits},
     fleet::{EngineTag, EngineVerdict, LimitNotice, ServerNotice},
     permit::{PermitIssuer, PermitRequest},
+    quarantine::PartQuarantine,
     refusal::{Reason, Refusal},
     retry::{RetryBudget, RetryLimit},
     roster::{HostInfo, HostTag, PeerRoster, SETTLE_TIME},
@@ -53,6 +54,7 @@
 mod listing;
 mod memory;
 mod metrics;
+mod quarantine;
 mod receive;
 mod refuse;
 #[cfg(test)]
@@ -127,6 +129,8 @@
     store_lost: (bool, bool),
     /// Issues the permits for limited servers that fall to this host.
     permit_issuer: PermitIssuer,
+    /// Parts of prompts that crash engines.
+    quarantine: PartQuarantine,
     /// When changes of the server list were last requested from a peer.
     list_requested: Option<Time>,
     /// Server changes to send to peers.
@@ -202,6 +206,7 @@
             drain_end: None,
             store_lost: (false, false),
             permit_issuer: PermitIssuer::default(),
+            quarantine: PartQuarantine::default(),
             list_requested: None,
             pending_server_changes: Vec::new(),
             peer_clocks: BTreeMap::new(),
@@ -433,6 +438,7 @@
 
     fn sweep(&self) {
         self.connections.remove_expired();
+        self.sweep_quarantine();
         self.update_readiness();
         let now = clock::now();
         let mut state = self.state.borrow_mut();
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -105,6 +105,10 @@
     SERVER_LIMIT_INVALID: "E2309" Warning "invalid request limit ignored" ["server", "value"];
     SERVER_LIST_BEHIND: "E2310" Info "a peer has a later list of servers"
         ["from", "revision", "peer_revision", "age_ms"];
+    PARTS_SUSPECT: "E2311" Warning "an engine ended under a request"
+        ["server", "process", "request", "parts"];
+    PART_QUARANTINED: "E2312" Warning "part of prompts in quarantine" ["part", "crashes", "from"];
+    PART_RELEASED: "E2313" Info "part of prompts released from quarantine" ["part", "from"];
     REQUEST_ARRIVED: "E2401" Info "request arrived"
         ["request", "route", "account", "priority", "prompt", "patience_ms", "config", "config_age_ms"];
     REQUEST_PLACED: "E2402" Info "request placed"
