Continue a stream that ends before its first event

Cause: the end of the connection is the end of such a stream, and only bytes of an incomplete event showed that it had broken off. A request runs from its first token, so a stream without an event is none.

Before: stream_that_ends_with_its_connection_is_continued_if_it_broke_off fails (event 1 comes 0 times). After: passes, one run.

--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -426,6 +426,9 @@
                 Some(None) if splitter.has_partial_event() => {
                     return broken_off(has_event, "an event broke off");
                 }
+                Some(None) if !has_event && self.stream.last_event.is_none() => {
+                    return broken_off(false, "the stream has no event");
+                }
                 Some(None) => break,
                 Some(Some(Err(err))) => return broken_off(has_event, &err.to_string()),
                 Some(Some(Ok(frame))) => frame,
