Trust no refusal without an id on a kept connection

Cause: a copy with the earlier attempt's id was recognised, one without any id was taken for the answer to the request in progress.

--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -314,7 +314,12 @@
             response.headers(),
         );
         let own_id = self.exchange.info.id.as_ref();
-        let is_other_attempt = info.id.is_some() && info.id.as_ref() != own_id;
+        let is_refused = info.is_replaced || info.is_not_executed;
+        let is_other_attempt = match &info.id {
+            Some(_) => info.id.as_ref() != own_id,
+            // A refusal without an id may be a copy of the one to the connection's last request.
+            None => is_refused && connection.is_reused && own_id.is_some(),
+        };
         if !info.is_replaced {
             self.exchange.gateway.apply_notice(self.placement.engine, self.sent, &info, own_id);
         }
