Hold back a prompt that is split with a leaving engine

Cause: before the head is written, only the first engine was checked again, not those that share the prompt. A held-back placement also excluded its first engine, although that was not tried.

After: passes, one run.

--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -60,6 +60,8 @@
     ServerError(Response<ResponseBody>),
     /// The request was not run and will not be. Holds the cause.
     NotRun(Arc<str>),
+    /// Nothing was sent because a server of the placement takes no more work. Holds the cause.
+    HeldBack(Arc<str>),
     /// The request may have run. Holds the cause.
     Unknown(Arc<str>),
     /// The connection ended before the first event or the whole response. The request may have run,
@@ -127,7 +129,7 @@
     let engine = placement.engine;
     let not_sent = || {
         gateway.metrics.held_back.inc();
-        AttemptEnd::NotRun("the server is gone or wants nothing".into())
+        AttemptEnd::HeldBack("the server is gone or wants nothing".into())
     };
     let Some((address, instance)) = server_target(exchange, engine) else { return not_sent() };
     let reservation = match memory::reserve(exchange, placement).await {
@@ -144,7 +146,10 @@
     // The server may have announced a shutdown or a pause in the meantime, and engines may have
     // crashed under the prompt.
     let is_quarantined = gateway.quarantine_refusal(&exchange.info.shared_parts).is_some();
-    if server_target(exchange, engine).is_none() || is_quarantined {
+    if server_target(exchange, engine).is_none()
+        || !has_all_helpers(exchange, placement)
+        || is_quarantined
+    {
         reservation.release();
         return not_sent();
     }
@@ -219,6 +224,12 @@
     fleet.is_usable(clock::now(), engine).then(|| (entry.address, entry.id.clone()))
 }
 
+/// Whether all engines that share the prompt still accept work.
+fn has_all_helpers(exchange: &Exchange, placement: &Placement) -> bool {
+    let fleet = &exchange.gateway.state.borrow().dispatcher.fleet;
+    placement.helpers.iter().all(|helper| fleet.is_usable(clock::now(), helper.engine))
+}
+
 async fn open_connection(
     exchange: &Exchange,
     engine: EngineTag,
--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -386,6 +386,11 @@
                     (Arc::from(fault), false)
                 }
                 AttemptEnd::NotRun(fault) => (fault, true),
+                AttemptEnd::HeldBack(fault) => {
+                    // A server that still takes work may get it in the next placement.
+                    excluded.pop();
+                    (fault, true)
+                }
                 AttemptEnd::Unknown(fault) | AttemptEnd::ConnectionLost(fault) => {
                     may_have_run = true;
                     (fault, false)
