Repair what hosts know of request limits by a digest

With suspect parts there were two ways for what one host knows and all must respect.

Change: heartbeats and polls carry one digest of the limits that hold and of suspect parts; who has another one is sent both in full.

--- a/crates/core/src/fleet/limit.rs
+++ b/crates/core/src/fleet/limit.rs
@@ -20,6 +20,8 @@
 const MIN_MILLI_RATE: u32 = 100;
 /// Time for which a new or changed statement is reported to peers, several heartbeat periods.
 const REPORT_TERM: Duration = Duration::from_millis(2_500);
+/// Time for which the end of a limit is reported to hosts that may not have heard of it.
+const END_REPORT_TERM: Duration = Duration::from_secs(60);
 /// Most statements that are kept.
 const STATEMENT_LIMIT: usize = 20_000;
 
@@ -167,11 +169,12 @@
     }
 
     /// Returns up to `count` statements for this host's peers, the latest first: those that changed
-    /// lately, or for a host that has just started all limits.
-    pub fn limit_reports(&self, now: Time, count: usize, is_new_peer: bool) -> Vec<LimitReport> {
+    /// lately, or for a host that knows other limits all that hold or ended lately.
+    pub fn limit_reports(&self, now: Time, count: usize, is_full: bool) -> Vec<LimitReport> {
         let is_reported = |statement: &LimitStatement| {
-            let is_recent = now.since(statement.changed) < REPORT_TERM;
-            is_recent || (is_new_peer && statement.rate.is_some())
+            let age = now.since(statement.changed);
+            let is_known = statement.rate.is_some() || age < END_REPORT_TERM;
+            age < REPORT_TERM || (is_full && is_known)
         };
         let mut recent: Vec<_> =
             self.limits.statements.iter().filter(|(_, one)| is_reported(one)).collect();
@@ -185,6 +188,15 @@
         recent.into_iter().take(count).map(report).collect()
     }
 
+    /// Returns a digest of the limits that hold, by which hosts find out whether they know the same.
+    pub fn limits_digest(&self) -> u64 {
+        let limits = self.engines.iter().filter_map(|(tag, record)| {
+            let RequestRate(rate) = self.limit(*tag)?;
+            Some((tag.0 ^ record.entry.started_ms).wrapping_mul(u64::from(rate) | 1 << 33))
+        });
+        limits.fold(0, u64::wrapping_add)
+    }
+
     /// Returns the number of servers that name a limit.
     pub fn limited_count(&self) -> usize {
         self.engines.keys().filter(|tag| self.limit(**tag).is_some()).count()
--- a/crates/core/src/fleet/limit_tests.rs
+++ b/crates/core/src/fleet/limit_tests.rs
@@ -71,6 +71,27 @@
     }
     assert_eq!(table.limit(tag), None);
     assert!(table.limit_reports(at(10_000), 8, false).is_empty(), "reported for a short time only");
+    let full = table.limit_reports(at(10_000), 8, true);
+    assert_eq!(full.len(), 1, "a host that knows another limit is told of its end");
+    assert!(table.limit_reports(at(100_000), 8, true).is_empty());
     let other = LimitReport { started_ms: 7, rate: Some(rate(1.0)), age_us: 0, ..reports[0] };
     assert!(!table.merge_limit(at(500), &other), "another process");
 }
+
+/// Guards against hosts that were cut off while a limit was named or ended and never hear of it.
+#[test]
+fn digest_shows_whether_two_hosts_know_the_same_limits() {
+    let ((mut table, tag), (mut peer, _)) = (table(), table());
+    assert_eq!(table.limits_digest(), peer.limits_digest());
+    table.record_notice(at(0), at(0), tag, &names(2.0));
+    peer.record_notice(at(0), at(0), tag, &names(2.5));
+    assert_ne!(table.limits_digest(), peer.limits_digest());
+    peer.record_notice(at(60_000), at(50_000), tag, &names(2.0));
+    assert_eq!(table.limits_digest(), peer.limits_digest(), "however old what they know is");
+    peer.record_notice(at(70_000), at(65_000), tag, &ABSENT);
+    assert_ne!(table.limits_digest(), peer.limits_digest());
+    for report in peer.limit_reports(at(80_000), 8, true) {
+        table.merge_limit(at(80_000), &report);
+    }
+    assert_eq!(table.limits_digest(), 0);
+}
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -36,8 +36,8 @@
 /// Request limits in one datagram. While more change at once, the others reach the peers by their
 /// own requests.
 const LIMITS_PER_DATAGRAM: usize = 8;
-/// Request limits that a host is sent when it joins.
-const LIMITS_FOR_NEW_PEER: usize = 40;
+/// Request limits that a host is sent when it joins or knows others.
+const LIMITS_IN_FULL: usize = 40;
 
 /// Datagram between two hosts.
 #[message]
@@ -49,8 +49,8 @@
         clock: u64,
         evidence: PeerEvidence,
         list: ListEvidence,
-        /// Digest of what the sender knows of suspect parts of prompts.
-        parts_digest: u64,
+        /// Digest of what the sender knows of request limits and of suspect parts of prompts.
+        beliefs_digest: u64,
         /// Whether the sender counts the receiver as a member.
         counts_receiver: bool,
     },
@@ -71,8 +71,8 @@
         members_digest: u64,
         /// Revision up to which the sender knows every change of the servers.
         list_revision: u64,
-        /// Digest of what the sender knows of suspect parts of prompts.
-        parts_digest: u64,
+        /// Digest of what the sender knows of request limits and of suspect parts of prompts.
+        beliefs_digest: u64,
     },
     /// Response to a [`PeerDatagram::SyncRequest`], or unsolicited to a host that wrongly acts as a
     /// member.
@@ -81,8 +81,8 @@
         /// Infos of the live members; `None` if the requester's digest matches.
         members: Option<Vec<HostInfo>>,
         list: ListUpdate,
-        /// Digest of what the sender knows of suspect parts of prompts.
-        parts_digest: u64,
+        /// Digest of what the sender knows of request limits and of suspect parts of prompts.
+        beliefs_digest: u64,
     },
     /// What servers named as their request limits.
     LimitReports(Vec<LimitReport>),
@@ -238,7 +238,7 @@
         let incarnation = state.roster.incarnation(target.tag).unwrap_or_default();
         let evidence = state.evidence.attest(now, incarnation, echo, now.since(heard));
         let list = state.dispatcher.fleet.attest_list(now);
-        let parts_digest = state.quarantine.digest();
+        let beliefs_digest = state.beliefs_digest();
         match target.role {
             PeerRole::Demoted => {
                 let (_, members) = state.roster.member_list(now, &state.host_info);
@@ -246,7 +246,7 @@
                     evidence,
                     members: Some(members),
                     list: ListUpdate::without_changes(list),
-                    parts_digest,
+                    beliefs_digest,
                 }
             }
             role => PeerDatagram::Heartbeat {
@@ -254,7 +254,7 @@
                 clock: now.0,
                 evidence,
                 list,
-                parts_digest,
+                beliefs_digest,
                 counts_receiver: role == PeerRole::Member,
             },
         }
@@ -273,9 +273,9 @@
 }
 
 /// What servers named as their request limits; `None` if there is nothing to report.
-fn limit_datagram(state: &GatewayState, now: Time, is_new_peer: bool) -> Option<Vec<u8>> {
-    let count = if is_new_peer { LIMITS_FOR_NEW_PEER } else { LIMITS_PER_DATAGRAM };
-    let reports = state.dispatcher.fleet.limit_reports(now, count, is_new_peer);
+pub(super) fn limit_datagram(state: &GatewayState, now: Time, is_full: bool) -> Option<Vec<u8>> {
+    let count = if is_full { LIMITS_IN_FULL } else { LIMITS_PER_DATAGRAM };
+    let reports = state.dispatcher.fleet.limit_reports(now, count, is_full);
     (!reports.is_empty()).then(|| encode(&PeerDatagram::LimitReports(reports)))
 }
 
@@ -291,7 +291,7 @@
             clock: now.0,
             members_digest: state.roster.members_digest(),
             list_revision: state.dispatcher.fleet.list_revision(),
-            parts_digest: state.quarantine.digest(),
+            beliefs_digest: state.beliefs_digest(),
         };
         (targets, encode(&datagram), limit_datagram(state, now, false))
     };
@@ -365,14 +365,13 @@
             clock,
             members_digest,
             list_revision,
-            parts_digest,
+            beliefs_digest,
         } => {
-            gateway.sync_parts(reply_to, parts_digest);
+            gateway.sync_beliefs(reply_to, beliefs_digest);
             let response =
                 sync_response(gateway, incarnation, clock, members_digest, list_revision);
             send(gateway, socket, reply_to, &encode(&response));
-            // A host without a member list has just started.
-            let limits = limit_datagram(&gateway.state.borrow(), clock::now(), members_digest == 0);
+            let limits = limit_datagram(&gateway.state.borrow(), clock::now(), false);
             limits.iter().for_each(|bytes| send(gateway, socket, reply_to, bytes));
         }
         PeerDatagram::LimitReports(reports) => {
@@ -383,8 +382,8 @@
             send(gateway, socket, reply_to, &encode(&reply));
         }
         PeerDatagram::PermitReply(reply) => gateway.receive_permits(reply),
-        PeerDatagram::SyncResponse { evidence, members, list, parts_digest } => {
-            gateway.sync_parts(from, parts_digest);
+        PeerDatagram::SyncResponse { evidence, members, list, beliefs_digest } => {
+            gateway.sync_beliefs(from, beliefs_digest);
             let now = clock::now();
             {
                 let state = &mut *gateway.state.borrow_mut();
@@ -398,11 +397,11 @@
             clock,
             evidence,
             list,
-            parts_digest,
+            beliefs_digest,
             counts_receiver,
         } => {
             let address = host_info.heartbeat_address;
-            gateway.sync_parts(address, parts_digest);
+            gateway.sync_beliefs(address, beliefs_digest);
             handle_heartbeat(gateway, socket, host_info, clock, counts_receiver);
             listing::merge_evidence(gateway, socket, address, &evidence, &list);
             merge_evidence(gateway, clock::now(), from, &evidence);
@@ -455,7 +454,7 @@
         evidence: state.evidence.attest(now, incarnation, clock, Duration::ZERO),
         members: (members_digest != known_digest).then_some(members),
         list: ListUpdate::after(now, &state.dispatcher.fleet, list_revision),
-        parts_digest: state.quarantine.digest(),
+        beliefs_digest: state.beliefs_digest(),
     }
 }
 
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -145,6 +145,12 @@
     fn trust(&self, now: Time) -> ConfigTrust {
         self.evidence.trust(now, self.store_lost.0)
     }
+
+    /// Digest of what this host knows and all hosts must respect.
+    fn beliefs_digest(&self) -> u64 {
+        let limits = self.dispatcher.fleet.limits_digest();
+        self.quarantine.digest().wrapping_add(limits)
+    }
 }
 
 /// Running gateway.
--- a/crates/node/src/gateway/quarantine.rs
+++ b/crates/node/src/gateway/quarantine.rs
@@ -126,15 +126,20 @@
         });
     }
 
-    /// Sends a peer with another digest what this host knows of suspect parts.
-    pub(super) fn sync_parts(&self, target: SocketAddr, digest: u64) {
-        let reports = {
-            let quarantine = &self.state.borrow().quarantine;
-            if quarantine.digest() == digest {
+    /// Sends a peer with another digest what this host knows of request limits and suspect parts.
+    pub(super) fn sync_beliefs(&self, target: SocketAddr, digest: u64) {
+        let (reports, limits) = {
+            let state = self.state.borrow();
+            if state.beliefs_digest() == digest {
                 return;
             }
-            quarantine.reports(clock::now(), REPORTS_PER_PEER)
+            let now = clock::now();
+            let reports = state.quarantine.reports(now, REPORTS_PER_PEER);
+            (reports, beats::limit_datagram(&state, now, true))
         };
+        if let Some(bytes) = limits {
+            beats::with_ephemeral_socket(self, |socket| beats::send(self, socket, target, &bytes));
+        }
         if !reports.is_empty() {
             self.send_part_reports(&[target], reports);
         }
