--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -3,12 +3,8 @@
 use std::{cell::Cell, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use async_channel::Sender;
-use http_body_util::{BodyExt, Full};
-use hyper::{
-    HeaderMap, Request, Response, StatusCode,
-    body::{Bytes, Incoming},
-    header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING},
-};
+use http_body_util::BodyExt;
+use hyper::{Response, StatusCode, body::Incoming};
 use parsley_core::{
     dispatch::DispatchInput,
     fleet::{EngineTag, EngineVerdict},
@@ -19,11 +15,11 @@
     Placement,
     body::{BodyChunk, EventSplitter, ResponseBody},
     clock,
-    edge::ForwardInfo,
     exchange::{Exchange, RequestProgress},
+    forward::{build_request, strip_hop_by_hop_headers},
     link::{SendError, ServerConnection},
     listener::with_timeout,
-    memory::{self, MemoryReservation},
+    memory,
     quarantine::SentProcess,
     receive::receive_body,
 };
@@ -36,22 +32,6 @@
 /// One gap between events in this many is sampled: each sample runs a dispatcher step over all
 /// work.
 const GAP_SAMPLE_INTERVAL: u32 = 4;
-/// Steps of the engines' urgency scale for each priority rank of the gateway.
-const URGENCY_PER_PRIORITY: u8 = 3;
-/// Least urgent value of the engines' urgency scale.
-const MAX_URGENCY: u8 = 9;
-/// Hop-by-hop header fields; they are not forwarded.
-const HOP_BY_HOP_HEADERS: [&str; 8] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// Result of one attempt.
 pub enum AttemptEnd {
     /// The caller got the whole response.
@@ -244,65 +224,6 @@
     ServerConnection::open(&gateway.executor, address).await.map_err(|err| err.to_string().into())
 }
 
-fn build_request(
-    exchange: &Exchange,
-    instance: &Arc<str>,
-    placement: &Placement,
-    reservation: &MemoryReservation,
-    last_event: Option<u64>,
-) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(exchange.body.clone()));
-    *request.method_mut() = exchange.method.clone();
-    *request.uri_mut() = exchange.uri.clone();
-    let mut headers = exchange.headers.clone();
-    strip_hop_by_hop_headers(&mut headers);
-    let is_model = exchange.info.prompt_tokens > 0;
-    let info = ForwardInfo {
-        instance: instance.clone(),
-        account: exchange.account.clone(),
-        time_left: exchange.time_left(),
-        urgency: is_model
-            .then(|| exchange.priority.saturating_mul(URGENCY_PER_PRIORITY).min(MAX_URGENCY)),
-        last_event,
-        helpers: helper_addresses(exchange, placement, reservation),
-    };
-    (exchange.gateway.codec.write_forward_headers)(&mut headers, &info);
-    *request.headers_mut() = headers;
-    request
-}
-
-fn helper_addresses(
-    exchange: &Exchange,
-    placement: &Placement,
-    reservation: &MemoryReservation,
-) -> Vec<(SocketAddr, Option<Arc<str>>)> {
-    let state = exchange.gateway.state.borrow();
-    let helpers = placement.helpers.iter().filter_map(|helper| {
-        let record = state.dispatcher.fleet.get(helper.engine)?;
-        let name = helper.tokens.is_some().then(|| reservation.name.clone());
-        Some((record.entry.address, name))
-    });
-    helpers.collect()
-}
-
-/// Removes hop-by-hop fields, the fields named in `Connection` and the body framing.
-fn strip_hop_by_hop_headers(headers: &mut HeaderMap) {
-    let listed: Vec<String> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(',').map(|name| name.trim().to_ascii_lowercase()))
-        .collect();
-    for name in HOP_BY_HOP_HEADERS {
-        headers.remove(name);
-    }
-    for name in listed {
-        headers.remove(name.as_str());
-    }
-    headers.remove(CONTENT_LENGTH);
-    headers.remove(TRANSFER_ENCODING);
-}
-
 /// Relays one response to the caller.
 struct ResponseRelay<'a> {
     exchange: &'a Exchange,
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -47,6 +47,7 @@
 pub mod edge;
 mod exchange;
 mod feed;
+mod forward;
 mod limits;
 pub mod line_budget;
 pub mod link;
