Keep server changes of one revision in one update

Found by reading the list's proof as a newcomer: a list that is read anew removes all missing servers at one revision.

Before: changes_of_one_revision_come_in_one_update fails, 12 of 40 changes arrive.

--- a/crates/node/src/gateway/listing.rs
+++ b/crates/node/src/gateway/listing.rs
@@ -34,9 +34,9 @@
 pub struct ListUpdate {
     evidence: ListEvidence,
     /// Changes after the requested revision, oldest first.
-    changes: Vec<ServerChange>,
+    pub(super) changes: Vec<ServerChange>,
     /// Revision up to which the receiver knows every change once it applied these.
-    known_revision: u64,
+    pub(super) known_revision: u64,
 }
 
 impl ListUpdate {
@@ -48,8 +48,12 @@
     /// Creates the update for a host that knows every change up to `revision`.
     pub fn after(now: Time, fleet: &FleetTable, revision: u64) -> ListUpdate {
         let mut changes = fleet.changes_after(revision);
-        let is_complete = changes.len() <= CHANGES_PER_UPDATE;
-        changes.truncate(CHANGES_PER_UPDATE);
+        // Changes of one revision stay together, as the receiver continues after a revision.
+        let end = changes.get(CHANGES_PER_UPDATE - 1).map_or(changes.len(), |last| {
+            changes.partition_point(|change| change.revision() <= last.revision())
+        });
+        let is_complete = end == changes.len();
+        changes.truncate(end);
         let evidence = fleet.attest_list(now);
         let last = changes.last().map_or(0, FleetChange::revision);
         let known_revision = if is_complete { evidence.revision } else { last };
--- a/crates/node/src/gateway/tests.rs
+++ b/crates/node/src/gateway/tests.rs
@@ -1,11 +1,12 @@
 use std::time::Duration;
 
 use parsley_core::{
+    fleet::{EngineEntry, FleetTable},
     refusal::{Outcome, Reason, Refusal},
     time::Time,
 };
 
-use super::{body::EventSplitter, line_budget::LineBudget, refuse::status_of};
+use super::{body::EventSplitter, line_budget::LineBudget, listing::ListUpdate, refuse::status_of};
 
 #[test]
 fn events_are_cut_whole_whatever_the_pieces() {
@@ -69,3 +70,31 @@
     assert_eq!(splitter.push(b": 8\n").unwrap(), []);
     assert_eq!(splitter.push(b"\n").unwrap()[0].id, Some(8));
 }
+
+/// Guards against removals that a host never hears of: a list that is read anew removes many
+/// servers at one revision, and an update ended between them.
+#[test]
+fn changes_of_one_revision_come_in_one_update() {
+    let now = Time(1_000_000);
+    let entry = |number: u64| EngineEntry {
+        id: format!("e{number}").into(),
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        failure_domain: "a".into(),
+        slots: 8,
+        is_leaving: false,
+        started_ms: 1,
+        revision: number,
+    };
+    let mut fleet = FleetTable::default();
+    fleet.apply_snapshot(now, (1..=40).map(entry).collect(), 40);
+    fleet.apply_snapshot(now, (1..=10).map(entry).collect(), 50);
+    fleet.confirm_list(now, 50);
+    let (mut known, mut count) = (0, 0);
+    while known < 50 {
+        let update = ListUpdate::after(now, &fleet, known);
+        assert!(update.known_revision > known, "after {known}");
+        (known, count) = (update.known_revision, count + update.changes.len());
+    }
+    assert_eq!(count, 10 + 30, "entries that are left, and removals");
+}
