Claim no change that the sender of an update may lack

Found by reading the list's proof as a newcomer: an update that is not complete named the revision of its last change as known, though the sender's own list may have a hole before it. The receiver then asked and watched from after that hole. It also asked again at once without end if an update brought nothing new.

Before: changes_of_one_revision_come_in_one_update, extended, fails (71 named where 50 is known).

--- a/crates/node/src/gateway/listing.rs
+++ b/crates/node/src/gateway/listing.rs
@@ -56,7 +56,11 @@
         changes.truncate(end);
         let evidence = fleet.attest_list(now);
         let last = changes.last().map_or(0, FleetChange::revision);
-        let known_revision = if is_complete { evidence.revision } else { last };
+        // This host may lack a change before its last ones.
+        let known_revision = match is_complete {
+            true => evidence.revision,
+            false => last.min(evidence.revision),
+        };
         let changes = changes.into_iter().map(|change| match change {
             FleetChange::Entry(entry) => ServerChange::Changed(entry),
             FleetChange::Removed { tag, revision } => ServerChange::Removed { tag, revision },
@@ -109,8 +113,12 @@
     apply_changes(gateway, changes);
     if has_changes {
         let state = &mut *gateway.state.borrow_mut();
-        state.dispatcher.fleet.advance_list(known_revision);
-        state.list_requested = None;
+        let fleet = &mut state.dispatcher.fleet;
+        let before = fleet.list_revision();
+        fleet.advance_list(known_revision);
+        if fleet.list_revision() > before {
+            state.list_requested = None;
+        }
     }
     merge_evidence(gateway, socket, from, evidence, &list);
 }
--- a/crates/node/src/gateway/tests.rs
+++ b/crates/node/src/gateway/tests.rs
@@ -97,4 +97,7 @@
         (known, count) = (update.known_revision, count + update.changes.len());
     }
     assert_eq!(count, 10 + 30, "entries that are left, and removals");
+    // A peer that may lack earlier changes says so.
+    (60..80).for_each(|number| _ = fleet.upsert(now, entry(number)));
+    assert_eq!(ListUpdate::after(now, &fleet, 50).known_revision, 50);
 }
