Name the proof of the configuration in lines of requests

Ruled out: an age alone, as it is the same for a read, a watch that ends empty and a peer. Change: E2401 and E2405 carry config_proof (store, watch, peer), E2405 also newest_config. No decision changes.

--- a/crates/core/src/evidence/mod.rs
+++ b/crates/core/src/evidence/mod.rs
@@ -33,6 +33,28 @@
     pub apply_limit: Duration,
 }
 
+/// What showed that the version in force was the newest.
+#[key]
+pub enum ProofSource {
+    /// The store returned the version.
+    Store,
+    /// A watch of the store ended without a change.
+    Watch,
+    /// A peer has proof of the same version.
+    Peer,
+}
+
+impl ProofSource {
+    /// Returns the value of the log field.
+    pub fn name(self) -> &'static str {
+        match self {
+            ProofSource::Store => "store",
+            ProofSource::Watch => "watch",
+            ProofSource::Peer => "peer",
+        }
+    }
+}
+
 /// Decisions that the host may base on the configuration in force.
 #[key]
 pub enum ConfigTrust {
@@ -109,6 +131,8 @@
     newest: (u64, Time),
     /// Latest time at which `version` is known to have been the newest.
     confirmed: Option<Time>,
+    /// What `confirmed` stands on.
+    source: Option<ProofSource>,
     limits: EvidenceLimits,
     incarnation: u64,
 }
@@ -116,7 +140,8 @@
 impl EvidenceKeeper {
     /// Creates a keeper without a version for the process `incarnation` of this host.
     pub fn new(limits: EvidenceLimits, incarnation: u64) -> EvidenceKeeper {
-        EvidenceKeeper { version: 0, newest: (0, Time::ZERO), confirmed: None, limits, incarnation }
+        let newest = (0, Time::ZERO);
+        EvidenceKeeper { version: 0, newest, confirmed: None, source: None, limits, incarnation }
     }
 
     /// Returns the version in force, or 0 if there is none.
@@ -129,12 +154,17 @@
         self.newest
     }
 
-    /// Records that the store returned `version` in a call that was sent at `call_start`.
+    /// Returns what the latest proof stands on; `None` without one.
+    pub fn source(&self) -> Option<ProofSource> {
+        self.source
+    }
+
+    /// Records that the store showed `version` in a call that was sent at `call_start`.
     ///
     /// However long the answer took, the version was the newest at some time after `call_start`. A
     /// newer version that peers reported before `call_start` does not exist and is discarded. A
     /// version older than the one in force does not replace it.
-    pub fn confirm(&mut self, version: u64, call_start: Time) {
+    pub fn confirm(&mut self, version: u64, call_start: Time, source: ProofSource) {
         if call_start >= self.newest.1 {
             self.newest.0 = self.newest.0.min(version);
         }
@@ -142,7 +172,9 @@
             return;
         }
         self.version = version;
-        self.confirmed = self.confirmed.max(Some(call_start));
+        if self.confirmed.is_none_or(|before| call_start > before) {
+            (self.confirmed, self.source) = (Some(call_start), Some(source));
+        }
     }
 
     /// Puts a version in force that may not be the newest. One older than that in force is ignored.
@@ -192,7 +224,9 @@
     fn extend(&mut self, now: Time, evidence: &PeerEvidence) -> bool {
         let confirmed = evidence.confirmed_at(now, self.incarnation, evidence.age_ms);
         let later = confirmed.filter(|at| self.confirmed.is_none_or(|before| *at > before));
-        self.confirmed = later.or(self.confirmed);
+        if later.is_some() {
+            (self.confirmed, self.source) = (later, Some(ProofSource::Peer));
+        }
         later.is_some()
     }
 
--- a/crates/core/src/evidence/tests.rs
+++ b/crates/core/src/evidence/tests.rs
@@ -23,7 +23,7 @@
 
 fn keeper() -> EvidenceKeeper {
     let mut keeper = EvidenceKeeper::new(LIMITS, ME);
-    keeper.confirm(3, at(0));
+    keeper.confirm(3, at(0), ProofSource::Store);
     keeper
 }
 
@@ -60,7 +60,7 @@
     // The revocation limit applies if it is the shorter one.
     let limits = EvidenceLimits { apply_limit: Duration::from_secs(8), ..LIMITS };
     let mut slow = EvidenceKeeper::new(limits, ME);
-    slow.confirm(3, at(0));
+    slow.confirm(3, at(0), ProofSource::Store);
     assert_eq!(slow.trust(at(4_600), false), ConfigTrust::Nothing);
 }
 
@@ -118,9 +118,9 @@
     assert_eq!(keeper.attest(at(4_000), ME, 0, Duration::ZERO).newest, 4);
     // A read sent before the report may miss the version; a later one proves that it does not
     // exist.
-    keeper.confirm(3, at(3_999));
+    keeper.confirm(3, at(3_999), ProofSource::Store);
     assert_eq!(keeper.newest_known().0, 4);
-    keeper.confirm(3, at(4_001));
+    keeper.confirm(3, at(4_001), ProofSource::Store);
     assert_eq!(keeper.newest_known().0, 3);
 }
 
@@ -132,8 +132,8 @@
         let mut second = EvidenceKeeper::new(LIMITS, 2);
         // The second host's clock runs this far ahead.
         let ahead = Duration::from_millis(input.int_in_range(0..=100_000)?);
-        first.confirm(1, at(0));
-        second.confirm(1, at(0) + ahead);
+        first.confirm(1, at(0), ProofSource::Store);
+        second.confirm(1, at(0) + ahead, ProofSource::Store);
         let mut now = 0;
         for _ in 0..20 {
             let sent = now;
--- a/crates/core/src/feed/spread_tests.rs
+++ b/crates/core/src/feed/spread_tests.rs
@@ -9,7 +9,7 @@
 
 use super::*;
 use crate::{
-    evidence::{EvidenceEffect, EvidenceKeeper, EvidenceLimits, PeerEvidence},
+    evidence::{EvidenceEffect, EvidenceKeeper, EvidenceLimits, PeerEvidence, ProofSource},
     fleet::{EngineEntry, FleetChange, FleetTable, ListEffect},
     roster::{HostInfo, HostTag, PeerRole, PeerRoster, STANDBY_POLL_PERIOD},
 };
@@ -148,7 +148,7 @@
                 _ => FeedResult::Read { revision: version, is_stale: false },
             };
             if result != FeedResult::Failed {
-                host.evidence.confirm(version, *asked);
+                host.evidence.confirm(version, *asked, ProofSource::Store);
                 host.fleet.upsert(now, entry(version));
                 host.fleet.confirm_list(*asked, version);
             }
--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -143,13 +143,14 @@
     let total_ms = now.since(arrived).as_millis() as u64;
     let attempts = progress.attempts.get();
     let failed = |refusal: &Refusal, status: u16| {
-        let (version, age_ms) = gateway.config_age(now);
+        let config = gateway.config_facts(now);
         gateway.metrics.count_request(refusal.outcome.name(), Some(refusal.reason));
         if gateway.log_budget.may_write(now, true) {
             event!(gateway.log, REQUEST_FAILED, "request" => id,
                 "reason" => refusal.reason.name(), "outcome" => refusal.outcome.name(),
                 "status" => status, "attempts" => attempts, "total_ms" => total_ms,
-                "config" => version, "config_age_ms" => age_ms, "detail" => &*refusal.detail);
+                "config" => config.version, "config_age_ms" => config.age_ms,
+                "config_proof" => config.proof, "newest_config" => config.newest, "detail" => &*refusal.detail);
         }
     };
     match end {
@@ -209,12 +210,12 @@
     };
     let timeout = info.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     if gateway.log_budget.may_write(arrived, false) {
-        let (_, age_ms) = gateway.config_age(arrived);
+        let config = gateway.config_facts(arrived);
         event!(gateway.log, REQUEST_ARRIVED, "request" => &*id, "route" => &*route.name,
             "account" => account.as_deref().unwrap_or_default(), "priority" => priority,
             "prompt" => info.prompt_tokens, "patience_ms" => timeout.as_millis() as u64,
             "config" => version,
-            "config_age_ms" => age_ms);
+            "config_age_ms" => config.age_ms, "config_proof" => config.proof);
     }
     let read = with_timeout(timeout, Limited::new(body, limit).collect()).await;
     let body = match read {
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -5,7 +5,7 @@
 use parsley_core::{
     catalog::{RouteCatalog, ServingConfig},
     dispatch::DispatchInput,
-    evidence::ConfigTrust,
+    evidence::{ConfigTrust, ProofSource},
     feed::{FeedContext, FeedFacts, LEAD_COUNT},
     fleet::{EngineEntry, EngineTag},
     roster::{HostInfo, HostTag},
@@ -42,7 +42,9 @@
             let (newest, heard) = state.evidence.newest_known();
             let from = state.catalog.as_ref().map(|catalog| catalog.version());
             match call_start {
-                Some(call_start) => state.evidence.confirm(version, call_start),
+                Some(call_start) => {
+                    state.evidence.confirm(version, call_start, ProofSource::Store);
+                }
                 None => state.evidence.adopt(version),
             }
             if from.is_some_and(|from| from >= version) {
@@ -72,7 +74,7 @@
             let mut state = self.state.borrow_mut();
             let version = state.evidence.version();
             if state.catalog.is_some() {
-                state.evidence.confirm(version, call_start);
+                state.evidence.confirm(version, call_start, ProofSource::Watch);
             }
         }
         self.update_readiness();
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -24,7 +24,7 @@
         DispatchInput, DispatchOutput, Dispatcher, IDLE_TICK_PERIOD, PlacementReason,
         PrefillHelper, TICK_PERIOD,
     },
-    evidence::{ConfigTrust, EvidenceKeeper, EvidenceLimits},
+    evidence::{ConfigTrust, EvidenceKeeper, EvidenceLimits, ProofSource},
     fleet::{EngineTag, EngineVerdict, LimitNotice, ServerNotice},
     permit::{PermitIssuer, PermitRequest},
     quarantine::PartQuarantine,
@@ -109,6 +109,17 @@
     reason: PlacementReason,
 }
 
+/// The configuration in force and its proof, as log lines name them.
+struct ConfigFacts {
+    version: u64,
+    /// Newest version that this host knows to exist.
+    newest: u64,
+    /// Age of the proof in milliseconds, the maximum if there is none.
+    age_ms: u64,
+    /// What the proof stands on.
+    proof: &'static str,
+}
+
 /// Request for permits and the address of their issuer.
 type IssuerRequest = (SocketAddr, PermitRequest);
 
@@ -306,12 +317,16 @@
         self.state.borrow().host_info.clone()
     }
 
-    /// Version of the configuration and the age of its proof in milliseconds, the maximum if there
-    /// is none.
-    fn config_age(&self, now: Time) -> (u64, u64) {
-        let state = self.state.borrow();
-        let age = state.evidence.age(now);
-        (state.evidence.version(), age.map_or(u64::MAX, |age| age.as_millis() as u64))
+    /// Describes the configuration in force and its proof, for log lines.
+    fn config_facts(&self, now: Time) -> ConfigFacts {
+        let evidence = &self.state.borrow().evidence;
+        let age = evidence.age(now);
+        ConfigFacts {
+            version: evidence.version(),
+            newest: evidence.newest_known().0.max(evidence.version()),
+            age_ms: age.map_or(u64::MAX, |age| age.as_millis() as u64),
+            proof: evidence.source().map_or("none", ProofSource::name),
+        }
     }
 
     /// `Retry-After` for a request that another host may serve.
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -110,7 +110,8 @@
     PART_QUARANTINED: "E2312" Warning "part of prompts in quarantine" ["part", "crashes", "from"];
     PART_RELEASED: "E2313" Info "part of prompts released from quarantine" ["part", "from"];
     REQUEST_ARRIVED: "E2401" Info "request arrived"
-        ["request", "route", "account", "priority", "prompt", "patience_ms", "config", "config_age_ms"];
+        ["request", "route", "account", "priority", "prompt", "patience_ms", "config", "config_age_ms",
+            "config_proof"];
     REQUEST_PLACED: "E2402" Info "request placed"
         ["request", "server", "attempt", "helpers", "waited_ms", "first_ms", "harmed", "failure_percent",
             "requests", "weighed", "revision", "hosts"];
@@ -119,7 +120,8 @@
     REQUEST_ENDED: "E2404" Info "request ended"
         ["request", "outcome", "status", "attempts", "first_ms", "total_ms"];
     REQUEST_FAILED: "E2405" Warning "request failed"
-        ["request", "reason", "outcome", "status", "attempts", "total_ms", "config", "config_age_ms", "detail"];
+        ["request", "reason", "outcome", "status", "attempts", "total_ms", "config", "config_age_ms",
+            "config_proof", "newest_config", "detail"];
     CALLER_DISCONNECTED: "E2406" Info "caller disconnected" ["request", "attempts", "total_ms"];
     LINES_DROPPED: "E2407" Warning "log lines dropped" ["count"];
     CALLER_CONNECTION_FAILED: "E2408" Info "caller connection failed" ["from", "error"];
