Let no empty watch outweigh a newer version of a peer

Cause: a host that had heard of a newer version discarded that as soon as its own next watch ended empty, and took the watch for proof of the old version. A lead never read the store after its first read, so it went on for as long as its watches brought nothing. The class: a proof that is not weighed against what is known from elsewhere. Ruled out: age and echo of peers' proofs, which bound from below. Change: a watch that ends empty proves nothing while a newer version is known; the follower then reads the store exactly, leads too.

--- a/crates/core/src/evidence/mod.rs
+++ b/crates/core/src/evidence/mod.rs
@@ -162,11 +162,16 @@
     /// Records that the store showed `version` in a call that was sent at `call_start`.
     ///
     /// However long the answer took, the version was the newest at some time after `call_start`. A
-    /// newer version that peers reported before `call_start` does not exist and is discarded. A
-    /// version older than the one in force does not replace it.
+    /// newer version that peers reported before `call_start` does not exist if the store returned
+    /// another one, and is discarded. A watch that ended empty does not show that: the store may
+    /// have failed to notify it. A version older than the one in force does not replace it.
     pub fn confirm(&mut self, version: u64, call_start: Time, source: ProofSource) {
-        if call_start >= self.newest.1 {
-            self.newest.0 = self.newest.0.min(version);
+        match source {
+            ProofSource::Watch if self.newest.0 > self.version => return,
+            ProofSource::Store if call_start >= self.newest.1 => {
+                self.newest.0 = self.newest.0.min(version);
+            }
+            _ => {}
         }
         if version < self.version {
             return;
--- a/crates/core/src/evidence/tests.rs
+++ b/crates/core/src/evidence/tests.rs
@@ -155,3 +155,16 @@
         Ok(())
     });
 }
+
+/// Guards against a watch that ends empty and outweighs the newer version that a peer has.
+#[test]
+fn empty_watch_proves_nothing_while_a_peer_has_a_newer_version() {
+    let mut keeper = keeper();
+    keeper.merge(at(100), &evidence_of(4, 0, at(50), 0));
+    keeper.confirm(3, at(2_000), ProofSource::Watch);
+    assert_eq!(keeper.age(at(2_900)), Some(Duration::from_millis(2_900)));
+    assert_eq!(keeper.newest_known().0, 4);
+    keeper.confirm(4, at(2_100), ProofSource::Store);
+    keeper.confirm(4, at(2_500), ProofSource::Watch);
+    assert_eq!(keeper.age(at(2_900)), Some(Duration::from_millis(400)));
+}
--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -216,6 +216,13 @@
         let Some(after) = self.revision else {
             return (pause, FeedAction::Read { is_stale: false });
         };
+        let may_read = self.last_read.is_none_or(|at| now.since(at) >= READ_SPACING);
+        // The store may fail to notify a watch, so what a peer has is looked up by a read.
+        if self.failures == 0 && context.is_behind && may_read {
+            // If a stale read did not resolve the difference, the next read is exact.
+            let is_stale = context.allows_stale && !self.was_stale;
+            return (pause, FeedAction::Read { is_stale });
+        }
         let may_prove = self.last_proof.is_none_or(|at| now.since(at) >= PROOF_SPACING);
         if self.failures > 0 || (context.needs_proof && may_prove) {
             return (pause, FeedAction::Watch { after, wait: URGENT_WAIT });
@@ -225,12 +232,6 @@
             let pause = WATCH_SPACING.saturating_sub(since);
             return (pause, FeedAction::Watch { after, wait: context.watch_wait });
         }
-        let may_read = self.last_read.is_none_or(|at| now.since(at) >= READ_SPACING);
-        if context.is_behind && may_read {
-            // If a stale read did not resolve the difference, the next read is exact.
-            let is_stale = context.allows_stale && !self.was_stale;
-            return (pause, FeedAction::Read { is_stale });
-        }
         (Duration::ZERO, FeedAction::Idle)
     }
 
--- a/crates/core/src/feed/tests.rs
+++ b/crates/core/src/feed/tests.rs
@@ -175,3 +175,16 @@
     assert_eq!(pause, WATCH_SPACING - Duration::from_millis(50));
     assert_eq!(follower.next_action(at(400), &LEAD).0, Duration::ZERO);
 }
+
+/// Guards against a lead that only watches: if its watch is not notified, a read has to show what a
+/// peer has.
+#[test]
+fn lead_reads_what_a_peer_has() {
+    let mut follower = follower();
+    let context = FeedContext { is_lead: true, is_behind: true, ..FeedContext::default() };
+    let (_, action) = follower.next_action(at(1_000), &context);
+    assert_eq!(action, FeedAction::Read { is_stale: false });
+    follower.step(at(1_010), FeedResult::Read { revision: 41, is_stale: false });
+    let (_, action) = follower.next_action(at(1_020), &context);
+    assert!(matches!(action, FeedAction::Watch { after: 41, .. }), "reads are spaced: {action:?}");
+}
