Refuse nothing for good by a version known to be replaced

Cause: the age of the proof alone decided whether a refusal was final; what peers had reported was not weighed. Change: while a newer version is known, the version in force admits what it allows, and what it does not allow gets 503 with Retry-After, which callers retry at another host. Before: version_known_to_be_replaced_refuses_nothing_for_good failed (Full in place of Allowed). After: cargo test -p parsley-core evidence: 10 passed. Conclusion: within the time that a change may take, callers are no longer turned away for good by a host that knows better.

--- a/crates/core/src/evidence/mod.rs
+++ b/crates/core/src/evidence/mod.rs
@@ -60,8 +60,8 @@
 pub enum ConfigTrust {
     /// All decisions. If there is a newer version, its time to be in force is not over yet.
     Full,
-    /// Admitting what the configuration allows. The store does not answer, so the configuration may
-    /// be stale: a request that it does not allow has to be retried later.
+    /// Admitting what the configuration allows. A newer version is known, or may exist because the
+    /// store does not answer: a request that is not allowed has to be retried later.
     Allowed,
     /// Admitting what the configuration allows without a key.
     Keyless,
@@ -248,7 +248,10 @@
         let revocation_limit = self.limits.revocation_limit.mul_f64(1.0 - RESERVE_SHARE);
         let apply_limit = self.limits.apply_limit.saturating_sub(APPLY_RESERVE);
         match () {
-            () if age <= apply_limit.min(revocation_limit) => ConfigTrust::Full,
+            () if age <= apply_limit.min(revocation_limit) => match self.newest.0 > self.version {
+                true => ConfigTrust::Allowed,
+                false => ConfigTrust::Full,
+            },
             () if !is_lost => ConfigTrust::Nothing,
             () if age <= revocation_limit => ConfigTrust::Allowed,
             () => ConfigTrust::Keyless,
--- a/crates/core/src/evidence/tests.rs
+++ b/crates/core/src/evidence/tests.rs
@@ -168,3 +168,15 @@
     keeper.confirm(4, at(2_500), ProofSource::Watch);
     assert_eq!(keeper.age(at(2_900)), Some(Duration::from_millis(400)));
 }
+
+/// Guards against a final refusal (401, 404) by a version that the host knows to be replaced.
+#[test]
+fn version_known_to_be_replaced_refuses_nothing_for_good() {
+    let mut keeper = keeper();
+    assert_eq!(keeper.trust(at(100), false), ConfigTrust::Full);
+    keeper.merge(at(100), &evidence_of(4, 0, at(50), 0));
+    assert_eq!(keeper.trust(at(100), false), ConfigTrust::Allowed);
+    assert_eq!(keeper.trust(at(2_901), false), ConfigTrust::Nothing);
+    keeper.confirm(4, at(200), ProofSource::Store);
+    assert_eq!(keeper.trust(at(300), false), ConfigTrust::Full);
+}
