Take no watch for proof after an unreadable configuration

Cause: a version that cannot be read was logged (E2104) and passed over, and the next watch, which continues after it, proved the version before it. A key that the unread version revokes went on for good. Change: after it the version in force admits what it allows until its proof is too old, and nothing then, until a version can be read. Before: unreadable_version_ends_the_proof_of_the_one_before_it failed (200 in place of 503, 2.2 s after the write). After: platform/tests/versions.rs: 2 passed. Conclusion: an unread version no longer counts as none.

--- a/crates/core/src/evidence/mod.rs
+++ b/crates/core/src/evidence/mod.rs
@@ -129,6 +129,8 @@
     version: u64,
     /// Newest version that a peer reported, and when it was first reported.
     newest: (u64, Time),
+    /// Whether the store holds a version that this host cannot read.
+    is_unreadable: bool,
     /// Latest time at which `version` is known to have been the newest.
     confirmed: Option<Time>,
     /// What `confirmed` stands on.
@@ -140,8 +142,15 @@
 impl EvidenceKeeper {
     /// Creates a keeper without a version for the process `incarnation` of this host.
     pub fn new(limits: EvidenceLimits, incarnation: u64) -> EvidenceKeeper {
-        let newest = (0, Time::ZERO);
-        EvidenceKeeper { version: 0, newest, confirmed: None, source: None, limits, incarnation }
+        EvidenceKeeper {
+            version: 0,
+            newest: (0, Time::ZERO),
+            is_unreadable: false,
+            confirmed: None,
+            source: None,
+            limits,
+            incarnation,
+        }
     }
 
     /// Returns the version in force, or 0 if there is none.
@@ -167,7 +176,7 @@
     /// have failed to notify it. A version older than the one in force does not replace it.
     pub fn confirm(&mut self, version: u64, call_start: Time, source: ProofSource) {
         match source {
-            ProofSource::Watch if self.newest.0 > self.version => return,
+            ProofSource::Watch if self.is_outdated() => return,
             ProofSource::Store if call_start >= self.newest.1 => {
                 self.newest.0 = self.newest.0.min(version);
             }
@@ -176,12 +185,24 @@
         if version < self.version {
             return;
         }
+        self.is_unreadable = false;
         self.version = version;
         if self.confirmed.is_none_or(|before| call_start > before) {
             (self.confirmed, self.source) = (Some(call_start), Some(source));
         }
     }
 
+    /// Records that the store holds a version that this host cannot read. It may be newer than the
+    /// one in force.
+    pub fn mark_unreadable(&mut self) {
+        self.is_unreadable = true;
+    }
+
+    /// Returns whether the version in force is known to be replaced, or may be.
+    fn is_outdated(&self) -> bool {
+        self.is_unreadable || self.newest.0 > self.version
+    }
+
     /// Puts a version in force that may not be the newest. One older than that in force is ignored.
     ///
     /// The time of the last confirmation stays: every change up to that time is part of this
@@ -248,7 +269,7 @@
         let revocation_limit = self.limits.revocation_limit.mul_f64(1.0 - RESERVE_SHARE);
         let apply_limit = self.limits.apply_limit.saturating_sub(APPLY_RESERVE);
         match () {
-            () if age <= apply_limit.min(revocation_limit) => match self.newest.0 > self.version {
+            () if age <= apply_limit.min(revocation_limit) => match self.is_outdated() {
                 true => ConfigTrust::Allowed,
                 false => ConfigTrust::Full,
             },
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -80,6 +80,11 @@
         self.update_readiness();
     }
 
+    /// Records that the store holds a configuration that cannot be read.
+    pub fn mark_config_unreadable(&self) {
+        self.state.borrow_mut().evidence.mark_unreadable();
+    }
+
     /// Adds a host that the store lists.
     pub fn add_host(&self, host_info: HostInfo) {
         let mut state = self.state.borrow_mut();
