--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod dispatch;
 pub mod document;
 pub mod entry;
+pub mod era;
 pub mod evidence;
 pub mod feed;
 pub mod fleet;
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -1,10 +1,11 @@
 //! Interface of the driver's store followers: what they report and what guides their next call.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use parsley_core::{
     catalog::{RouteCatalog, ServingConfig},
     dispatch::DispatchInput,
+    era::EraEffect,
     evidence::{ConfigTrust, ProofSource},
     feed::{FeedContext, FeedFacts, LEAD_COUNT},
     fleet::{EngineEntry, EngineTag},
@@ -85,6 +86,24 @@
         self.state.borrow_mut().evidence.mark_unreadable();
     }
 
+    /// Records the era that the store, or the peer `by`, named. Returns whether it is the newest
+    /// known one.
+    pub fn observe_era(&self, era: u64, age: Option<Duration>, by: &str) -> bool {
+        let from = self.state.borrow().era.era();
+        let effect = self.state.borrow_mut().era.observe(clock::now(), era, age);
+        if effect == EraEffect::Restored {
+            self.metrics.store_restores.inc();
+            event!(self.log, STORE_RESTORED, "era" => era, "from" => from, "by" => by);
+        }
+        self.metrics.store_era.set(self.state.borrow().era.era() as i64);
+        effect != EraEffect::Outdated
+    }
+
+    /// Returns the newest known era of the store.
+    pub fn store_era(&self) -> u64 {
+        self.state.borrow().era.era()
+    }
+
     /// Adds a host that the store lists.
     pub fn add_host(&self, host_info: HostInfo) {
         let mut state = self.state.borrow_mut();
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -50,6 +50,10 @@
     /// Age of the proof that this version is the newest, in milliseconds; the maximum if there is
     /// none.
     pub config_age: IntGauge,
+    /// Newest known era of the store.
+    pub store_era: IntGauge,
+    /// Restores of the store that this process noticed.
+    pub store_restores: IntCounter,
     /// Live hosts, this one included.
     pub live_hosts: IntGauge,
     /// Backend servers that may get work.
@@ -160,6 +164,14 @@
                 "gateway_config_age_milliseconds",
                 "Age of the proof that it is the newest.",
             ),
+            store_era: gauge(&registry, "gateway_store_era", "Newest known era of the store."),
+            store_restores: register(
+                &registry,
+                IntCounter::new(
+                    "parsley_gateway_store_restores_total",
+                    "Restores of the store that were noticed.",
+                ),
+            ),
             live_hosts: gauge(&registry, "gateway_hosts", "Hosts heard recently."),
             usable_servers: gauge(
                 &registry,
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -24,6 +24,7 @@
         DispatchInput, DispatchOutput, Dispatcher, IDLE_TICK_PERIOD, PlacementReason,
         PrefillHelper, TICK_PERIOD,
     },
+    era::EraKeeper,
     evidence::{ConfigTrust, EvidenceKeeper, EvidenceLimits, ProofSource},
     fleet::{EngineTag, EngineVerdict, LimitNotice, ServerNotice},
     permit::{PermitIssuer, PermitRequest},
@@ -128,6 +129,8 @@
     dispatcher: Dispatcher,
     catalog: Option<Rc<RouteCatalog>>,
     evidence: EvidenceKeeper,
+    /// Era of the store.
+    era: EraKeeper,
     /// Whether requests with a key could be served at the last check.
     could_serve_keys: bool,
     roster: PeerRoster,
@@ -215,6 +218,7 @@
             ),
             catalog: None,
             evidence: EvidenceKeeper::new(settings.evidence, settings.host_info.incarnation),
+            era: EraKeeper::default(),
             could_serve_keys: false,
             roster: PeerRoster::new(clock::now()),
             host_info: settings.host_info.clone(),
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -88,6 +88,7 @@
     EVIDENCE_RENEWED: "E2106" Info "configuration confirmed as the newest" ["version", "age_ms"];
     REGISTER_FAILED: "E2107" Warning "host registration failed" ["error"];
     NEWER_CONFIG_REPORTED: "E2108" Info "peer reported a newer configuration" ["version", "held", "from", "age_ms"];
+    STORE_RESTORED: "E2109" Warning "store restored from a copy" ["era", "from", "by"];
     PEER_HEARTBEATS_RECEIVED: "E2201" Info "peer heartbeats received" ["peer", "incarnation", "ready"];
     PEER_HEARTBEATS_MISSING: "E2202" Warning "peer heartbeats missing" ["peer"];
     DATAGRAM_REJECTED: "E2203" Warning "datagram rejected" ["from", "error"];
