Order revisions of the store by era first

Cause: revisions were compared as plain numbers. After a restore they are given out again, so a watch went on after a revision with another history, got no events, and proved an old version; entries, removals and tombstones at lower revisions were taken for older; the follower of the servers went back to the peers' higher revision after each read and got 410 again. The class: numbers compared outside the scope in which they are ordered. Change: StoreRevision (era, then number) in place of a number for followers, servers' entries, tombstones, lists and updates among hosts. E2301, E2310 and E2102 name the era.

--- a/crates/core/src/dispatch/load_tests.rs
+++ b/crates/core/src/dispatch/load_tests.rs
@@ -86,7 +86,8 @@
     /// Removes engines from discovery.
     fn remove(&mut self, engines: &[EngineTag]) {
         for tag in engines {
-            let input = DispatchInput::ServerRemoved { tag: *tag, revision: 9, is_reported: false };
+            let input =
+                DispatchInput::ServerRemoved { tag: *tag, revision: 9.into(), is_reported: false };
             self.dispatcher.step(at(0), input);
         }
     }
--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -7,6 +7,7 @@
 use super::UrgentTarget;
 use crate::{
     catalog::ServingService,
+    era::StoreRevision,
     fleet::{
         EngineEntry, EngineEstimate, EngineTag, EngineVerdict, LimitReport, RequestRate,
         ServerNotice,
@@ -92,7 +93,7 @@
         /// Entries of all servers.
         entries: Vec<EngineEntry>,
         /// Revision of the store at which the list was read.
-        revision: u64,
+        revision: StoreRevision,
     },
     /// A server entry was added or changed in discovery.
     ServerChanged(EngineEntry),
@@ -101,7 +102,7 @@
         /// Server process whose entry was removed.
         tag: EngineTag,
         /// Revision of the store at which it was removed.
-        revision: u64,
+        revision: StoreRevision,
         /// Whether a peer reported it; otherwise this host's own call to the store showed it.
         is_reported: bool,
     },
--- a/crates/core/src/dispatch/tests.rs
+++ b/crates/core/src/dispatch/tests.rs
@@ -39,7 +39,7 @@
         slots: if service == PLAIN { 6 } else { 16 },
         is_leaving: false,
         started_ms: 1,
-        revision: 1,
+        revision: 1.into(),
     }
 }
 
@@ -57,7 +57,7 @@
     dispatcher.step(at(0), DispatchInput::Services { services, urgent_targets });
     let engines = (0..engines).map(|index| entry(index, SERVICE));
     let entries = engines.chain((0..plain).map(|index| entry(index, PLAIN))).collect();
-    dispatcher.step(at(0), DispatchInput::ServersListed { entries, revision: 1 });
+    dispatcher.step(at(0), DispatchInput::ServersListed { entries, revision: 1.into() });
     dispatcher
 }
 
@@ -299,7 +299,7 @@
 #[test]
 fn leaving_server_gets_no_request() {
     let mut dispatcher = dispatcher(0, 2);
-    let leaving = EngineEntry { is_leaving: true, revision: 2, ..entry(0, PLAIN) };
+    let leaving = EngineEntry { is_leaving: true, revision: 2.into(), ..entry(0, PLAIN) };
     let tag = leaving.tag();
     dispatcher.step(at(1), DispatchInput::ServerChanged(leaving));
     for number in 0..6 {
--- a/crates/core/src/era/mod.rs
+++ b/crates/core/src/era/mod.rs
@@ -29,6 +29,13 @@
     pub number: u64,
 }
 
+impl From<u64> for StoreRevision {
+    /// Revision of a store that was never restored.
+    fn from(number: u64) -> StoreRevision {
+        StoreRevision { era: 0, number }
+    }
+}
+
 impl fmt::Display for StoreRevision {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         write!(f, "{}/{}", self.era, self.number)
--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -12,6 +12,7 @@
 use parsley_macros::value;
 
 use crate::{
+    era::StoreRevision,
     roster::{HEARTBEAT_PERIOD, STANDBY_POLL_PERIOD},
     time::Time,
 };
@@ -150,7 +151,7 @@
     /// Wait for changes after a revision.
     Watch {
         /// Revision after which changes are returned.
-        after: u64,
+        after: StoreRevision,
         /// Time for which the store may wait for changes.
         wait: Duration,
     },
@@ -164,18 +165,19 @@
     /// The part was read.
     Read {
         /// Revision of the store at the first page; later changes may be missing.
-        revision: u64,
+        revision: StoreRevision,
         /// Whether the answer may be seconds old.
         is_stale: bool,
     },
     /// The watch ended, with or without changes.
     Watched {
         /// Revision from which the next watch continues.
-        revision: u64,
+        revision: StoreRevision,
         /// Whether the watch returned changes.
         has_changes: bool,
     },
-    /// The store no longer has the history after the requested revision.
+    /// The store does not have the history after the requested revision: it was dropped, or the
+    /// store was restored.
     Compacted,
     /// The call failed or was not answered in time.
     Failed,
@@ -186,7 +188,7 @@
 #[derive(Default)]
 pub struct FeedFollower {
     /// Revision up to which the part is known; `None` before the first read.
-    revision: Option<u64>,
+    revision: Option<StoreRevision>,
     /// Failed calls in a row.
     failures: u32,
     last_read: Option<Time>,
@@ -201,7 +203,7 @@
 impl FeedFollower {
     /// Records that the part is known up to `revision` without a call of this host, so that its
     /// next watch does not return older changes.
-    pub fn advance(&mut self, revision: u64) {
+    pub fn advance(&mut self, revision: StoreRevision) {
         self.revision = self.revision.map(|known| known.max(revision));
     }
 
@@ -242,7 +244,7 @@
         match result {
             FeedResult::Read { revision, is_stale } => {
                 // A stale answer must not set the revision back.
-                self.revision = Some(self.revision.unwrap_or(0).max(revision));
+                self.revision = self.revision.max(Some(revision));
                 self.last_read = Some(now);
                 self.was_stale = is_stale;
                 self.failures = 0;
@@ -252,7 +254,7 @@
                 if has_changes {
                     self.last_change = Some(now);
                 }
-                self.revision = Some(self.revision.unwrap_or(0).max(revision));
+                self.revision = self.revision.max(Some(revision));
                 self.failures = 0;
             }
             FeedResult::Compacted => {
--- a/crates/core/src/feed/spread_tests.rs
+++ b/crates/core/src/feed/spread_tests.rs
@@ -116,7 +116,7 @@
         };
         if !self.is_config {
             return FeedFacts {
-                is_known: fleet.list_revision() > 0,
+                is_known: fleet.list_revision() > StoreRevision::default(),
                 proof_age: fleet.list_age(self.now),
                 divergence: fleet.list_divergence(self.now),
                 ..facts
@@ -136,21 +136,22 @@
         let host = &mut self.hosts[place];
         if let Some((action, asked, end)) = &host.call {
             // A watch ends with the change.
-            let is_changed = matches!(action, FeedAction::Watch { after, .. } if *after < version);
+            let is_changed =
+                matches!(action, FeedAction::Watch { after, .. } if after.number < version);
             if now < *end && !(is_changed && !host.is_cut && now > *asked + delay) {
                 return;
             }
             let result = match action {
                 _ if host.is_cut => FeedResult::Failed,
                 FeedAction::Watch { .. } => {
-                    FeedResult::Watched { revision: version, has_changes: is_changed }
+                    FeedResult::Watched { revision: version.into(), has_changes: is_changed }
                 }
-                _ => FeedResult::Read { revision: version, is_stale: false },
+                _ => FeedResult::Read { revision: version.into(), is_stale: false },
             };
             if result != FeedResult::Failed {
                 host.evidence.confirm(version, *asked, ProofSource::Store);
                 host.fleet.upsert(now, entry(version));
-                host.fleet.confirm_list(*asked, version);
+                host.fleet.confirm_list(*asked, version.into());
             }
             host.follower.step(now, result);
             host.info.has_store = !host.follower.is_lost();
@@ -282,7 +283,9 @@
     fn behind(&self) -> usize {
         let version = |host: &SpreadHost| match self.is_config {
             true => host.evidence.version(),
-            false => host.fleet.get(entry(1).tag()).map_or(0, |record| record.entry.revision),
+            false => {
+                host.fleet.get(entry(1).tag()).map_or(0, |record| record.entry.revision.number)
+            }
         };
         let is_behind =
             |host: &&SpreadHost| !host.is_cut && !host.is_frozen && version(host) < self.version;
@@ -340,7 +343,7 @@
         slots: 8,
         is_leaving: version > 1,
         started_ms: 1,
-        revision: version,
+        revision: version.into(),
     }
 }
 
--- a/crates/core/src/feed/tests.rs
+++ b/crates/core/src/feed/tests.rs
@@ -9,7 +9,8 @@
     allows_stale: false,
 };
 const LEAD: FeedContext = FeedContext { is_lead: true, ..STANDBY };
-const WATCH: FeedAction = FeedAction::Watch { after: 40, wait: WATCH_WAIT };
+const WATCH: FeedAction =
+    FeedAction::Watch { after: StoreRevision { era: 0, number: 40 }, wait: WATCH_WAIT };
 const EXACT: FeedAction = FeedAction::Read { is_stale: false };
 const STALE: FeedAction = FeedAction::Read { is_stale: true };
 
@@ -20,7 +21,7 @@
 fn follower() -> FeedFollower {
     let mut follower = FeedFollower::default();
     assert_eq!(follower.next_action(at(0), &STANDBY), (Duration::ZERO, EXACT));
-    follower.step(at(0), FeedResult::Read { revision: 40, is_stale: false });
+    follower.step(at(0), FeedResult::Read { revision: 40.into(), is_stale: false });
     follower
 }
 
@@ -38,10 +39,10 @@
     assert_eq!(follower.step(at(3), FeedResult::Failed), None);
     let (pause, action) = follower.next_action(at(3), &LEAD);
     assert!(pause >= FIRST_PAUSE && pause <= LONGEST_PAUSE);
-    let again = FeedAction::Watch { after: 40, wait: URGENT_WAIT };
+    let again = FeedAction::Watch { after: 40.into(), wait: URGENT_WAIT };
     assert_eq!(action, again, "a short wait, whose end shows that the store is back");
     assert_eq!(
-        follower.step(at(4), FeedResult::Watched { revision: 41, has_changes: false }),
+        follower.step(at(4), FeedResult::Watched { revision: 41.into(), has_changes: false }),
         Some(false)
     );
 }
@@ -65,7 +66,7 @@
 fn host_without_proof_calls_the_store_itself() {
     let needs = FeedContext { needs_proof: true, ..STANDBY };
     let (_, action) = follower().next_action(at(1), &needs);
-    assert_eq!(action, FeedAction::Watch { after: 40, wait: URGENT_WAIT });
+    assert_eq!(action, FeedAction::Watch { after: 40.into(), wait: URGENT_WAIT });
     for is_member in [true, false] {
         for apply in [2_000, 3_000, 4_000].map(Duration::from_millis) {
             let timing = FeedTiming::for_limit(apply);
@@ -108,7 +109,7 @@
 fn proofs_are_requested_with_a_pause_between_them() {
     let needs = FeedContext { needs_proof: true, ..STANDBY };
     let mut follower = follower();
-    follower.step(at(10), FeedResult::Watched { revision: 40, has_changes: false });
+    follower.step(at(10), FeedResult::Watched { revision: 40.into(), has_changes: false });
     assert_eq!(follower.next_action(at(20), &needs).1, FeedAction::Idle);
     assert_ne!(follower.next_action(at(300), &needs).1, FeedAction::Idle);
 }
@@ -121,7 +122,8 @@
     for millis in (700..4_700).step_by(10) {
         if let FeedAction::Read { is_stale } = follower.next_action(at(millis), &behind).1 {
             reads += 1;
-            follower.step(at(millis), FeedResult::Read { revision: 40 + millis, is_stale });
+            follower
+                .step(at(millis), FeedResult::Read { revision: (40 + millis).into(), is_stale });
         }
     }
     assert!((5..=7).contains(&reads), "{reads}");
@@ -134,13 +136,13 @@
     let behind = FeedContext { is_behind: true, allows_stale: true, ..STANDBY };
     let mut follower = follower();
     assert_eq!(follower.next_action(at(700), &behind).1, STALE);
-    follower.step(at(700), FeedResult::Read { revision: 39, is_stale: true });
+    follower.step(at(700), FeedResult::Read { revision: 39.into(), is_stale: true });
     assert_eq!(
         follower.next_action(at(1_400), &behind).1,
         EXACT,
         "the stale answer did not have the change"
     );
-    follower.step(at(1_400), FeedResult::Read { revision: 45, is_stale: false });
+    follower.step(at(1_400), FeedResult::Read { revision: 45.into(), is_stale: false });
     assert_eq!(follower.next_action(at(2_100), &behind).1, STALE);
 }
 
@@ -150,10 +152,10 @@
 fn watch_continues_after_what_peers_told() {
     let needs = FeedContext { needs_proof: true, ..STANDBY };
     let mut follower = follower();
-    follower.advance(90);
-    let watch = FeedAction::Watch { after: 90, wait: URGENT_WAIT };
+    follower.advance(90.into());
+    let watch = FeedAction::Watch { after: 90.into(), wait: URGENT_WAIT };
     assert_eq!(follower.next_action(at(1), &needs).1, watch);
-    follower.advance(50);
+    follower.advance(50.into());
     assert_eq!(follower.next_action(at(2), &needs).1, watch);
 }
 
@@ -162,7 +164,7 @@
 #[test]
 fn stale_read_does_not_set_the_revision_back() {
     let mut follower = follower();
-    follower.step(at(700), FeedResult::Read { revision: 12, is_stale: true });
+    follower.step(at(700), FeedResult::Read { revision: 12.into(), is_stale: true });
     assert_eq!(follower.next_action(at(701), &LEAD).1, WATCH);
 }
 
@@ -170,7 +172,7 @@
 #[test]
 fn watch_with_changes_is_followed_by_a_pause() {
     let mut follower = follower();
-    follower.step(at(10), FeedResult::Watched { revision: 41, has_changes: true });
+    follower.step(at(10), FeedResult::Watched { revision: 41.into(), has_changes: true });
     let (pause, _) = follower.next_action(at(60), &LEAD);
     assert_eq!(pause, WATCH_SPACING - Duration::from_millis(50));
     assert_eq!(follower.next_action(at(400), &LEAD).0, Duration::ZERO);
@@ -184,7 +186,8 @@
     let context = FeedContext { is_lead: true, is_behind: true, ..FeedContext::default() };
     let (_, action) = follower.next_action(at(1_000), &context);
     assert_eq!(action, FeedAction::Read { is_stale: false });
-    follower.step(at(1_010), FeedResult::Read { revision: 41, is_stale: false });
+    follower.step(at(1_010), FeedResult::Read { revision: 41.into(), is_stale: false });
     let (_, action) = follower.next_action(at(1_020), &context);
-    assert!(matches!(action, FeedAction::Watch { after: 41, .. }), "reads are spaced: {action:?}");
+    let wait = context.watch_wait;
+    assert_eq!(action, FeedAction::Watch { after: 41.into(), wait }, "reads are spaced");
 }
--- a/crates/core/src/fleet/limit_tests.rs
+++ b/crates/core/src/fleet/limit_tests.rs
@@ -17,7 +17,7 @@
 
 fn table() -> (FleetTable, EngineTag) {
     let mut table = FleetTable::new(HostTag(1));
-    table.apply_snapshot(at(0), vec![entry("a", false, 1)], 5);
+    table.apply_snapshot(at(0), vec![entry("a", false, 1)], 5.into());
     (table, entry("a", false, 1).tag())
 }
 
@@ -50,7 +50,7 @@
     assert_eq!(changes, [NoticeChange::Limited(None)]);
     assert_eq!(table.limit(tag), None);
     table.record_notice(at(600_040), at(600_031), tag, &names(3.0));
-    table.upsert(at(600_050), EngineEntry { revision: 9, ..entry("a", false, 2) });
+    table.upsert(at(600_050), EngineEntry { revision: 9.into(), ..entry("a", false, 2) });
     assert_eq!(table.limit(tag), None, "a restarted process");
 }
 
--- a/crates/core/src/fleet/listing.rs
+++ b/crates/core/src/fleet/listing.rs
@@ -10,7 +10,7 @@
 use parsley_macros::{key, message, value};
 
 use super::{FleetTable, REREGISTRATION_GRACE};
-use crate::time::Time;
+use crate::{era::StoreRevision, time::Time};
 
 /// A peer's statement about its list of servers.
 #[message]
@@ -18,7 +18,7 @@
     /// Digest of the list.
     pub digest: u64,
     /// Revision of the store up to which the list contains every change.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Milliseconds since the list was known to be complete, when the peer sent this. `None` if
     /// that was never confirmed.
     pub age_ms: Option<u32>,
@@ -42,7 +42,7 @@
 #[derive(Default)]
 pub(super) struct ListState {
     /// Revision up to which the list contains every change.
-    revision: u64,
+    revision: StoreRevision,
     /// Latest time at which the list is known to have been complete.
     confirmed: Option<Time>,
     /// When the list was first confirmed by the store.
@@ -52,7 +52,7 @@
 }
 
 impl ListState {
-    fn confirm(&mut self, confirmed: Time, revision: u64) {
+    fn confirm(&mut self, confirmed: Time, revision: StoreRevision) {
         self.revision = self.revision.max(revision);
         self.confirmed = self.confirmed.max(Some(confirmed));
         self.behind_since = None;
@@ -65,7 +65,7 @@
     ///
     /// A list with entries that may have expired during an outage is not confirmed. A peer without
     /// an outage may know that they are gone for good.
-    pub fn confirm_list(&mut self, call_start: Time, revision: u64) {
+    pub fn confirm_list(&mut self, call_start: Time, revision: StoreRevision) {
         self.list.first_confirmed.get_or_insert(call_start);
         if !self.has_missing() {
             self.list.confirm(call_start, revision);
@@ -107,12 +107,12 @@
 
     /// Records that every change of a peer's list from [`FleetTable::list_revision`] up to
     /// `revision` was applied.
-    pub fn advance_list(&mut self, revision: u64) {
+    pub fn advance_list(&mut self, revision: StoreRevision) {
         self.list.revision = self.list.revision.max(revision);
     }
 
     /// Returns the revision of the store up to which the list contains every change.
-    pub fn list_revision(&self) -> u64 {
+    pub fn list_revision(&self) -> StoreRevision {
         self.list.revision
     }
 
--- a/crates/core/src/fleet/listing_tests.rs
+++ b/crates/core/src/fleet/listing_tests.rs
@@ -5,14 +5,18 @@
 }
 
 fn named(id: &str, is_leaving: bool, revision: u64) -> EngineEntry {
-    EngineEntry { revision, ..entry(id, is_leaving, 1) }
+    EngineEntry { revision: revision.into(), ..entry(id, is_leaving, 1) }
 }
 
 /// A table with two servers that the store confirmed long before `at(0)`.
 fn table() -> FleetTable {
     let mut table = FleetTable::default();
-    table.apply_snapshot(Time(1_000_000), vec![named("a", false, 1), named("b", false, 2)], 5);
-    table.confirm_list(Time(1_000_000), 5);
+    table.apply_snapshot(
+        Time(1_000_000),
+        vec![named("a", false, 1), named("b", false, 2)],
+        5.into(),
+    );
+    table.confirm_list(Time(1_000_000), 5.into());
     table
 }
 
@@ -22,7 +26,7 @@
     let (mut table, mut peer) = (table(), table());
     peer.upsert(at(0), named("a", true, 6));
     peer.upsert(at(1), named("b", true, 7));
-    peer.confirm_list(at(2), 7);
+    peer.confirm_list(at(2), 7.into());
     table.upsert(at(1), named("b", true, 7));
     assert_eq!(table.merge_list(at(3), &peer.attest_list(at(3)), Some(at(2))), ListEffect::Behind);
     for change in peer.changes_after(table.list_revision()) {
@@ -30,7 +34,7 @@
         table.upsert(at(4), entry);
     }
     let effect = table.merge_list(at(5), &peer.attest_list(at(5)), Some(at(2)));
-    assert_eq!((effect, table.list_revision()), (ListEffect::Extended, 7));
+    assert_eq!((effect, table.list_revision()), (ListEffect::Extended, 7.into()));
     assert_eq!(table.list_divergence(at(6)), None);
 }
 
@@ -56,20 +60,20 @@
     let (mut table, mut peer) = (table(), table());
     let tag = EngineTag::from_id("a");
     table.set_store_lost(at(0), true);
-    assert!(!table.remove(at(10), tag, 6), "seen by this host itself, it may have expired");
+    assert!(!table.remove(at(10), tag, 6.into()), "seen by this host itself, it may have expired");
     assert!(table.has_missing() && table.get(tag).is_some());
-    table.confirm_list(at(11), 6);
-    assert_eq!(table.list_revision(), 5, "a list with such an entry is not confirmed");
+    table.confirm_list(at(11), 6.into());
+    assert_eq!(table.list_revision(), 5.into(), "a list with such an entry is not confirmed");
     peer.set_store_lost(at(0), true);
-    peer.remove(at(10), tag, 6);
+    peer.remove(at(10), tag, 6.into());
     peer.set_store_lost(at(20), false);
     let unsettled = peer.attest_list(at(30));
     assert!(!unsettled.is_settled);
-    assert!(table.remove_reported(tag, 6));
+    assert!(table.remove_reported(tag, 6.into()));
     assert!(table.get(tag).is_none());
     assert_eq!(table.merge_list(at(31), &unsettled, Some(at(30))), ListEffect::Unchanged);
-    let removed = FleetChange::Removed { tag, revision: 6 };
-    assert_eq!(table.changes_after(5), [removed], "it is passed on");
+    let removed = FleetChange::Removed { tag, revision: 6.into() };
+    assert_eq!(table.changes_after(5.into()), [removed], "it is passed on");
 }
 
 /// Guards against a digest or a count of missing entries that drifts from the entries themselves.
@@ -79,7 +83,8 @@
         let mut table = FleetTable::default();
         for step in 0..u.int_in_range(1..=60)? {
             let id = ["a", "b", "c", "d"][u.int_in_range(0..=3)?];
-            let (tag, revision) = (EngineTag::from_id(id), u.int_in_range(0..=40)?);
+            let (tag, number) = (EngineTag::from_id(id), u.int_in_range(0..=40)?);
+            let revision = StoreRevision::from(number);
             match u.int_in_range(0..=5)? {
                 0 => table.set_store_lost(at(step * 400), u.arbitrary()?),
                 1 => _ = table.remove(at(step * 400), tag, revision),
@@ -87,7 +92,7 @@
                 3 => _ = table.expire(at(step * 400)),
                 _ => {
                     let started_ms = u.int_in_range(1..=2)?;
-                    let entry = named(id, u.arbitrary()?, revision);
+                    let entry = named(id, u.arbitrary()?, number);
                     table.upsert(at(step * 400), EngineEntry { started_ms, ..entry });
                 }
             }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -10,7 +10,11 @@
 
 use parsley_macros::{key, message, value};
 
-use crate::{roster::HostTag, time::Time};
+use crate::{
+    era::{REWRITE_TIME, StoreRevision},
+    roster::HostTag,
+    time::Time,
+};
 
 mod limit;
 #[cfg(test)]
@@ -34,7 +38,7 @@
 
 /// Grace period after an outage of the store: entries that expired meanwhile are kept this long, so
 /// that their servers can register again.
-pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_200);
+pub const REREGISTRATION_GRACE: Duration = REWRITE_TIME;
 /// Weight of one attempt in the moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.35;
 /// Time constant of the exponential decay of failure and slowdown estimates.
@@ -91,7 +95,7 @@
     /// Start of the process in Unix milliseconds by the server's own clock; 0 if not given.
     pub started_ms: u64,
     /// Revision of the store at which the entry was written.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 impl EngineEntry {
@@ -120,13 +124,13 @@
         /// Server whose entry was removed.
         tag: EngineTag,
         /// Revision of the store at which the entry was absent.
-        revision: u64,
+        revision: StoreRevision,
     },
 }
 
 impl FleetChange {
     /// Returns the revision of the store at which the change was seen.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> StoreRevision {
         match self {
             FleetChange::Entry(entry) => entry.revision,
             FleetChange::Removed { revision, .. } => *revision,
@@ -186,7 +190,7 @@
     digest: u64,
     /// Revision at which the entry last changed in content. Servers rewrite their entries
     /// periodically, which changes only the entry's own revision.
-    changed_revision: u64,
+    changed_revision: StoreRevision,
     /// Failure probability from this host's attempts, as of `failure_updated`.
     failure: f64,
     failure_updated: Time,
@@ -200,7 +204,7 @@
     slowdown_updated: Time,
     /// Revision at which the entry was absent during an outage of the store or the grace period
     /// after it.
-    missing: Option<u64>,
+    missing: Option<StoreRevision>,
     /// Whether another instance was found at the server's address.
     replaced: bool,
 }
@@ -265,7 +269,7 @@
     list: ListState,
     /// Tombstones: the revision at which each entry was removed, so that a delayed older update
     /// cannot restore it.
-    tombstones: BTreeMap<EngineTag, u64>,
+    tombstones: BTreeMap<EngineTag, StoreRevision>,
     store_lost: bool,
     /// When the store last became reachable again.
     store_regained: Option<Time>,
@@ -291,7 +295,7 @@
         &mut self,
         now: Time,
         entries: Vec<EngineEntry>,
-        revision: u64,
+        revision: StoreRevision,
     ) -> Vec<EngineTag> {
         let listed: Vec<_> = entries.iter().map(EngineEntry::tag).collect();
         for entry in entries {
@@ -343,7 +347,7 @@
     ///
     /// An entry newer than `revision` stays. During an outage of the store and the grace period
     /// after it, the entry of a server that is not leaving is only marked as missing.
-    pub fn remove(&mut self, now: Time, tag: EngineTag, revision: u64) -> bool {
+    pub fn remove(&mut self, now: Time, tag: EngineTag, revision: StoreRevision) -> bool {
         let is_grace = self.store_lost || self.is_grace_period(now);
         let Some(record) = self.engines.get_mut(&tag) else { return false };
         if is_grace && !record.entry.is_leaving && record.entry.revision <= revision {
@@ -359,7 +363,7 @@
     ///
     /// Peers report only removals that they saw without an outage, so this host's own access to the
     /// store does not matter.
-    pub fn remove_reported(&mut self, tag: EngineTag, revision: u64) -> bool {
+    pub fn remove_reported(&mut self, tag: EngineTag, revision: StoreRevision) -> bool {
         if self.engines.get(&tag).is_none_or(|record| record.entry.revision > revision) {
             return false;
         }
@@ -390,7 +394,7 @@
     }
 
     /// Returns the changes after `revision`, oldest first.
-    pub fn changes_after(&self, revision: u64) -> Vec<FleetChange> {
+    pub fn changes_after(&self, revision: StoreRevision) -> Vec<FleetChange> {
         let changed = self.engines.values().filter(|record| record.changed_revision > revision);
         let entries = changed.map(|record| {
             let entry = EngineEntry { revision: record.changed_revision, ..record.entry.clone() };
--- a/crates/core/src/fleet/notice_tests.rs
+++ b/crates/core/src/fleet/notice_tests.rs
@@ -13,12 +13,12 @@
 
 fn table(host: u64) -> (FleetTable, EngineTag) {
     let mut table = FleetTable::new(HostTag(host));
-    table.apply_snapshot(at(0), vec![entry("a", false, 1)], 5);
+    table.apply_snapshot(at(0), vec![entry("a", false, 1)], 5.into());
     (table, entry("a", false, 1).tag())
 }
 
 fn rewritten(born: u64, revision: u64) -> EngineEntry {
-    EngineEntry { revision, ..entry("a", false, born) }
+    EngineEntry { revision: revision.into(), ..entry("a", false, born) }
 }
 
 /// Guards against requests to a server that announced that it is leaving. Its entry may go on to
@@ -31,7 +31,7 @@
     assert!(!table.is_usable(at(10), tag));
     table.upsert(at(20), rewritten(1, 9));
     assert!(!table.is_usable(at(20), tag), "a heartbeat");
-    table.remove(at(30), tag, 10);
+    table.remove(at(30), tag, 10.into());
     table.upsert(at(40), rewritten(1, 11));
     assert!(!table.is_usable(at(40), tag), "the same process is listed again");
     table.upsert(at(50), rewritten(2, 12));
--- a/crates/core/src/fleet/tests.rs
+++ b/crates/core/src/fleet/tests.rs
@@ -9,7 +9,7 @@
         slots: 16,
         is_leaving,
         started_ms: born,
-        revision: 5,
+        revision: 5.into(),
     }
 }
 
@@ -24,10 +24,10 @@
 #[test]
 fn leaving_server_gets_nothing_at_once() {
     let mut table = FleetTable::default();
-    table.apply_snapshot(at(0), vec![entry("a", false, 1)], 5);
+    table.apply_snapshot(at(0), vec![entry("a", false, 1)], 5.into());
     assert!(table.upsert(at(1), entry("a", true, 1)));
     assert!(usable(&table).is_empty());
-    assert!(table.remove(at(2), entry("a", true, 1).tag(), 6));
+    assert!(table.remove(at(2), entry("a", true, 1).tag(), 6.into()));
 }
 
 /// Guards against the removal of servers whose entries expired during an outage of the store. Live
@@ -36,15 +36,15 @@
 fn expired_entries_may_return_for_a_while() {
     let mut table = FleetTable::default();
     let tag = entry("a", false, 1).tag();
-    table.apply_snapshot(at(0), vec![entry("a", false, 1), entry("b", false, 1)], 5);
+    table.apply_snapshot(at(0), vec![entry("a", false, 1), entry("b", false, 1)], 5.into());
     table.set_store_lost(at(1_000), true);
     table.set_store_lost(at(5_000), false);
-    assert!(table.apply_snapshot(at(5_010), vec![entry("b", false, 1)], 5).is_empty());
+    assert!(table.apply_snapshot(at(5_010), vec![entry("b", false, 1)], 5.into()).is_empty());
     assert_eq!(usable(&table).len(), 2);
     assert!(table.expire(at(6_000)).is_empty());
     assert_eq!(table.expire(at(7_300)), [tag]);
     assert!(
-        table.remove(at(7_400), entry("b", false, 1).tag(), 6),
+        table.remove(at(7_400), entry("b", false, 1).tag(), 6.into()),
         "removed at once outside the grace period"
     );
 }
@@ -53,7 +53,7 @@
 fn restart_under_the_same_id_resets_the_estimates() {
     let mut table = FleetTable::default();
     let tag = entry("a", false, 1).tag();
-    table.apply_snapshot(at(0), vec![entry("a", false, 1)], 5);
+    table.apply_snapshot(at(0), vec![entry("a", false, 1)], 5.into());
     table.record_attempt(at(1), tag, EngineVerdict::Silent);
     assert!(table.get(tag).unwrap().failure_probability(at(1)) > 0.9);
     assert!(table.upsert(at(2), entry("a", false, 2)));
@@ -64,7 +64,7 @@
 fn failure_estimate_falls_with_time_so_that_a_server_is_tried_again() {
     let mut table = FleetTable::default();
     let tag = entry("a", false, 1).tag();
-    table.apply_snapshot(at(0), vec![entry("a", false, 1)], 5);
+    table.apply_snapshot(at(0), vec![entry("a", false, 1)], 5.into());
     table.record_attempt(at(0), tag, EngineVerdict::Silent);
     let chances: Vec<_> =
         [0, 4_000, 16_000].map(|ms| table.get(tag).unwrap().failure_probability(at(ms))).into();
@@ -78,7 +78,7 @@
 fn peers_estimate_counts_until_the_server_answers_this_host() {
     let mut table = FleetTable::default();
     let tag = entry("a", false, 1).tag();
-    table.apply_snapshot(at(0), vec![entry("a", false, 1)], 5);
+    table.apply_snapshot(at(0), vec![entry("a", false, 1)], 5.into());
     table
         .merge_estimate(at(0), &EngineEstimate { tag, failure_percent: 90, slowdown_percent: 100 });
     assert!(table.get(tag).unwrap().failure_probability(at(0)) > 0.8);
@@ -91,7 +91,7 @@
 fn server_at_a_reused_address_gets_nothing_more() {
     let mut table = FleetTable::default();
     let tag = entry("a", false, 1).tag();
-    table.apply_snapshot(at(0), vec![entry("a", false, 1)], 5);
+    table.apply_snapshot(at(0), vec![entry("a", false, 1)], 5.into());
     table.record_attempt(at(1), tag, EngineVerdict::Replaced);
     assert!(usable(&table).is_empty());
 }
@@ -100,13 +100,13 @@
 #[test]
 fn delayed_update_does_not_restore_a_server() {
     let mut table = FleetTable::default();
-    table.apply_snapshot(at(0), vec![entry("a", false, 1)], 5);
-    let leaving = EngineEntry { revision: 7, ..entry("a", true, 1) };
+    table.apply_snapshot(at(0), vec![entry("a", false, 1)], 5.into());
+    let leaving = EngineEntry { revision: 7.into(), ..entry("a", true, 1) };
     table.upsert(at(1), leaving.clone());
     assert!(!table.upsert(at(2), entry("a", false, 1)));
     assert!(usable(&table).is_empty());
-    assert!(!table.remove(at(3), leaving.tag(), 6), "an older list");
-    assert!(table.remove(at(4), leaving.tag(), 8));
+    assert!(!table.remove(at(3), leaving.tag(), 6.into()), "an older list");
+    assert!(table.remove(at(4), leaving.tag(), 8.into()));
     assert!(!table.upsert(at(5), leaving));
     assert!(usable(&table).is_empty());
 }
@@ -114,10 +114,10 @@
 #[test]
 fn digests_are_equal_if_two_hosts_have_the_same_entries() {
     let (mut first, mut second) = (FleetTable::default(), FleetTable::default());
-    first.apply_snapshot(at(0), vec![entry("a", false, 1), entry("b", false, 1)], 5);
-    second.apply_snapshot(at(9), vec![entry("b", false, 1), entry("a", false, 1)], 5);
+    first.apply_snapshot(at(0), vec![entry("a", false, 1), entry("b", false, 1)], 5.into());
+    second.apply_snapshot(at(9), vec![entry("b", false, 1), entry("a", false, 1)], 5.into());
     assert_eq!(first.digest(), second.digest());
-    second.upsert(at(10), EngineEntry { revision: 6, ..entry("a", true, 1) });
+    second.upsert(at(10), EngineEntry { revision: 6.into(), ..entry("a", true, 1) });
     assert_ne!(first.digest(), second.digest());
 }
 
@@ -127,8 +127,8 @@
 fn slow_server_is_measured_and_reported() {
     let (mut table, mut peer) = (FleetTable::default(), FleetTable::default());
     let tag = entry("a", false, 1).tag();
-    table.apply_snapshot(at(0), vec![entry("a", false, 1)], 5);
-    peer.apply_snapshot(at(0), vec![entry("a", false, 1)], 5);
+    table.apply_snapshot(at(0), vec![entry("a", false, 1)], 5.into());
+    peer.apply_snapshot(at(0), vec![entry("a", false, 1)], 5.into());
     (0..10).for_each(|_| table.record_slowdown(at(0), tag, 4.0));
     assert!(table.get(tag).unwrap().slowdown(at(0)) > 3.5);
     let estimates = table.estimates(at(0));
@@ -158,7 +158,7 @@
         slots: 8,
         is_leaving: false,
         started_ms: 1,
-        revision: 1,
+        revision: 1.into(),
     };
     let (now, tag) = (Time(1_000_000), entry.tag());
     table.upsert(now, entry);
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -10,6 +10,7 @@
 use async_io::{Async, Timer};
 use parsley_core::{
     dispatch::DispatchInput,
+    era::StoreRevision,
     evidence::{EvidenceEffect, PeerEvidence},
     fleet::{EngineEstimate, LimitReport, ListEvidence},
     permit::{PermitReply, PermitRequest},
@@ -70,7 +71,7 @@
         /// Digest of the members known to the sender.
         members_digest: u64,
         /// Revision up to which the sender knows every change of the servers.
-        list_revision: u64,
+        list_revision: StoreRevision,
         /// Digest of what the sender knows of request limits and of suspect parts of prompts.
         beliefs_digest: u64,
     },
@@ -97,7 +98,7 @@
         /// Clock of the sender, in microseconds.
         clock: u64,
         /// Revision up to which the sender knows every change of the servers.
-        list_revision: u64,
+        list_revision: StoreRevision,
     },
     /// Response to a [`PeerDatagram::ListRequest`].
     ListResponse { evidence: PeerEvidence, list: ListUpdate },
@@ -445,7 +446,7 @@
     incarnation: u64,
     clock: u64,
     known_digest: u64,
-    list_revision: u64,
+    list_revision: StoreRevision,
 ) -> PeerDatagram {
     let now = clock::now();
     let state = gateway.state.borrow();
--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -464,7 +464,7 @@
         let (revision, hosts) = {
             let state = self.gateway.state.borrow();
             let record = state.dispatcher.fleet.get(placement.engine);
-            let revision = record.map_or(0, |record| record.entry.revision);
+            let revision = record.map_or(0, |record| record.entry.revision.number);
             (revision, state.roster.alive(now).count() + 1)
         };
         event!(self.gateway.log, REQUEST_PLACED, "request" => &*self.id,
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -5,7 +5,7 @@
 use parsley_core::{
     catalog::{RouteCatalog, ServingConfig},
     dispatch::DispatchInput,
-    era::EraEffect,
+    era::{EraEffect, StoreRevision},
     evidence::{ConfigTrust, ProofSource},
     feed::{FeedContext, FeedFacts, LEAD_COUNT},
     fleet::{EngineEntry, EngineTag},
@@ -27,7 +27,7 @@
         /// Tag of the instance.
         tag: EngineTag,
         /// Revision of the store at the removal.
-        revision: u64,
+        revision: StoreRevision,
     },
 }
 
@@ -183,7 +183,7 @@
             is_lead,
             is_member,
             // Whether entries that are missing return shows by itself within the grace period.
-            is_known: fleet.list_revision() > 0 && !fleet.has_missing(),
+            is_known: fleet.list_revision() > StoreRevision::default() && !fleet.has_missing(),
             proof_age: fleet.list_age(now),
             divergence: fleet.list_divergence(now),
             ..FeedFacts::default()
@@ -192,12 +192,12 @@
 
     /// Records that the store returned every change of the servers up to `revision` in a call that
     /// was sent at `call_start`.
-    pub fn confirm_servers(&self, call_start: Time, revision: u64) {
+    pub fn confirm_servers(&self, call_start: Time, revision: StoreRevision) {
         self.state.borrow_mut().dispatcher.fleet.confirm_list(call_start, revision);
     }
 
     /// Revision up to which this host knows every change of the servers.
-    pub fn server_list_revision(&self) -> u64 {
+    pub fn server_list_revision(&self) -> StoreRevision {
         self.state.borrow().dispatcher.fleet.list_revision()
     }
 
@@ -233,7 +233,7 @@
 
     /// Queues the removal of an entry for the peers, unless it may have expired during an outage and
     /// is kept for now.
-    pub fn queue_server_removal(&self, tag: EngineTag, revision: u64) {
+    pub fn queue_server_removal(&self, tag: EngineTag, revision: StoreRevision) {
         let mut state = self.state.borrow_mut();
         if state.dispatcher.fleet.get(tag).is_none() {
             state.pending_server_changes.push(ServerChange::Removed { tag, revision });
--- a/crates/node/src/gateway/listing.rs
+++ b/crates/node/src/gateway/listing.rs
@@ -9,6 +9,7 @@
 use async_io::Async;
 use parsley_core::{
     dispatch::DispatchInput,
+    era::StoreRevision,
     evidence::PeerEvidence,
     fleet::{FleetChange, FleetTable, ListEffect, ListEvidence},
     time::Time,
@@ -36,17 +37,17 @@
     /// Changes after the requested revision, oldest first.
     pub(super) changes: Vec<ServerChange>,
     /// Revision up to which the receiver knows every change once it applied these.
-    pub(super) known_revision: u64,
+    pub(super) known_revision: StoreRevision,
 }
 
 impl ListUpdate {
     /// Creates an update with nothing but the sender's statement.
     pub fn without_changes(evidence: ListEvidence) -> ListUpdate {
-        ListUpdate { evidence, changes: Vec::new(), known_revision: 0 }
+        ListUpdate { evidence, changes: Vec::new(), known_revision: StoreRevision::default() }
     }
 
     /// Creates the update for a host that knows every change up to `revision`.
-    pub fn after(now: Time, fleet: &FleetTable, revision: u64) -> ListUpdate {
+    pub fn after(now: Time, fleet: &FleetTable, revision: StoreRevision) -> ListUpdate {
         let mut changes = fleet.changes_after(revision);
         // Changes of one revision stay together, as the receiver continues after a revision.
         let end = changes.get(CHANGES_PER_UPDATE - 1).map_or(changes.len(), |last| {
@@ -55,7 +56,7 @@
         let is_complete = end == changes.len();
         changes.truncate(end);
         let evidence = fleet.attest_list(now);
-        let last = changes.last().map_or(0, FleetChange::revision);
+        let last = changes.last().map_or(StoreRevision::default(), FleetChange::revision);
         // This host may lack a change before its last ones.
         let known_revision = match is_complete {
             true => evidence.revision,
@@ -143,7 +144,8 @@
         state.list_requested = Some(now);
         let age = fleet.list_age(now).map_or(u64::MAX, |age| age.as_millis() as u64);
         event!(gateway.log, SERVER_LIST_BEHIND, "from" => from.to_string(),
-            "revision" => fleet.list_revision(), "peer_revision" => list.revision,
+            "era" => fleet.list_revision().era, "revision" => fleet.list_revision().number,
+            "peer_era" => list.revision.era, "peer_revision" => list.revision.number,
             "age_ms" => age);
         PeerDatagram::ListRequest {
             reply_to: state.host_info.heartbeat_address,
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -408,7 +408,8 @@
                 let entry = &record.entry;
                 event!(self.log, SERVER_CHANGED, "server" => tag.0, "id" => &*entry.id,
                     "service" => &*entry.service, "address" => entry.address.to_string(),
-                    "leaving" => entry.is_leaving, "revision" => entry.revision);
+                    "leaving" => entry.is_leaving, "era" => entry.revision.era,
+                    "revision" => entry.revision.number);
             }
         }
     }
--- a/crates/node/src/gateway/tests.rs
+++ b/crates/node/src/gateway/tests.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use parsley_core::{
+    era::StoreRevision,
     fleet::{EngineEntry, FleetTable},
     refusal::{Outcome, Reason, Refusal},
     time::Time,
@@ -84,14 +85,14 @@
         slots: 8,
         is_leaving: false,
         started_ms: 1,
-        revision: number,
+        revision: number.into(),
     };
     let mut fleet = FleetTable::default();
-    fleet.apply_snapshot(now, (1..=40).map(entry).collect(), 40);
-    fleet.apply_snapshot(now, (1..=10).map(entry).collect(), 50);
-    fleet.confirm_list(now, 50);
-    let (mut known, mut count) = (0, 0);
-    while known < 50 {
+    fleet.apply_snapshot(now, (1..=40).map(entry).collect(), 40.into());
+    fleet.apply_snapshot(now, (1..=10).map(entry).collect(), 50.into());
+    fleet.confirm_list(now, 50.into());
+    let (mut known, mut count) = (StoreRevision::default(), 0);
+    while known < 50.into() {
         let update = ListUpdate::after(now, &fleet, known);
         assert!(update.known_revision > known, "after {known}");
         (known, count) = (update.known_revision, count + update.changes.len());
@@ -99,5 +100,5 @@
     assert_eq!(count, 10 + 30, "entries that are left, and removals");
     // A peer that may lack earlier changes says so.
     (60..80).for_each(|number| _ = fleet.upsert(now, entry(number)));
-    assert_eq!(ListUpdate::after(now, &fleet, 50).known_revision, 50);
+    assert_eq!(ListUpdate::after(now, &fleet, 50.into()).known_revision, 50.into());
 }
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -81,7 +81,7 @@
     SETTINGS_INVALID: "E2005" Error "invalid settings" ["cause", "error"];
     ACCEPT_FAILED: "E2006" Warning "connection not accepted" ["error"];
     STORE_LOST: "E2101" Warning "store lost" ["part", "error"];
-    STORE_REGAINED: "E2102" Info "store regained" ["part", "revision"];
+    STORE_REGAINED: "E2102" Info "store regained" ["part", "era", "revision"];
     CONFIG_APPLIED: "E2103" Info "configuration applied" ["version", "from", "age_ms", "heard_ms"];
     STORE_ENTRY_INVALID: "E2104" Warning "invalid store entry" ["entry", "error"];
     EVIDENCE_STALE: "E2105" Warning "configuration may be old" ["version", "age_ms"];
@@ -94,7 +94,7 @@
     DATAGRAM_REJECTED: "E2203" Warning "datagram rejected" ["from", "error"];
     DUTY_CHANGED: "E2204" Info "host duty changed" ["duty", "living", "unanswered"];
     SERVER_CHANGED: "E2301" Info "server in discovery"
-        ["server", "id", "service", "address", "leaving", "revision"];
+        ["server", "id", "service", "address", "leaving", "era", "revision"];
     SERVER_REMOVED: "E2302" Info "server removed from discovery" ["server"];
     SERVER_ATTEMPT_FAILED: "E2303" Warning "server failed an attempt"
         ["server", "verdict", "failure_percent", "request"];
@@ -105,7 +105,7 @@
     SERVER_LIMIT_ENDED: "E2308" Info "server no longer limits its request rate" ["server", "from"];
     SERVER_LIMIT_INVALID: "E2309" Warning "invalid request limit ignored" ["server", "value"];
     SERVER_LIST_BEHIND: "E2310" Info "a peer has a later list of servers"
-        ["from", "revision", "peer_revision", "age_ms"];
+        ["from", "era", "revision", "peer_era", "peer_revision", "age_ms"];
     PARTS_SUSPECT: "E2311" Warning "an engine ended under a request"
         ["server", "process", "request", "parts"];
     PART_QUARANTINED: "E2312" Warning "part of prompts in quarantine" ["part", "crashes", "from"];
