Hold servers' entries of a restored copy against what is known

Cause: the copy's entries are of the later era, so they replaced what was known of the time after the copy. The class: what is read last taken for what was written last. Ruled out: ignoring the copy altogether; entries that did not change since are never written again, and a host would lose its servers. Change: an entry that may be the copy's (later era, not written since this host first saw the era, within the lifetime of a silent server's entry, four heartbeats) does not cancel that a server leaves and does not bring back a process that was removed or replaced; what was passed over is read again after that time. Before: leaving_server_gets_nothing_while_the_store_shows_a_copy and removed_server_gets_nothing_while_the_store_shows_a_copy failed. After: both pass, as do six tests in virtual time (copied_tests), one run each.

--- a/crates/core/src/era/mod.rs
+++ b/crates/core/src/era/mod.rs
@@ -55,7 +55,7 @@
 
 /// The newest era of the store that is known, and since when.
 #[value]
-#[derive(Default)]
+#[derive(Copy, Default)]
 pub struct EraKeeper {
     /// Newest known era; `None` before the first answer of the store or a peer.
     era: Option<u64>,
@@ -105,9 +105,15 @@
         revision.era == self.era() && is_later
     }
 
+    /// Returns the time since the store was restored; `None` if that was before this process
+    /// started.
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        self.began.map(|began| now.since(began))
+    }
+
     /// Returns the time since a recent restore; `None` if the era is settled.
     pub fn unsettled_age(&self, now: Time) -> Option<Duration> {
-        self.began.map(|began| now.since(began)).filter(|age| *age < REWRITE_TIME)
+        self.age(now).filter(|age| *age < REWRITE_TIME)
     }
 
     /// Returns whether what a restore lost has been written again by now.
--- a/crates/core/src/era/tests.rs
+++ b/crates/core/src/era/tests.rs
@@ -22,7 +22,7 @@
     assert_eq!(keeper.observe(at(0), 4, None), EraEffect::Current);
     assert!(keeper.is_settled(at(0)), "the first era that a process hears of is no restore");
     assert_eq!(keeper.observe(at(10), 5, None), EraEffect::Restored);
-    let restored = keeper.clone();
+    let restored = keeper;
     assert_eq!(keeper.observe(at(20), 4, Some(Duration::ZERO)), EraEffect::Outdated);
     assert_eq!(keeper, restored);
 }
--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -118,6 +118,8 @@
     pub has_newer: bool,
     /// Time for which a peer has been known to have a later list of servers; `None` if none has.
     pub divergence: Option<Duration>,
+    /// Whether the part has to be read again after a restore of the store.
+    pub must_read_again: bool,
 }
 
 impl FeedContext {
@@ -132,6 +134,7 @@
             needs_proof: facts.is_known
                 && facts.proof_age.is_none_or(|age| age >= timing.proof_age),
             is_behind: facts.has_newer
+                || facts.must_read_again
                 || facts.divergence.is_some_and(|time| time >= divergence_limit),
             // A new configuration must be in force within seconds. Changes of servers reach a
             // standby host through members as well.
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -11,11 +11,14 @@
 use parsley_macros::{key, message, value};
 
 use crate::{
-    era::{REWRITE_TIME, StoreRevision},
+    era::{EraKeeper, REWRITE_TIME, StoreRevision},
     roster::HostTag,
     time::Time,
 };
 
+mod copied;
+#[cfg(test)]
+mod copied_tests;
 mod limit;
 #[cfg(test)]
 mod limit_tests;
@@ -28,6 +31,7 @@
 #[cfg(test)]
 mod tests;
 
+use copied::Tombstone;
 use limit::LimitTable;
 pub use limit::{LimitNotice, LimitReport, RequestRate};
 use listing::ListState;
@@ -267,9 +271,15 @@
     notices: NoticeTable,
     limits: LimitTable,
     list: ListState,
-    /// Tombstones: the revision at which each entry was removed, so that a delayed older update
-    /// cannot restore it.
-    tombstones: BTreeMap<EngineTag, StoreRevision>,
+    /// What is known of removed entries, so that neither a delayed older update nor a copy restores
+    /// them.
+    tombstones: BTreeMap<EngineTag, Tombstone>,
+    /// Era of the store, and since when.
+    era: EraKeeper,
+    /// Time for which the entry of a silent server stays in the store.
+    entry_lifetime: Duration,
+    /// Whether an entry of the list that may be a copy was passed over.
+    has_withheld: bool,
     store_lost: bool,
     /// When the store last became reachable again.
     store_regained: Option<Time>,
@@ -298,6 +308,7 @@
         revision: StoreRevision,
     ) -> Vec<EngineTag> {
         let listed: Vec<_> = entries.iter().map(EngineEntry::tag).collect();
+        self.has_withheld = false;
         for entry in entries {
             self.upsert(now, entry);
         }
@@ -312,9 +323,10 @@
     /// A restart is recognised by another start time or address and resets all estimates.
     pub fn upsert(&mut self, now: Time, entry: EngineEntry) -> bool {
         let tag = entry.tag();
-        if self.tombstones.get(&tag).is_some_and(|removed| *removed >= entry.revision) {
+        if self.is_withheld(now, tag, &entry) {
             return false;
         }
+        let entry = self.with_known_state(now, tag, entry);
         match self.engines.get_mut(&tag) {
             Some(record) if record.entry.revision > entry.revision => false,
             Some(record)
@@ -368,8 +380,10 @@
             return false;
         }
         let removed = self.engines.remove(&tag);
+        if let Some(record) = &removed {
+            self.tombstones.insert(tag, Tombstone::new(&record.entry, revision));
+        }
         self.discount(removed);
-        self.tombstones.insert(tag, revision);
         if self.tombstones.len() > TOMBSTONE_LIMIT {
             self.tombstones.pop_first();
         }
@@ -400,8 +414,9 @@
             let entry = EngineEntry { revision: record.changed_revision, ..record.entry.clone() };
             FleetChange::Entry(entry)
         });
-        let removed = self.tombstones.iter().filter(|(_, at)| **at > revision);
-        let removed = removed.map(|(tag, at)| FleetChange::Removed { tag: *tag, revision: *at });
+        let removed = self.tombstones.iter().map(|(tag, tombstone)| (*tag, tombstone.revision));
+        let removed = removed.filter(|(_, at)| *at > revision);
+        let removed = removed.map(|(tag, revision)| FleetChange::Removed { tag, revision });
         let mut changes: Vec<_> = entries.chain(removed).collect();
         changes.sort_unstable_by_key(FleetChange::revision);
         changes
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -89,8 +89,14 @@
     /// Records the era that the store, or the peer `by`, named. Returns whether it is the newest
     /// known one.
     pub fn observe_era(&self, era: u64, age: Option<Duration>, by: &str) -> bool {
+        let now = clock::now();
         let from = self.state.borrow().era.era();
-        let effect = self.state.borrow_mut().era.observe(clock::now(), era, age);
+        let effect = {
+            let state = &mut *self.state.borrow_mut();
+            let effect = state.era.observe(now, era, age);
+            state.dispatcher.fleet.set_era(now, state.era);
+            effect
+        };
         if effect == EraEffect::Restored {
             self.metrics.store_restores.inc();
             event!(self.log, STORE_RESTORED, "era" => era, "from" => from, "by" => by);
@@ -99,6 +105,15 @@
         effect != EraEffect::Outdated
     }
 
+    /// Records the revision of the store that an answer named.
+    pub fn record_store_revision(&self, revision: StoreRevision) {
+        let state = &mut *self.state.borrow_mut();
+        if revision.era == state.era.era() {
+            state.era.record_number(revision.number);
+            state.dispatcher.fleet.set_era(clock::now(), state.era);
+        }
+    }
+
     /// Returns the newest known era of the store.
     pub fn store_era(&self) -> u64 {
         self.state.borrow().era.era()
@@ -186,6 +201,7 @@
             is_known: fleet.list_revision() > StoreRevision::default() && !fleet.has_missing(),
             proof_age: fleet.list_age(now),
             divergence: fleet.list_divergence(now),
+            must_read_again: fleet.must_read_again(now),
             ..FeedFacts::default()
         })
     }
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -94,6 +94,8 @@
     pub grace: Duration,
     /// Time after which a server that leaves gets no request any more.
     pub leave_limit: Duration,
+    /// Time for which the entry of a silent server stays in the store.
+    pub entry_lifetime: Duration,
     /// Retry limit over all hosts.
     pub retry: RetryLimit,
     /// Limits on memory reservations.
@@ -211,11 +213,11 @@
         settings: GatewaySettings,
         codec: WireCodec,
     ) -> GatewayRef {
+        let mut dispatcher =
+            Dispatcher::new(settings.host_info.tag(), settings.host_info.failure_domain.clone());
+        dispatcher.fleet.set_entry_lifetime(settings.entry_lifetime);
         let state = GatewayState {
-            dispatcher: Dispatcher::new(
-                settings.host_info.tag(),
-                settings.host_info.failure_domain.clone(),
-            ),
+            dispatcher,
             catalog: None,
             evidence: EvidenceKeeper::new(settings.evidence, settings.host_info.incarnation),
             era: EraKeeper::default(),
