Register anew after a restore of the store

Cause: a lease id was taken for unique; a restore gives ids out again. The class: an id used outside the scope in which it is unique. Candidates are not dropped until the era is settled.

--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -100,6 +100,8 @@
         if effect == EraEffect::Restored {
             self.metrics.store_restores.inc();
             event!(self.log, STORE_RESTORED, "era" => era, "from" => from, "by" => by);
+            // Fails only if the channel is full: the driver has been woken already.
+            let _ = self.restored.0.try_send(());
         }
         self.metrics.store_era.set(self.state.borrow().era.era() as i64);
         effect != EraEffect::Outdated
@@ -127,9 +129,13 @@
         }
     }
 
-    /// Drops hosts that never sent a heartbeat and are not in `listed`, the hosts in the store.
+    /// Drops hosts that never sent a heartbeat and are not in `listed`, the hosts in the store. Soon
+    /// after a restore of the store none are dropped, as they have yet to register again.
     pub fn retain_hosts(&self, listed: &[HostTag]) {
-        self.state.borrow_mut().roster.retain_listed(listed);
+        let state = &mut *self.state.borrow_mut();
+        if state.era.is_settled(clock::now()) {
+            state.roster.retain_listed(listed);
+        }
     }
 
     /// Records whether the store answers for the configuration or, if not `is_config`, for
@@ -217,6 +223,12 @@
         self.state.borrow().dispatcher.fleet.list_revision()
     }
 
+    /// Waits until the store was restored, which ends this host's lease.
+    pub async fn wait_for_restore(&self) {
+        // An error means that the channel is closed, which happens only with the gateway.
+        let _ = self.restored.1.recv().await;
+    }
+
     /// Waits until a peer reports a newer configuration.
     pub async fn wait_for_newer_config(&self) {
         // An error means that the channel is closed, which happens only with the gateway.
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -198,6 +198,8 @@
     permit_requests: (Sender<IssuerRequest>, Receiver<IssuerRequest>),
     /// Wakes the driver when a peer reports a newer configuration.
     newer_config: (Sender<()>, Receiver<()>),
+    /// Wakes the driver when the store was restored.
+    restored: (Sender<()>, Receiver<()>),
     /// Closed when the host stops accepting connections.
     closing: (RefCell<Option<Sender<()>>>, Receiver<()>),
 }
@@ -254,6 +256,7 @@
             wait_started: async_channel::bounded(1),
             permit_requests: async_channel::bounded(MAX_PERMIT_REQUESTS),
             newer_config: async_channel::bounded(1),
+            restored: async_channel::bounded(1),
             closing: (RefCell::new(Some(closing)), closed),
         })
     }
