Take the copy of a restored store for no proof

Cause: an exact read was proof, whatever had been lost; a process that starts knows nothing else. The class: what is read last taken for what was written last. Ruled out: refusing everything until the version is seen in the new era, as a version that was not lost is never written again. Change: for 2.2 s after a restore was noticed, only a version that was written since proves anything: one above the first revision seen in the era, or the known version at another revision. Meanwhile hosts go on as if the store did not answer. Then nothing newer than the version in force exists if the store shows an older one. Peers tell one another the era and its age; a version that a peer has in force outweighs the store's. Entries of hosts carry the settled era in which they were written, and a process reads them before its first version, so it learns of a restore even if it starts alone.

--- a/crates/core/src/era/mod.rs
+++ b/crates/core/src/era/mod.rs
@@ -47,7 +47,7 @@
 pub enum EraEffect {
     /// It is the known era, or the first one that this process hears of.
     Current,
-    /// The store was restored since the known era.
+    /// The store was restored since the known era, or shortly before this process heard of it.
     Restored,
     /// The store was restored after what was said of this era, which no longer counts.
     Outdated,
@@ -67,6 +67,11 @@
 }
 
 impl EraKeeper {
+    /// Returns the newest known era; `None` if none is known.
+    pub fn known(&self) -> Option<u64> {
+        self.era
+    }
+
     /// Returns the newest known era; 0 if none is known.
     pub fn era(&self) -> u64 {
         self.era.unwrap_or_default()
@@ -85,11 +90,12 @@
             }
             _ => {
                 self.era = Some(era);
+                let is_news = self.began.is_none() && began.is_some();
                 self.began = match (self.began, began) {
                     (Some(known), Some(named)) => Some(known.min(named)),
                     (known, named) => known.or(named),
                 };
-                EraEffect::Current
+                if is_news { EraEffect::Restored } else { EraEffect::Current }
             }
         }
     }
@@ -116,6 +122,11 @@
         self.age(now).filter(|age| *age < REWRITE_TIME)
     }
 
+    /// Returns the time until the era is settled.
+    pub fn time_to_settle(&self, now: Time) -> Duration {
+        self.unsettled_age(now).map_or(Duration::ZERO, |age| REWRITE_TIME - age)
+    }
+
     /// Returns whether what a restore lost has been written again by now.
     pub fn is_settled(&self, now: Time) -> bool {
         self.unsettled_age(now).is_none()
--- a/crates/core/src/era/tests.rs
+++ b/crates/core/src/era/tests.rs
@@ -44,7 +44,9 @@
 fn peers_tell_a_new_process_of_a_recent_restore() {
     let mut keeper = EraKeeper::default();
     keeper.observe(at(0), 2, None);
-    keeper.observe(at(5), 2, Some(Duration::from_millis(400)));
+    let effect = keeper.observe(at(5), 2, Some(Duration::from_millis(400)));
+    assert_eq!(effect, EraEffect::Restored);
+    assert_eq!(keeper.time_to_settle(at(5)), Duration::from_millis(1_800));
     assert!(!keeper.is_settled(at(5)));
     assert!(keeper.is_settled(at(1_805)));
 }
--- a/crates/core/src/evidence/mod.rs
+++ b/crates/core/src/evidence/mod.rs
@@ -11,7 +11,10 @@
 
 use parsley_macros::{key, message, value};
 
-use crate::time::Time;
+use crate::{
+    era::{EraKeeper, REWRITE_TIME, StoreRevision},
+    time::Time,
+};
 
 #[cfg(test)]
 mod tests;
@@ -33,6 +36,18 @@
     pub apply_limit: Duration,
 }
 
+/// What a call to the store showed of the configuration.
+#[value]
+#[derive(Copy)]
+pub struct StoreSighting {
+    /// Version that the store returned; `None` if a watch ended without a change.
+    pub version: Option<u64>,
+    /// Revision of the store at which the version was written, or up to which nothing changed.
+    pub revision: StoreRevision,
+    /// When the call was sent.
+    pub call_start: Time,
+}
+
 /// What showed that the version in force was the newest.
 #[key]
 pub enum ProofSource {
@@ -85,6 +100,10 @@
     pub echo: u64,
     /// Milliseconds between the receipt of that datagram and the sending of this statement.
     pub held_ms: u32,
+    /// Newest era of the store that the peer knows; `None` if it knows none.
+    pub era: Option<u64>,
+    /// Milliseconds since a recent restore of the store; `None` if the era is settled.
+    pub era_age_ms: Option<u32>,
 }
 
 impl PeerEvidence {
@@ -129,6 +148,11 @@
     version: u64,
     /// Newest version that a peer reported, and when it was first reported.
     newest: (u64, Time),
+    /// Newest version that a peer reported to have in force, and when one last did.
+    held: (u64, Time),
+    /// Revision at which the store is known to hold the version in force. Its era is 0 if it may
+    /// have been written before the present era.
+    written: StoreRevision,
     /// Whether the store holds a version that this host cannot read.
     is_unreadable: bool,
     /// Latest time at which `version` is known to have been the newest.
@@ -145,6 +169,8 @@
         EvidenceKeeper {
             version: 0,
             newest: (0, Time::ZERO),
+            held: (0, Time::ZERO),
+            written: StoreRevision::default(),
             is_unreadable: false,
             confirmed: None,
             source: None,
@@ -168,27 +194,58 @@
         self.source
     }
 
-    /// Records that the store showed `version` in a call that was sent at `call_start`.
+    /// Records what a call to the store showed.
     ///
-    /// However long the answer took, the version was the newest at some time after `call_start`. A
-    /// newer version that peers reported before `call_start` does not exist if the store returned
-    /// another one, and is discarded. A watch that ended empty does not show that: the store may
-    /// have failed to notify it. A version older than the one in force does not replace it.
-    pub fn confirm(&mut self, version: u64, call_start: Time, source: ProofSource) {
-        match source {
-            ProofSource::Watch if self.is_outdated() => return,
-            ProofSource::Store if call_start >= self.newest.1 => {
-                self.newest.0 = self.newest.0.min(version);
+    /// However long the answer took, the version was the newest at some time after the call was
+    /// sent. A version older than the one in force never replaces it. A watch that ended empty
+    /// proves nothing while a newer version is known: the store may have failed to notify it.
+    ///
+    /// Soon after a restore of the store only a version that was written since proves anything,
+    /// because the copy may lack a newer one. Once the era is settled, nothing newer than the
+    /// version in force exists if the store shows an older one.
+    pub fn confirm(&mut self, sighting: &StoreSighting, era: &EraKeeper) {
+        let &StoreSighting { version, revision, call_start } = sighting;
+        let is_settled = era.is_settled(call_start);
+        let Some(version) = version else {
+            let is_written = self.written.era == era.era();
+            if !self.is_outdated() && (is_settled || is_written) {
+                self.extend_to(call_start, ProofSource::Watch);
             }
-            _ => {}
+            return;
+        };
+        self.is_unreadable = false;
+        // The same version at another revision was written again.
+        let is_moved = version == self.version
+            && revision.era > self.written.era
+            && revision.number != self.written.number;
+        let is_written = era.is_rewritten(revision) || is_moved;
+        if version > self.version || (version == self.version && is_written) {
+            self.written = match is_settled || is_written {
+                true => revision,
+                // Written in an earlier era, as far as is known.
+                false => StoreRevision { era: 0, ..revision },
+            };
         }
-        if version < self.version {
+        self.version = self.version.max(version);
+        if !is_settled && !is_written {
             return;
         }
-        self.is_unreadable = false;
-        self.version = version;
-        if self.confirmed.is_none_or(|before| call_start > before) {
-            (self.confirmed, self.source) = (Some(call_start), Some(source));
+        if call_start >= self.newest.1 {
+            self.newest.0 = self.newest.0.min(version);
+        }
+        if call_start.since(self.held.1) >= REWRITE_TIME {
+            self.held.0 = 0;
+        }
+        if version >= self.version || is_settled {
+            self.extend_to(call_start, ProofSource::Store);
+        }
+    }
+
+    /// Extends the proof to `at` unless a newer version is in force at a peer.
+    fn extend_to(&mut self, at: Time, source: ProofSource) {
+        let is_later = self.confirmed.is_none_or(|before| at > before);
+        if is_later && self.held.0 <= self.version {
+            (self.confirmed, self.source) = (Some(at), Some(source));
         }
     }
 
@@ -200,7 +257,7 @@
 
     /// Returns whether the version in force is known to be replaced, or may be.
     fn is_outdated(&self) -> bool {
-        self.is_unreadable || self.newest.0 > self.version
+        self.is_unreadable || self.newest.0.max(self.held.0) > self.version
     }
 
     /// Puts a version in force that may not be the newest. One older than that in force is ignored.
@@ -214,7 +271,12 @@
     /// Returns this host's evidence for a peer.
     ///
     /// `incarnation` and `echo` come from the last datagram of the peer, which arrived `held` ago.
-    pub fn attest(&self, now: Time, incarnation: u64, echo: u64, held: Duration) -> PeerEvidence {
+    pub fn attest(
+        &self,
+        now: Time,
+        era: &EraKeeper,
+        (incarnation, echo, held): (u64, u64, Duration),
+    ) -> PeerEvidence {
         let millis = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
         PeerEvidence {
             version: self.version,
@@ -224,6 +286,8 @@
             incarnation,
             echo,
             held_ms: millis(held),
+            era: era.known(),
+            era_age_ms: era.unsettled_age(now).map(millis),
         }
     }
 
@@ -237,6 +301,9 @@
         if newest > self.newest.0 {
             self.newest = (newest, now);
         }
+        if evidence.version >= self.held.0 {
+            self.held = (evidence.version, now);
+        }
         let is_later = evidence.version == self.version && self.extend(now, evidence);
         match () {
             () if newest > self.version => EvidenceEffect::Newer,
@@ -263,9 +330,9 @@
     }
 
     /// Returns the decisions that are permitted at `now`. `is_lost` says that the store does not
-    /// answer this host.
+    /// answer this host, or only with a copy.
     pub fn trust(&self, now: Time, is_lost: bool) -> ConfigTrust {
-        let age = self.age(now).unwrap_or(Duration::MAX);
+        let Some(age) = self.age(now) else { return ConfigTrust::Nothing };
         let revocation_limit = self.limits.revocation_limit.mul_f64(1.0 - RESERVE_SHARE);
         let apply_limit = self.limits.apply_limit.saturating_sub(APPLY_RESERVE);
         match () {
--- a/crates/core/src/evidence/tests.rs
+++ b/crates/core/src/evidence/tests.rs
@@ -18,16 +18,25 @@
         incarnation: ME,
         echo: echo.0,
         held_ms,
+        era: None,
+        era_age_ms: None,
     }
 }
 
 fn keeper() -> EvidenceKeeper {
     let mut keeper = EvidenceKeeper::new(LIMITS, ME);
-    keeper.confirm(3, at(0), ProofSource::Store);
+    keeper.confirm_by(3, at(0), ProofSource::Store);
     keeper
 }
 
 impl EvidenceKeeper {
+    /// Records what a store that was never restored showed.
+    fn confirm_by(&mut self, version: u64, call_start: Time, source: ProofSource) {
+        let version = (source == ProofSource::Store).then_some(version);
+        let sighting = StoreSighting { version, revision: 1.into(), call_start };
+        self.confirm(&sighting, &EraKeeper::default());
+    }
+
     /// Returns whether a request with a key may run while the store does not answer.
     fn is_recent(&self, now: Time) -> bool {
         matches!(self.trust(now, true), ConfigTrust::Full | ConfigTrust::Allowed)
@@ -60,7 +69,7 @@
     // The revocation limit applies if it is the shorter one.
     let limits = EvidenceLimits { apply_limit: Duration::from_secs(8), ..LIMITS };
     let mut slow = EvidenceKeeper::new(limits, ME);
-    slow.confirm(3, at(0), ProofSource::Store);
+    slow.confirm_by(3, at(0), ProofSource::Store);
     assert_eq!(slow.trust(at(4_600), false), ConfigTrust::Nothing);
 }
 
@@ -115,12 +124,12 @@
     let mut report = evidence_of(3, 0, at(3_990), 5);
     report.newest = 4;
     assert_eq!(keeper.merge(at(4_000), &report), EvidenceEffect::Newer);
-    assert_eq!(keeper.attest(at(4_000), ME, 0, Duration::ZERO).newest, 4);
+    assert_eq!(keeper.attest(at(4_000), &EraKeeper::default(), (ME, 0, Duration::ZERO)).newest, 4);
     // A read sent before the report may miss the version; a later one proves that it does not
     // exist.
-    keeper.confirm(3, at(3_999), ProofSource::Store);
+    keeper.confirm_by(3, at(3_999), ProofSource::Store);
     assert_eq!(keeper.newest_known().0, 4);
-    keeper.confirm(3, at(4_001), ProofSource::Store);
+    keeper.confirm_by(3, at(4_001), ProofSource::Store);
     assert_eq!(keeper.newest_known().0, 3);
 }
 
@@ -132,8 +141,8 @@
         let mut second = EvidenceKeeper::new(LIMITS, 2);
         // The second host's clock runs this far ahead.
         let ahead = Duration::from_millis(input.int_in_range(0..=100_000)?);
-        first.confirm(1, at(0), ProofSource::Store);
-        second.confirm(1, at(0) + ahead, ProofSource::Store);
+        first.confirm_by(1, at(0), ProofSource::Store);
+        second.confirm_by(1, at(0) + ahead, ProofSource::Store);
         let mut now = 0;
         for _ in 0..20 {
             let sent = now;
@@ -161,11 +170,11 @@
 fn empty_watch_proves_nothing_while_a_peer_has_a_newer_version() {
     let mut keeper = keeper();
     keeper.merge(at(100), &evidence_of(4, 0, at(50), 0));
-    keeper.confirm(3, at(2_000), ProofSource::Watch);
+    keeper.confirm_by(3, at(2_000), ProofSource::Watch);
     assert_eq!(keeper.age(at(2_900)), Some(Duration::from_millis(2_900)));
     assert_eq!(keeper.newest_known().0, 4);
-    keeper.confirm(4, at(2_100), ProofSource::Store);
-    keeper.confirm(4, at(2_500), ProofSource::Watch);
+    keeper.confirm_by(4, at(2_100), ProofSource::Store);
+    keeper.confirm_by(4, at(2_500), ProofSource::Watch);
     assert_eq!(keeper.age(at(2_900)), Some(Duration::from_millis(400)));
 }
 
@@ -177,6 +186,87 @@
     keeper.merge(at(100), &evidence_of(4, 0, at(50), 0));
     assert_eq!(keeper.trust(at(100), false), ConfigTrust::Allowed);
     assert_eq!(keeper.trust(at(2_901), false), ConfigTrust::Nothing);
-    keeper.confirm(4, at(200), ProofSource::Store);
+    keeper.confirm_by(4, at(200), ProofSource::Store);
     assert_eq!(keeper.trust(at(300), false), ConfigTrust::Full);
 }
+
+fn revision(era: u64, number: u64) -> StoreRevision {
+    StoreRevision { era, number }
+}
+
+/// A keeper with version 9, written at revision 31 of the first era, and the era that began with a
+/// restore at `at(5_000)`; this host first reads the store at `first_number` there.
+fn restored(first_number: u64) -> (EvidenceKeeper, EraKeeper) {
+    let mut era = EraKeeper::default();
+    era.observe(at(0), 1, None);
+    let mut keeper = EvidenceKeeper::new(LIMITS, ME);
+    let call_start = at(4_900);
+    let sighting = StoreSighting { version: Some(9), revision: revision(1, 31), call_start };
+    keeper.confirm(&sighting, &era);
+    era.observe(at(5_000), 2, None);
+    era.record_number(first_number);
+    (keeper, era)
+}
+
+/// Guards against a restored copy that is taken for proof that nothing newer was written.
+#[test]
+fn copy_proves_nothing_until_the_lost_writes_are_back() {
+    let (mut keeper, era) = restored(31);
+    let seen = |version, number, call_start| StoreSighting {
+        version,
+        revision: revision(2, number),
+        call_start,
+    };
+    for sighting in [seen(Some(9), 31, at(5_100)), seen(None, 31, at(5_200))] {
+        keeper.confirm(&sighting, &era);
+        assert_eq!(keeper.age(at(5_300)), Some(Duration::from_millis(400)), "{sighting:?}");
+    }
+    let mut written = keeper.clone();
+    written.confirm(&seen(Some(9), 32, at(5_300)), &era);
+    assert_eq!(written.age(at(5_300)), Some(Duration::ZERO), "written again");
+    written.confirm(&seen(None, 33, at(5_500)), &era);
+    assert_eq!(written.age(at(5_500)), Some(Duration::ZERO), "and unchanged since");
+    keeper.confirm(&seen(Some(9), 31, at(7_200)), &era);
+    assert_eq!(keeper.age(at(7_200)), Some(Duration::ZERO), "nothing was written again");
+}
+
+/// Guards against a refusal of everything by hosts whose version was written again before they
+/// first asked the store.
+#[test]
+fn version_at_another_revision_was_written_again() {
+    let (mut keeper, era) = restored(30);
+    let call_start = at(5_100);
+    let sighting = StoreSighting { version: Some(9), revision: revision(2, 30), call_start };
+    keeper.confirm(&sighting, &era);
+    assert_eq!(keeper.age(at(5_100)), Some(Duration::ZERO));
+}
+
+/// Guards against a version that reverts, and against a fleet that refuses everything because the
+/// store lost its version for good.
+#[test]
+fn older_version_of_a_copy_replaces_nothing() {
+    let (mut keeper, era) = restored(20);
+    let seen =
+        |call_start| StoreSighting { version: Some(3), revision: revision(2, 8), call_start };
+    keeper.confirm(&seen(at(5_100)), &era);
+    assert_eq!((keeper.version(), keeper.age(at(5_100))), (9, Some(Duration::from_millis(200))));
+    keeper.confirm(&seen(at(7_300)), &era);
+    assert_eq!((keeper.version(), keeper.age(at(7_300))), (9, Some(Duration::ZERO)));
+}
+
+/// Guards against a process that starts while the store shows a copy and outvotes its peers.
+#[test]
+fn store_does_not_outweigh_the_version_in_force_at_a_peer() {
+    let era = EraKeeper::default();
+    let mut keeper = EvidenceKeeper::new(LIMITS, ME);
+    let seen = |call_start| StoreSighting { version: Some(3), revision: 8.into(), call_start };
+    for millis in (0..6_000).step_by(400) {
+        keeper.merge(at(millis), &evidence_of(9, 0, at(millis), 0));
+        keeper.confirm(&seen(at(millis + 100)), &era);
+        assert_eq!(keeper.trust(at(millis + 200), false), ConfigTrust::Nothing);
+        assert_eq!(keeper.trust(at(millis + 200), true), ConfigTrust::Nothing, "never proved");
+    }
+    // Nobody has it in force any more.
+    keeper.confirm(&seen(at(7_900)), &era);
+    assert_eq!(keeper.trust(at(8_000), false), ConfigTrust::Full);
+}
--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -114,6 +114,8 @@
     pub is_known: bool,
     /// Age of the proof that what is known is the newest; `None` without a proof.
     pub proof_age: Option<Duration>,
+    /// Whether the store was restored so recently that its answers may prove nothing.
+    pub shows_copy: bool,
     /// Whether a peer reported a newer version of the configuration.
     pub has_newer: bool,
     /// Time for which a peer has been known to have a later list of servers; `None` if none has.
@@ -132,6 +134,7 @@
             is_lead: facts.is_lead,
             watch_wait: timing.watch_wait,
             needs_proof: facts.is_known
+                && !facts.shows_copy
                 && facts.proof_age.is_none_or(|age| age >= timing.proof_age),
             is_behind: facts.has_newer
                 || facts.must_read_again
--- a/crates/core/src/feed/spread_tests.rs
+++ b/crates/core/src/feed/spread_tests.rs
@@ -9,7 +9,8 @@
 
 use super::*;
 use crate::{
-    evidence::{EvidenceEffect, EvidenceKeeper, EvidenceLimits, PeerEvidence, ProofSource},
+    era::EraKeeper,
+    evidence::{EvidenceEffect, EvidenceKeeper, EvidenceLimits, PeerEvidence, StoreSighting},
     fleet::{EngineEntry, FleetChange, FleetTable, ListEffect},
     roster::{HostInfo, HostTag, PeerRole, PeerRoster, STANDBY_POLL_PERIOD},
 };
@@ -149,7 +150,12 @@
                 _ => FeedResult::Read { revision: version.into(), is_stale: false },
             };
             if result != FeedResult::Failed {
-                host.evidence.confirm(version, *asked, ProofSource::Store);
+                let sighting = StoreSighting {
+                    version: Some(version),
+                    revision: version.into(),
+                    call_start: *asked,
+                };
+                host.evidence.confirm(&sighting, &EraKeeper::default());
                 host.fleet.upsert(now, entry(version));
                 host.fleet.confirm_list(*asked, version.into());
             }
@@ -246,7 +252,11 @@
         if self.hosts[from].is_frozen || self.hosts[to].is_frozen {
             return;
         }
-        let evidence = self.hosts[from].evidence.attest(self.now, incarnation, echo, held);
+        let evidence = self.hosts[from].evidence.attest(
+            self.now,
+            &EraKeeper::default(),
+            (incarnation, echo, held),
+        );
         if !self.is_config {
             return self.send_list(from, to, &evidence);
         }
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -237,7 +237,7 @@
         let state = gateway.state.borrow();
         let (echo, heard) = state.peer_clocks.get(&target.tag).copied().unwrap_or((0, now));
         let incarnation = state.roster.incarnation(target.tag).unwrap_or_default();
-        let evidence = state.evidence.attest(now, incarnation, echo, now.since(heard));
+        let evidence = state.attest(now, (incarnation, echo, now.since(heard)));
         let list = state.dispatcher.fleet.attest_list(now);
         let beliefs_digest = state.beliefs_digest();
         match target.role {
@@ -412,7 +412,7 @@
             let response = {
                 let state = gateway.state.borrow();
                 PeerDatagram::ListResponse {
-                    evidence: state.evidence.attest(now, incarnation, clock, Duration::ZERO),
+                    evidence: state.attest(now, (incarnation, clock, Duration::ZERO)),
                     list: ListUpdate::after(now, &state.dispatcher.fleet, list_revision),
                 }
             };
@@ -452,7 +452,7 @@
     let state = gateway.state.borrow();
     let (members_digest, members) = state.roster.member_list(now, &state.host_info);
     PeerDatagram::SyncResponse {
-        evidence: state.evidence.attest(now, incarnation, clock, Duration::ZERO),
+        evidence: state.attest(now, (incarnation, clock, Duration::ZERO)),
         members: (members_digest != known_digest).then_some(members),
         list: ListUpdate::after(now, &state.dispatcher.fleet, list_revision),
         beliefs_digest: state.beliefs_digest(),
@@ -506,6 +506,10 @@
 }
 
 fn merge_evidence(gateway: &GatewayRef, now: Time, from: SocketAddr, evidence: &PeerEvidence) {
+    if let Some(era) = evidence.era {
+        let age = evidence.era_age_ms.map(|age| Duration::from_millis(age.into()));
+        gateway.observe_era(era, age, &from.to_string());
+    }
     let effect = {
         let state = &mut *gateway.state.borrow_mut();
         let (known_newest, in_force) = (state.evidence.newest_known().0, state.evidence.version());
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -6,7 +6,7 @@
     catalog::{RouteCatalog, ServingConfig},
     dispatch::DispatchInput,
     era::{EraEffect, StoreRevision},
-    evidence::{ConfigTrust, ProofSource},
+    evidence::{ConfigTrust, StoreSighting},
     feed::{FeedContext, FeedFacts, LEAD_COUNT},
     fleet::{EngineEntry, EngineTag},
     roster::{HostInfo, HostTag},
@@ -32,19 +32,25 @@
 }
 
 impl Gateway {
-    /// Applies a configuration read from the store. `call_start` is when the call was sent; `None`
-    /// means that the answer may be stale and proves nothing. A version that is not newer than the
-    /// one in force is ignored.
-    pub fn apply_config(self: &Rc<Self>, config: ServingConfig, call_start: Option<Time>) {
+    /// Applies a configuration that the store holds at `revision`. `call_start` is when the call was
+    /// sent; `None` means that the answer may be stale and proves nothing. A version that is not
+    /// newer than the one in force is ignored.
+    pub fn apply_config(
+        self: &Rc<Self>,
+        config: ServingConfig,
+        revision: StoreRevision,
+        call_start: Option<Time>,
+    ) {
         let version = config.version;
         let now = clock::now();
         let (services, urgent) = {
-            let mut state = self.state.borrow_mut();
+            let state = &mut *self.state.borrow_mut();
             let (newest, heard) = state.evidence.newest_known();
             let from = state.catalog.as_ref().map(|catalog| catalog.version());
             match call_start {
                 Some(call_start) => {
-                    state.evidence.confirm(version, call_start, ProofSource::Store);
+                    let sighting = StoreSighting { version: Some(version), revision, call_start };
+                    state.evidence.confirm(&sighting, &state.era);
                 }
                 None => state.evidence.adopt(version),
             }
@@ -68,14 +74,19 @@
         self.update_readiness();
     }
 
-    /// Records that the store had nothing newer than the configuration in force, by a call sent at
-    /// `call_start`.
-    pub fn confirm_config(&self, call_start: Time) {
+    /// Returns whether a configuration is in force.
+    pub fn has_config(&self) -> bool {
+        self.state.borrow().catalog.is_some()
+    }
+
+    /// Records that a watch of the configuration up to `revision`, sent at `call_start`, ended
+    /// without a change.
+    pub fn confirm_config(&self, revision: StoreRevision, call_start: Time) {
         {
-            let mut state = self.state.borrow_mut();
-            let version = state.evidence.version();
+            let state = &mut *self.state.borrow_mut();
             if state.catalog.is_some() {
-                state.evidence.confirm(version, call_start, ProofSource::Watch);
+                let sighting = StoreSighting { version: None, revision, call_start };
+                state.evidence.confirm(&sighting, &state.era);
             }
         }
         self.update_readiness();
@@ -121,6 +132,20 @@
         self.state.borrow().era.era()
     }
 
+    /// Returns the time until the store shows again what it may have lost by a restore.
+    pub fn time_to_settle(&self) -> Duration {
+        self.state.borrow().era.time_to_settle(clock::now())
+    }
+
+    /// Records the era in which the newest entry of a host was written. If the store is in a later
+    /// one, it was restored and no host has seen it settled.
+    pub fn observe_listed_era(&self, listed: u64) {
+        let era = self.store_era();
+        if listed < era {
+            self.observe_era(era, Some(Duration::ZERO), "hosts");
+        }
+    }
+
     /// Adds a host that the store lists.
     pub fn add_host(&self, host_info: HostInfo) {
         let mut state = self.state.borrow_mut();
@@ -195,6 +220,7 @@
                 is_member,
                 is_known: state.catalog.is_some(),
                 proof_age: state.evidence.age(now),
+                shows_copy: !state.era.is_settled(now),
                 has_newer: state.evidence.newest_known().0 > state.evidence.version(),
                 ..FeedFacts::default()
             });
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -25,7 +25,8 @@
         PrefillHelper, TICK_PERIOD,
     },
     era::EraKeeper,
-    evidence::{ConfigTrust, EvidenceKeeper, EvidenceLimits, ProofSource},
+    evidence::{ConfigTrust, EvidenceKeeper, EvidenceLimits, PeerEvidence, ProofSource},
+    feed::CALL_LIMIT,
     fleet::{EngineTag, EngineVerdict, LimitNotice, ServerNotice},
     permit::{PermitIssuer, PermitRequest},
     quarantine::PartQuarantine,
@@ -160,7 +161,15 @@
 impl GatewayState {
     /// Decisions that the host may still base on the configuration in force.
     fn trust(&self, now: Time) -> ConfigTrust {
-        self.evidence.trust(now, self.store_lost.0)
+        // Once the era is settled, the first proof takes a call.
+        let shows_copy = !self.era.is_settled(now - CALL_LIMIT);
+        self.evidence.trust(now, self.store_lost.0 || shows_copy)
+    }
+
+    /// This host's evidence for the peer whose datagram had this incarnation and clock and arrived
+    /// that long ago.
+    fn attest(&self, now: Time, echo: (u64, u64, Duration)) -> PeerEvidence {
+        self.evidence.attest(now, &self.era, echo)
     }
 
     /// Digest of what this host knows and all hosts must respect.
