Take no version of a copy for written again

Cause: the version in force at another revision than the one known counted as written again since the restore, and so as proof. A copy may be from before an earlier restore, after which the version was written again at a higher revision and then replaced; the next restore brings the earlier revision back. Change: only a version above the first revision seen in the era counts as written since. The test that asked for the opposite is replaced by version_at_another_revision_of_a_copy_proves_nothing; it asks for more, not less.

--- a/crates/core/src/evidence/mod.rs
+++ b/crates/core/src/evidence/mod.rs
@@ -150,9 +150,8 @@
     newest: (u64, Time),
     /// Newest version that a peer reported to have in force, and when one last did.
     held: (u64, Time),
-    /// Revision at which the store is known to hold the version in force. Its era is 0 if it may
-    /// have been written before the present era.
-    written: StoreRevision,
+    /// Era in which the version in force is known to have been written or settled.
+    written_era: Option<u64>,
     /// Whether the store holds a version that this host cannot read.
     is_unreadable: bool,
     /// Latest time at which `version` is known to have been the newest.
@@ -170,7 +169,7 @@
             version: 0,
             newest: (0, Time::ZERO),
             held: (0, Time::ZERO),
-            written: StoreRevision::default(),
+            written_era: None,
             is_unreadable: false,
             confirmed: None,
             source: None,
@@ -207,24 +206,16 @@
         let &StoreSighting { version, revision, call_start } = sighting;
         let is_settled = era.is_settled(call_start);
         let Some(version) = version else {
-            let is_written = self.written.era == era.era();
+            let is_written = self.written_era == era.known();
             if !self.is_outdated() && (is_settled || is_written) {
                 self.extend_to(call_start, ProofSource::Watch);
             }
             return;
         };
         self.is_unreadable = false;
-        // The same version at another revision was written again.
-        let is_moved = version == self.version
-            && revision.era > self.written.era
-            && revision.number != self.written.number;
-        let is_written = era.is_rewritten(revision) || is_moved;
+        let is_written = era.is_rewritten(revision);
         if version > self.version || (version == self.version && is_written) {
-            self.written = match is_settled || is_written {
-                true => revision,
-                // Written in an earlier era, as far as is known.
-                false => StoreRevision { era: 0, ..revision },
-            };
+            self.written_era = (is_settled || is_written).then_some(revision.era);
         }
         self.version = self.version.max(version);
         if !is_settled && !is_written {
--- a/crates/core/src/evidence/tests.rs
+++ b/crates/core/src/evidence/tests.rs
@@ -230,15 +230,16 @@
     assert_eq!(keeper.age(at(7_200)), Some(Duration::ZERO), "nothing was written again");
 }
 
-/// Guards against a refusal of everything by hosts whose version was written again before they
-/// first asked the store.
+/// Guards against a version that a copy holds at another revision than the one known, and that is
+/// taken for written again. The copy may be from before an earlier restore, after which the version
+/// was written at that other revision and then replaced.
 #[test]
-fn version_at_another_revision_was_written_again() {
+fn version_at_another_revision_of_a_copy_proves_nothing() {
     let (mut keeper, era) = restored(30);
     let call_start = at(5_100);
     let sighting = StoreSighting { version: Some(9), revision: revision(2, 30), call_start };
     keeper.confirm(&sighting, &era);
-    assert_eq!(keeper.age(at(5_100)), Some(Duration::ZERO));
+    assert_eq!(keeper.age(at(5_100)), Some(Duration::from_millis(200)));
 }
 
 /// Guards against a version that reverts, and against a fleet that refuses everything because the
