--- a/review/standins/src/cases/foreign_keys.rs
+++ b/review/standins/src/cases/foreign_keys.rs
@@ -32,7 +32,7 @@
 pub fn run(has_trouble: bool, record: &Arc<Record>) -> Verdict {
     let store = Store::start(PAGE)?;
     let work =
-        Work { slots: 6, time: |_| Duration::from_millis(30), answer_bytes: 800, is_stream: false };
+        Work { slots: 6, time: |_| Duration::from_millis(30), answer_bytes: 800, gaps: None };
     let server = Server::start("i-records-1", work, record)?;
     let route = Route {
         prefix: "/records/",
--- a/review/standins/src/cases/large_bodies.rs
+++ b/review/standins/src/cases/large_bodies.rs
@@ -40,7 +40,7 @@
 
 pub fn run(has_trouble: bool, record: &Arc<Record>) -> Verdict {
     let store = Store::start(500)?;
-    let work = Work { slots: 6, time: work_time, answer_bytes: 800, is_stream: false };
+    let work = Work { slots: 6, time: work_time, answer_bytes: 800, gaps: None };
     let servers: std::io::Result<Vec<_>> = (0..SERVERS)
         .map(|number| Server::start(&format!("i-desk-{number}"), work.clone(), record))
         .collect();
--- a/review/standins/src/cases/large_entries.rs
+++ b/review/standins/src/cases/large_entries.rs
@@ -30,7 +30,7 @@
 pub fn run(has_trouble: bool, record: &Arc<Record>) -> Verdict {
     let store = Store::start(500)?;
     let work =
-        Work { slots: 6, time: |_| Duration::from_millis(60), answer_bytes: 800, is_stream: false };
+        Work { slots: 6, time: |_| Duration::from_millis(60), answer_bytes: 800, gaps: None };
     let servers: std::io::Result<Vec<_>> =
         ["i-desk-1", "i-desk-2"].iter().map(|id| Server::start(id, work.clone(), record)).collect();
     let servers = servers?;
--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -4,6 +4,7 @@
 pub mod foreign_keys;
 pub mod large_bodies;
 pub mod large_entries;
+pub mod silent_engine;
 pub mod stop_while_waiting;
 
 use std::{io, net::SocketAddr};
--- a/review/standins/src/cases/stop_while_waiting.rs
+++ b/review/standins/src/cases/stop_while_waiting.rs
@@ -48,7 +48,7 @@
 
 pub fn run(has_trouble: bool, record: &Arc<Record>) -> Verdict {
     let store = Store::start(500)?;
-    let work = Work { slots: 16, time: work_time, answer_bytes: 300, is_stream: true };
+    let work = Work { slots: 16, time: work_time, answer_bytes: 300, gaps: Some(|_| Vec::new()) };
     let server = Server::start("i-engine-1", work, record)?;
     let route = Route {
         prefix: "/dossier/",
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -36,6 +36,7 @@
         "stop-while-waiting" => cases::stop_while_waiting::run(has_trouble, &record),
         "large-bodies" => cases::large_bodies::run(has_trouble, &record),
         "foreign-keys" => cases::foreign_keys::run(has_trouble, &record),
+        "silent-engine" => cases::silent_engine::run(has_trouble, &record),
         "large-entries" => cases::large_entries::run(has_trouble, &record),
         "cut-watches" => cases::cut_watches::run(has_trouble, &record),
         _ => Err(std::io::Error::other("no such case")),
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -33,8 +33,8 @@
     pub time: fn(&Message) -> Duration,
     /// Bytes of an answer.
     pub answer_bytes: usize,
-    /// Whether answers are event streams of one event.
-    pub is_stream: bool,
+    /// For event streams, the time before each event after the first, which follows `time`.
+    pub gaps: Option<fn(&Message) -> Vec<Duration>>,
 }
 
 /// Running stand-in.
@@ -133,22 +133,45 @@
             runs.len() - 1
         };
         thread::sleep((self.work.time)(request));
-        if !self.is_down.load(Ordering::SeqCst) {
+        let seal = format!("seal-{}-{id}", self.id);
+        let result = match self.work.gaps {
+            Some(gaps) => self.stream(writer, &id, &seal, gaps(request)),
+            None => {
+                let fields =
+                    [("Parsleystage-Attempt-Id", &*id), ("Parsleystage-Engine-Seal", &*seal)];
+                let body = vec![b'x'; self.work.answer_bytes];
+                write_message(writer, "HTTP/1.1 200 OK", &fields, &body)
+            }
+        };
+        let is_whole = result.is_ok() && !self.is_down.load(Ordering::SeqCst);
+        if is_whole {
             self.runs.lock().unwrap()[index].ended = Some(Instant::now());
         }
         *busy.lock().unwrap() -= 1;
         freed.notify_one();
-        let seal = format!("seal-{}-{id}", self.id);
-        self.record.line(&format!("server {} answers request {id}", self.id));
-        if self.work.is_stream {
-            let event = format!("id: 1\ndata: {}\n\n", "x".repeat(self.work.answer_bytes));
-            let head = format!(
-                "HTTP/1.1 200 OK\r\nParsleystage-Attempt-Id: {id}\r\nParsleystage-Engine-Seal: {seal}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-            );
-            let chunk = format!("{:x}\r\n{event}\r\n0\r\n\r\n", event.len());
-            return writer.write_all(format!("{head}{chunk}").as_bytes());
+        let end = if is_whole { "has answered" } else { "could not answer" };
+        self.record.line(&format!("server {} {end} request {id}", self.id));
+        result
+    }
+
+    /// Writes one event after the other, as long as the connection stands.
+    fn stream(
+        &self,
+        writer: &mut TcpStream,
+        id: &str,
+        seal: &str,
+        gaps: Vec<Duration>,
+    ) -> std::io::Result<()> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nParsleystage-Attempt-Id: {id}\r\nParsleystage-Engine-Seal: {seal}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        writer.write_all(head.as_bytes())?;
+        let data = "x".repeat(self.work.answer_bytes);
+        for (index, gap) in std::iter::once(Duration::ZERO).chain(gaps).enumerate() {
+            thread::sleep(gap);
+            let event = format!("id: {}\ndata: {data}\n\n", index + 1);
+            writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
         }
-        let fields = [("Parsleystage-Attempt-Id", &*id), ("Parsleystage-Engine-Seal", &*seal)];
-        write_message(writer, "HTTP/1.1 200 OK", &fields, &vec![b'x'; self.work.answer_bytes])
+        writer.write_all(b"0\r\n\r\n")
     }
 }
