--- a/review/standins/src/cases/foreign_keys.rs
+++ b/review/standins/src/cases/foreign_keys.rs
@@ -40,6 +40,7 @@
         service: "records",
         timeout_ms: 800,
         is_model: false,
+        is_open: false,
     };
     store.put("op/config", &config(1, &[route], &[(ACCOUNT, KEY)]));
     store.register(&server.id, "records", server.address, 6);
--- a/review/standins/src/cases/large_bodies.rs
+++ b/review/standins/src/cases/large_bodies.rs
@@ -51,6 +51,7 @@
         service: "desk",
         timeout_ms: 15_000,
         is_model: false,
+        is_open: false,
     };
     store.put("op/config", &config(1, &[route], &[(ACCOUNT, KEY)]));
     servers.iter().for_each(|server| store.register(&server.id, "desk", server.address, 6));
--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! One module a case, and what they share.
 
+pub mod config_storm;
 pub mod cut_watches;
 pub mod foreign_keys;
 pub mod large_bodies;
@@ -16,6 +17,9 @@
 /// Client account that exists from the start.
 pub const ACCOUNT: &str = "hule930";
 
+/// `config_apply_ms` of the small sites.
+const APPLY_MS: u64 = 2_000;
+
 /// Service and route of a configuration.
 pub struct Route<'a> {
     pub prefix: &'a str,
@@ -23,15 +27,17 @@
     pub service: &'a str,
     pub timeout_ms: u32,
     pub is_model: bool,
+    /// Whether requests need no key.
+    pub is_open: bool,
 }
 
 /// Configuration with one route and one service each, and client accounts with one key each.
 pub fn config(version: u32, routes: &[Route], accounts: &[(&str, &str)]) -> String {
     let listed = routes.iter().enumerate().map(|(index, route)| {
-        let Route { prefix, kind, service, timeout_ms, .. } = route;
+        let Route { prefix, kind, service, timeout_ms, is_open, .. } = route;
         let resume = *kind == "stream";
         format!(
-            r#"{{"name":"r{index}","host":"a.example","prefix":"{prefix}","kind":"{kind}","timeout_ms":{timeout_ms},"slo_ms":6000,"priority":2,"attempts":1,"service":"{service}","allow_anonymous":false,"sticky":{resume},"stream_resume":{resume},"gap_aim_ms":800}}"#
+            r#"{{"name":"r{index}","host":"a.example","prefix":"{prefix}","kind":"{kind}","timeout_ms":{timeout_ms},"slo_ms":6000,"priority":2,"attempts":1,"service":"{service}","allow_anonymous":{is_open},"sticky":{resume},"stream_resume":{resume},"gap_aim_ms":800}}"#
         )
     });
     let services = routes.iter().map(|route| {
@@ -62,8 +68,20 @@
     memory_mb: u64,
     record: &Record,
 ) -> io::Result<Vec<Host>> {
-    let hosts: io::Result<Vec<_>> =
-        (0..count).map(|number| Host::start(number, store, memory_mb)).collect();
+    start_hosts_at(&vec![store; count.into()], memory_mb, APPLY_MS, record)
+}
+
+/// Like [`start_hosts`], with an address of the store for each host and another `config_apply_ms`.
+pub fn start_hosts_at(
+    stores: &[SocketAddr],
+    memory_mb: u64,
+    apply_ms: u64,
+    record: &Record,
+) -> io::Result<Vec<Host>> {
+    let start = |(number, store): (usize, &SocketAddr)| {
+        Host::start(number as u8, *store, memory_mb, apply_ms)
+    };
+    let hosts: io::Result<Vec<_>> = stores.iter().enumerate().map(start).collect();
     let hosts = hosts?;
     for host in &hosts {
         if !host.wait_until_ready() {
--- a/review/standins/src/cases/silent_engine.rs
+++ b/review/standins/src/cases/silent_engine.rs
@@ -77,6 +77,7 @@
         service: "engines",
         timeout_ms: 15_000,
         is_model: true,
+        is_open: false,
     };
     // Two attempts, as in the sheet.
     let config = config(1, &[route], &[(ACCOUNT, KEY)]).replace("\"attempts\":1", "\"attempts\":2");
--- a/review/standins/src/cases/stop_while_waiting.rs
+++ b/review/standins/src/cases/stop_while_waiting.rs
@@ -56,6 +56,7 @@
         service: "engines",
         timeout_ms: 15_000,
         is_model: true,
+        is_open: false,
     };
     store.put("op/config", &config(1, &[route], &[(ACCOUNT, KEY)]));
     store.register(&server.id, "engines", server.address, 16);
--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -14,6 +14,7 @@
     pub id: String,
     pub method: &'static str,
     pub path: &'static str,
+    /// API key; empty if the route needs none.
     pub key: String,
     pub deadline: Duration,
     /// Further header lines, each with its end.
@@ -101,13 +102,16 @@
         0 if ask.method == "GET" => String::new(),
         length => format!("Content-Length: {length}\r\n"),
     };
+    let key = match ask.key.as_str() {
+        "" => String::new(),
+        key => format!("Authorization: Token {key}\r\n"),
+    };
     let head = format!(
-        "{} {} HTTP/1.1\r\nHost: a.example\r\nParsleystage-Attempt-Id: {}\r\nParsleystage-Deadline-Ms: {}\r\nAuthorization: Token {}\r\n{}{length}\r\n",
+        "{} {} HTTP/1.1\r\nHost: a.example\r\nParsleystage-Attempt-Id: {}\r\nParsleystage-Deadline-Ms: {}\r\n{key}{}{length}\r\n",
         ask.method,
         ask.path,
         ask.id,
         ask.deadline.as_millis(),
-        ask.key,
         ask.fields,
     );
     let mut bytes = head.into_bytes();
--- a/review/standins/src/host.rs
+++ b/review/standins/src/host.rs
@@ -37,8 +37,13 @@
 }
 
 impl Host {
-    /// Starts a host; `number` tells the hosts of a case apart.
-    pub fn start(number: u8, store: SocketAddr, memory_mb: u64) -> std::io::Result<Host> {
+    /// Starts a host; `number` tells the hosts of a case apart. `apply_ms` is `config_apply_ms`.
+    pub fn start(
+        number: u8,
+        store: SocketAddr,
+        memory_mb: u64,
+        apply_ms: u64,
+    ) -> std::io::Result<Host> {
         let ip = free_ip(number);
         let name = format!("front-a-{number}");
         let dir = std::env::temp_dir().join(format!("review-{}-{number}", std::process::id()));
@@ -55,7 +60,7 @@
 "platform", "spans"], "fault_tolerance": {{"machines": 2, "zones": 0, "regions": 0}},
 "contract_params": {{"seed_lag_s": 3, "reuse_delay_s": 2, "stable_window_ms": 3000,
 "ack_ms": 4000, "sync_s": 4, "drain_ms": 2000, "grace_s": 8, "loss_slack_ms": 200,
-"config_apply_ms": 2000, "rollback_slack_ms": 250, "max_stretch_ms": 5000, "strict_revoke": true,
+"config_apply_ms": {apply_ms}, "rollback_slack_ms": 250, "max_stretch_ms": 5000, "strict_revoke": true,
 "revoke_ms": 5000, "retry_budget_ratio": 0.2, "retry_window_s": 10, "retry_slack": 106,
 "recovery_s": 12, "pass_ms": 120, "again_s": 0, "stall_ms": 1500, "hold_max_ms": 20000,
 "free_ms": 4000, "idle_max_ms": 9000, "ttl_max_s": 5}},
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,6 +7,7 @@
 mod host;
 mod http;
 mod json;
+mod proxy;
 mod record;
 mod server;
 mod store;
@@ -36,6 +37,7 @@
         "stop-while-waiting" => cases::stop_while_waiting::run(has_trouble, &record),
         "large-bodies" => cases::large_bodies::run(has_trouble, &record),
         "foreign-keys" => cases::foreign_keys::run(has_trouble, &record),
+        "config-storm" => cases::config_storm::run(has_trouble, &record),
         "silent-engine" => cases::silent_engine::run(has_trouble, &record),
         "large-entries" => cases::large_entries::run(has_trouble, &record),
         "cut-watches" => cases::cut_watches::run(has_trouble, &record),
