--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,7 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" stop-while-waiting "$(dirname "$0")"
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
+# disruption out. What was sent, answered and run is written to record.txt in this folder.
+set -uo pipefail
+folder="$(cd "$(dirname "$0")" && pwd)"
+export TROUBLE="${TROUBLE:-1}"
+exec "$folder/../run-case.sh" stop-while-waiting "$folder/record.txt"
--- a/review/standins/src/cases/stop_while_waiting.rs
+++ b/review/standins/src/cases/stop_while_waiting.rs
@@ -3,7 +3,11 @@
 //! One long prompt fills the memory of the only engine. Shorter prompts wait at the host until it
 //! ends. The host gets SIGTERM while they wait.
 
-use std::{sync::Arc, thread, time::Duration};
+use std::{
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
 
 use super::{ACCOUNT, KEY, Route, config, start_hosts};
 use crate::{
@@ -19,6 +23,8 @@
 const LONG_TOKENS: u32 = 420_000;
 const SHORT_TOKENS: u32 = 60_000;
 const WAITING: usize = 6;
+/// Time for which a SIGTERM counts as planned work: 1 s after `grace_s`.
+const PLANNED: Duration = Duration::from_secs(9);
 /// `loss_slack_ms`.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
 
@@ -75,18 +81,22 @@
         send(ask(number, SHORT_TOKENS));
     }
     thread::sleep(Duration::from_millis(300));
+    let mut stopped = None;
     if has_trouble {
         record.line(&format!("SIGTERM to {}", hosts[0].name));
         hosts[0].signal("TERM");
+        stopped = Some(Instant::now());
     }
     let results: Vec<_> = clients.into_iter().map(|client| client.join().unwrap()).collect();
     let runs = server.runs();
-    // Not counted: the engine was at work on it, or the deadline was reached.
+    // Not counted: the engine was at work on it, the deadline was reached, or the end of the planned
+    // work had passed.
     let lost = results.iter().filter(|result| {
         let is_cut = matches!(result.got, Got::Closed | Got::Cut(..));
         let was_passed_on = runs.iter().any(|run| run.id == result.id);
         let is_late = result.sent.is_some_and(|sent| result.ended - sent > LOSS_SLACK);
-        is_cut && !was_passed_on && is_late
+        let is_beside = stopped.is_none_or(|at| result.ended <= at + PLANNED);
+        is_cut && !was_passed_on && is_late && is_beside
     });
     let lost = lost.count();
     record.line(&format!(
