Log how many requests wait when a host stops

Hypotheses: nobody refuses what still waits for a server; or it is refused and the response is not flushed before the process ends. E2002 named only open requests, which does not tell them apart. Change: E2002 also names the requests that wait for a server.

--- a/crates/node/src/gateway/drain.rs
+++ b/crates/node/src/gateway/drain.rs
@@ -50,7 +50,9 @@
             }
         }
         beats::broadcast_state(self);
-        event!(self.log, GATEWAY_STOPPED, "open" => self.open_requests.get());
+        let waiting = self.state.borrow().dispatcher.waiting_count();
+        event!(self.log, GATEWAY_STOPPED, "open" => self.open_requests.get(),
+            "waiting" => waiting as u64);
     }
 
     /// Whether a request is open or a caller is connected.
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -75,7 +75,7 @@
     REFUSALS_NOT_LOGGED: "E1502" Warning "refusals not logged" ["count"];
     CONNECTION_CLOSED: "E1503" Info "connection closed" ["reason", "from"];
     GATEWAY_STARTED: "E2001" Info "gateway started" ["host", "serving", "incarnation", "version"];
-    GATEWAY_STOPPED: "E2002" Info "gateway stopped" ["open"];
+    GATEWAY_STOPPED: "E2002" Info "gateway stopped" ["open", "waiting"];
     GATEWAY_DRAINING: "E2003" Info "gateway draining" ["open", "grace_ms"];
     SETTINGS_RELOADED: "E2004" Info "settings reloaded" ["cause", "changed"];
     SETTINGS_INVALID: "E2005" Error "invalid settings" ["cause", "error"];
