Refuse what a stopping host cannot finish

Cause: only the task that ends the process knew when the drain ends. The dispatcher planned waiting requests past it, and a request watched only its own deadline. Change: the dispatcher is told the end of the drain and refuses what cannot be complete by then (503, draining, Retry-After by rank). When the drain is over, each open request ends itself: 503 if no server was sent it, 502 if one may have run it. The process waits for the responses until 0.97 of the grace time.

--- a/crates/core/src/dispatch/decide.rs
+++ b/crates/core/src/dispatch/decide.rs
@@ -5,14 +5,23 @@
 use parsley_macros::{key, value};
 
 use super::{
-    Dispatcher, MAX_IMMEDIATE_COST, WaitingRequest,
+    Dispatcher, MAX_IMMEDIATE_COST, UNSTREAMED_TIMEOUT_FACTOR, WaitingRequest,
     choose::{MAX_PARTS, PlacementChoice, memory_parts},
     refusal::MIN_RETRY_AFTER,
 };
-use crate::{fleet::EngineTag, time::Time, work::WorkEntry};
+use crate::{
+    fleet::EngineTag,
+    time::Time,
+    work::{WorkDemand, WorkEntry},
+};
 
 /// Highest cost, in requests made late, of a placement for a request that cannot wait any longer.
 const MAX_FINAL_COST: f64 = 3.0;
+/// Assumed timeout of peers' requests.
+const PEER_TIMEOUT: Duration = Duration::from_secs(60);
+/// Factor on the modelled decode time of a response that must be complete before the host stops:
+/// other requests on its engine lengthen it.
+const DRAIN_DECODE_FACTOR: f64 = 1.5;
 /// How long before its latest possible start a waiting request is decided.
 pub(super) const DECISION_LEAD: Duration = Duration::from_millis(150);
 
@@ -24,6 +33,25 @@
     pub delay_ms: f64,
     /// Waiting requests for the same service.
     pub ahead: usize,
+    /// Latest time of the first event.
+    pub limit: Time,
+}
+
+/// Latest times of a request's first event.
+#[value]
+#[derive(Copy)]
+pub(super) struct FirstEventLimit {
+    /// Deadline of the request.
+    pub deadline: Time,
+    /// Time from which the host could not finish the response before it stops.
+    drain_limit: Option<Time>,
+}
+
+impl FirstEventLimit {
+    /// Returns the earlier of the limits.
+    pub fn latest(&self) -> Time {
+        self.drain_limit.map_or(self.deadline, |limit| limit.min(self.deadline))
+    }
 }
 
 /// Decision about a waiting request.
@@ -38,6 +66,34 @@
 }
 
 impl Dispatcher {
+    /// Returns the limits on the first event of a request; `work` is absent for one of a peer, whose
+    /// limits are not known here.
+    pub(super) fn first_event_limit(
+        &self,
+        work: Option<&WaitingRequest>,
+        entry: &WorkEntry,
+    ) -> FirstEventLimit {
+        let Some(work) = work else {
+            return FirstEventLimit { deadline: entry.arrived + PEER_TIMEOUT, drain_limit: None };
+        };
+        let drain_limit = self.drain_end.map(|end| end - self.answer_time(&entry.demand));
+        FirstEventLimit { deadline: work.deadline, drain_limit }
+    }
+
+    /// Time from the first event to the end of a response that the host must allow for when it
+    /// stops. A plain service has no model; its response must come within the attempt's timeout.
+    fn answer_time(&self, demand: &WorkDemand) -> Duration {
+        let model = self.latency_models.get(&demand.service).and_then(Option::as_ref);
+        match model {
+            Some(model) => {
+                let decode_ms = model.decode_ms(demand.prompt_tokens, demand.answer_tokens);
+                Duration::from_secs_f64(decode_ms * DRAIN_DECODE_FACTOR / 1e3)
+            }
+            None => Duration::from_millis(demand.first_event_target_ms.into())
+                .mul_f64(UNSTREAMED_TIMEOUT_FACTOR),
+        }
+    }
+
     /// Decides whether a request takes the best current placement, waits for a better one, or is
     /// refused because none can meet its deadline.
     pub(super) fn decide_placement(
@@ -46,14 +102,12 @@
         service: &str,
         entry: &WorkEntry,
         choice: Option<&PlacementChoice>,
-        work: Option<&WaitingRequest>,
+        excluded: &[EngineTag],
         position: QueuePosition,
     ) -> PlacementDecision {
-        let QueuePosition { delay_ms: queue_delay_ms, ahead } = position;
+        let QueuePosition { delay_ms: queue_delay_ms, ahead, limit } = position;
         let model = self.latency_models.get(&entry.demand.service).and_then(Option::as_ref);
         let prefill_ms = self.prefill_ms(&entry.demand);
-        let excluded = work.map_or(&[][..], |work| &work.excluded);
-        let limit = work.map_or(entry.arrived + Duration::from_secs(60), |work| work.deadline);
         let first_ms = choice.map_or(prefill_ms, |choice| choice.forecast.first_event_ms);
         let has_time = now + Duration::from_secs_f64(first_ms / 1e3) < limit;
         let is_candidate = |(tag, _): &(EngineTag, _)| !excluded.contains(tag);
@@ -99,12 +153,12 @@
                 PlacementDecision::Refuse
             };
         };
-        if choice.cost - choice.failure < MAX_IMMEDIATE_COST {
-            return PlacementDecision::Place;
-        }
         if !has_time {
             return PlacementDecision::Refuse;
         }
+        if choice.cost - choice.failure < MAX_IMMEDIATE_COST {
+            return PlacementDecision::Place;
+        }
         let target =
             entry.arrived + Duration::from_millis(entry.demand.first_event_target_ms.into());
         if choice.forecast.delayed == 0 {
--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -88,6 +88,11 @@
     LimitsReported(Vec<LimitReport>),
     /// The issuer of permits for a limited server replied.
     PermitsIssued(PermitReply),
+    /// The host stops: responses must be complete by then.
+    Drain {
+        /// When the host abandons its open requests.
+        end: Time,
+    },
     /// All server entries were read from discovery.
     ServersListed {
         /// Entries of all servers.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -29,6 +29,8 @@
 
 mod choose;
 mod decide;
+#[cfg(test)]
+mod drain_tests;
 mod forecast;
 mod headroom;
 mod limited;
@@ -105,6 +107,8 @@
     return_turns: BTreeMap<(u64, u8), Time>,
     /// Earliest time of the next scheduling run.
     next_run: Time,
+    /// When this host abandons its open requests; `None` while it does not stop.
+    drain_end: Option<Time>,
 }
 
 impl Dispatcher {
@@ -124,6 +128,11 @@
         self.waiting.len()
     }
 
+    /// When this host abandons its open requests; `None` while it does not stop.
+    pub fn drain_end(&self) -> Option<Time> {
+        self.drain_end
+    }
+
     /// Applies an input. Unless it is a peer update or an event gap, then also places or refuses
     /// waiting requests if a scheduling run is due.
     pub fn step(&mut self, now: Time, input: DispatchInput) -> Vec<DispatchOutput> {
@@ -208,6 +217,7 @@
                     self.fleet.merge_estimate(now, estimate);
                 }
             }
+            DispatchInput::Drain { end } => self.drain_end = Some(end),
             DispatchInput::PermitsIssued(reply) => self.record_permits(now, &reply),
             DispatchInput::ServersListed { entries, revision } => {
                 let known_tags: BTreeSet<_> = self.fleet.iter().map(|(tag, _)| tag).collect();
@@ -326,11 +336,12 @@
             let queue_delay_ms =
                 self.queue_delay_ms(now, &service, &entry.demand, &loads, ahead_ms);
             let ahead = permit_queue.count_ahead(entry.demand.service);
-            let decide = |choice: Option<&PlacementChoice>| {
-                let work = work.as_ref();
-                let position = QueuePosition { delay_ms: queue_delay_ms, ahead };
-                self.decide_placement(now, &service, &entry, choice, work, position)
+            let limit = self.first_event_limit(work.as_ref(), &entry);
+            let decide_by = |limit: Time, choice: Option<&PlacementChoice>| {
+                let position = QueuePosition { delay_ms: queue_delay_ms, ahead, limit };
+                self.decide_placement(now, &service, &entry, choice, excluded, position)
             };
+            let decide = |choice: Option<&PlacementChoice>| decide_by(limit.latest(), choice);
             let mut decision = decide(choice.as_ref());
             let preferred = without_permit.filter(|better| {
                 let may_wait = choice.is_none() || input.waited < PERMIT_PATIENCE;
@@ -355,8 +366,13 @@
                         outputs.push(assignment(number, &entry.demand, choice));
                     }
                 }
-                (PlacementDecision::Refuse, _) if work.is_some() => {
-                    outputs.push(self.refuse(now, number, &service, &entry.demand, queue_delay_ms));
+                (PlacementDecision::Refuse, choice) if work.is_some() => {
+                    let is_in_time =
+                        decide_by(limit.deadline, choice.as_ref()) != PlacementDecision::Refuse;
+                    outputs.push(match is_in_time {
+                        true => self.return_to_peers(number, &entry.demand),
+                        false => self.refuse(now, number, &service, &entry.demand, queue_delay_ms),
+                    });
                 }
                 _ => {
                     ahead_ms += self.service_ms(&entry.demand);
--- a/crates/core/src/dispatch/refusal.rs
+++ b/crates/core/src/dispatch/refusal.rs
@@ -20,6 +20,23 @@
 const MAX_JITTER_RANK: u8 = 3;
 
 impl Dispatcher {
+    /// Refuses a request that other hosts may serve in time, because this one stops before.
+    /// `Retry-After` only spreads the callers, more urgent ranks first.
+    pub(super) fn return_to_peers(
+        &mut self,
+        number: WorkNumber,
+        demand: &WorkDemand,
+    ) -> DispatchOutput {
+        self.waiting.remove(&number);
+        self.work_view.remove(number);
+        DispatchOutput::Refuse {
+            number,
+            reason: Reason::Draining,
+            retry_after: MIN_RETRY_AFTER.mul_f64(jitter_fraction(number, demand.priority)),
+            is_limited: false,
+        }
+    }
+
     /// Refuses a waiting request. `Retry-After` covers the expected queueing delay, and the end of
     /// the pause if all servers of the service are paused. If all of them limit the rate of requests,
     /// it is the caller's turn at that rate.
--- a/crates/core/src/dispatch/tests.rs
+++ b/crates/core/src/dispatch/tests.rs
@@ -6,7 +6,7 @@
 };
 
 pub(super) const SERVICE: &str = "model";
-const PLAIN: &str = "records";
+pub(super) const PLAIN: &str = "records";
 const PEER: HostTag = HostTag(7);
 const ALL: Option<(WorkNumber, WorkNumber)> = Some((WorkNumber(0), WorkNumber(u32::MAX)));
 
--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -136,6 +136,7 @@
     let sent_process = SentProcess::find(&gateway.state.borrow(), engine);
     let request = build_request(exchange, &instance, placement, &reservation, stream.last_event);
     progress.attempts.set(progress.attempts.get() + 1);
+    progress.may_have_run.set(true);
     let sent = clock::now();
     let may_retry = permit.may_retry.get();
     let first_event_timeout =
@@ -419,6 +420,7 @@
         *response.headers_mut() = parts.headers;
         strip_hop_by_hop_headers(response.headers_mut());
         self.stream.chunks = Some(chunks);
+        self.progress.has_started.set(true);
         self.exchange.reply.try_send(response).is_ok()
     }
 
--- a/crates/node/src/gateway/drain.rs
+++ b/crates/node/src/gateway/drain.rs
@@ -1,15 +1,23 @@
-//! Graceful shutdown: withdraws the host from discovery and finishes open requests.
+//! Graceful shutdown: withdraws the host from discovery and ends open requests.
 
 use std::{rc::Rc, time::Duration};
 
 use async_io::Timer;
-use parsley_core::roster::ADDRESS_LIFETIME;
+use parsley_core::{
+    dispatch::DispatchInput,
+    refusal::{Reason, Refusal},
+    roster::ADDRESS_LIFETIME,
+    time::Time,
+};
 
 use super::{Gateway, beats, clock};
 use crate::event;
 
 /// Share of the grace time after which requests that are still open are abandoned.
 const DRAIN_SHARE: f64 = 0.93;
+/// Share of the grace time after which the process ends, even if callers have not received the
+/// responses to abandoned requests.
+const END_SHARE: f64 = 0.97;
 /// Time after the lifetime of a resolved address for which connections are still accepted.
 const LINGER_MARGIN: Duration = Duration::from_millis(500);
 /// Share of the time for draining after which no more connections are accepted, so that accepted
@@ -19,18 +27,16 @@
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(20);
 
 impl Gateway {
-    /// Withdraws the host from discovery and finishes open requests. Returns within the grace time.
+    /// Withdraws the host from discovery and finishes open requests. What cannot be finished is
+    /// refused. Returns within the grace time.
     pub async fn drain(self: &Rc<Self>) {
         let start = clock::now();
         let end = start + self.settings.grace.mul_f64(DRAIN_SHARE);
-        {
-            let mut state = self.state.borrow_mut();
-            state.host_info.is_ready = false;
-            state.drain_end = Some(end);
-        }
-        beats::broadcast_state(self);
+        self.state.borrow_mut().host_info.is_ready = false;
         event!(self.log, GATEWAY_DRAINING, "open" => self.open_requests.get(),
             "grace_ms" => self.settings.grace.as_millis() as u64);
+        self.dispatch(DispatchInput::Drain { end });
+        beats::broadcast_state(self);
         // Callers may use a resolved address until its lifetime ends.
         let drain_time = end.since(start);
         let linger =
@@ -39,20 +45,30 @@
             Timer::after(DRAIN_POLL_PERIOD).await;
         }
         self.closing.0.borrow_mut().take();
+        self.wait_for_open_work(end).await;
+        let open = self.open_requests.get();
+        let waiting = self.state.borrow().dispatcher.waiting_count();
+        self.drain_over.0.borrow_mut().take();
+        self.wait_for_open_work(start + self.settings.grace.mul_f64(END_SHARE)).await;
+        beats::broadcast_state(self);
+        event!(self.log, GATEWAY_STOPPED, "open" => open, "waiting" => waiting as u64);
+    }
+
+    /// Waits until nothing is open, or until `end`.
+    async fn wait_for_open_work(&self, end: Time) {
         loop {
             while clock::now() < end && self.has_open_work() {
                 Timer::after(DRAIN_POLL_PERIOD).await;
             }
+            if clock::now() >= end {
+                return;
+            }
             // Responses, and requests that crossed the close, may still be in socket buffers.
             Timer::after(DRAIN_POLL_PERIOD * 3).await;
-            if clock::now() >= end || !self.has_open_work() {
-                break;
+            if !self.has_open_work() {
+                return;
             }
         }
-        beats::broadcast_state(self);
-        let waiting = self.state.borrow().dispatcher.waiting_count();
-        event!(self.log, GATEWAY_STOPPED, "open" => self.open_requests.get(),
-            "waiting" => waiting as u64);
     }
 
     /// Whether a request is open or a caller is connected.
@@ -62,6 +78,14 @@
 
     /// Time left until open requests are abandoned; `None` if the host is not draining.
     pub(super) fn drain_time_left(&self) -> Option<Duration> {
-        self.state.borrow().drain_end.map(|end| end.since(clock::now()))
+        let end = self.state.borrow().dispatcher.drain_end();
+        end.map(|end| end.since(clock::now()))
+    }
+
+    /// Refusal of a request that no server has been sent. `delay` is added to the time in which
+    /// another host can take it.
+    pub(super) fn drain_refusal(&self, delay: Duration) -> Refusal {
+        Refusal::not_run(Reason::Draining, "this host stops")
+            .retry_after(self.peer_retry_after() + delay)
     }
 }
--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -106,7 +106,12 @@
         let _ = left.recv().await;
         None
     };
-    let end = work.or(caller_left).await;
+    let drain_over = async {
+        // Nothing is sent on this channel; it closes when the host abandons its open requests.
+        let _ = gateway.drain_over.1.recv().await;
+        Some(abandoned_end(&gateway, &progress))
+    };
+    let end = work.or(drain_over).or(caller_left).await;
     gateway.dispatch(DispatchInput::RequestEnded(number));
     gateway.state.borrow_mut().waiters.remove(&number);
     gateway.open_requests.set(gateway.open_requests.get() - 1);
@@ -119,6 +124,10 @@
     pub attempts: Cell<u32>,
     pub first_part: Cell<Option<Time>>,
     pub prompt_tokens: Cell<u32>,
+    /// Whether a server may have run the request.
+    pub may_have_run: Cell<bool>,
+    /// Whether the head of a streamed response was given to the caller.
+    pub has_started: Cell<bool>,
 }
 
 /// Result of a request.
@@ -131,6 +140,19 @@
     Interrupted(Refusal),
 }
 
+/// End of a request that is still open when the host stops.
+fn abandoned_end(gateway: &Gateway, progress: &RequestProgress) -> RequestEnd {
+    let mut refusal = gateway.drain_refusal(Duration::ZERO);
+    if progress.may_have_run.get() {
+        refusal.outcome = Outcome::Unknown;
+        refusal.retry_after = None;
+    }
+    match progress.has_started.get() {
+        true => RequestEnd::Interrupted(refusal),
+        false => RequestEnd::Refused(refusal),
+    }
+}
+
 fn finish_request(
     gateway: &Gateway,
     id: &str,
@@ -258,7 +280,7 @@
         let refusal = Refusal::not_run(CONFIG_UNAVAILABLE, "this host knows no configuration yet");
         return Err(refusal.retry_after(retry));
     };
-    if state.drain_end.is_some_and(|end| end.since(clock::now()).is_zero()) {
+    if state.dispatcher.drain_end().is_some_and(|end| end <= clock::now()) {
         let refusal = Refusal::not_run(Reason::Draining, "this host stops");
         return Err(refusal.retry_after(retry));
     }
@@ -397,6 +419,7 @@
                     (fault, false)
                 }
             };
+            progress.may_have_run.set(may_have_run);
             if gateway.log_budget.may_write(clock::now(), true) {
                 event!(gateway.log, ATTEMPT_FAILED, "request" => &*self.id, "server" => engine.0,
                     "attempt" => progress.attempts.get(), "fault" => &*fault,
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -188,7 +188,7 @@
             let was = std::mem::replace(&mut state.could_serve_keys, can_serve_keys);
             // Callers go to another host once this one cannot decide about their keys.
             state.host_info.is_ready =
-                can_serve_keys && state.catalog.is_some() && state.drain_end.is_none();
+                can_serve_keys && state.catalog.is_some() && state.dispatcher.drain_end().is_none();
             (can_serve_keys, was, state.evidence.version(), state.evidence.age(now))
         };
         let age = age.map_or(u64::MAX, |age| age.as_millis() as u64);
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -141,8 +141,6 @@
     retry_budgets: BTreeMap<Arc<str>, RetryBudget>,
     waiters: BTreeMap<WorkNumber, Sender<Result<Placement, Refusal>>>,
     next_number: u32,
-    /// When the host abandons open requests; `None` while it does not drain.
-    drain_end: Option<Time>,
     /// Whether the store fails to answer for the configuration, and for discovery.
     store_lost: (bool, bool),
     /// Issues the permits for limited servers that fall to this host.
@@ -211,6 +209,8 @@
     restored: (Sender<()>, Receiver<()>),
     /// Closed when the host stops accepting connections.
     closing: (RefCell<Option<Sender<()>>>, Receiver<()>),
+    /// Closed when the host abandons its open requests.
+    drain_over: (RefCell<Option<Sender<()>>>, Receiver<()>),
 }
 
 /// Shared gateway.
@@ -238,7 +238,6 @@
             retry_budgets: BTreeMap::new(),
             waiters: BTreeMap::new(),
             next_number: 0,
-            drain_end: None,
             store_lost: (false, false),
             permit_issuer: PermitIssuer::default(),
             quarantine: PartQuarantine::default(),
@@ -248,6 +247,7 @@
             rng: fastrand::Rng::new(),
         };
         let (closing, closed) = async_channel::bounded(1);
+        let (draining, drain_over) = async_channel::bounded(1);
         Rc::new(Gateway {
             executor,
             log,
@@ -267,6 +267,7 @@
             newer_config: async_channel::bounded(1),
             restored: async_channel::bounded(1),
             closing: (RefCell::new(Some(closing)), closed),
+            drain_over: (RefCell::new(Some(draining)), drain_over),
         })
     }
 
@@ -391,11 +392,15 @@
                 self.resolve_waiter(number, Ok(placement));
             }
             DispatchOutput::Refuse { number, reason, retry_after, is_limited } => {
-                let detail = match is_limited {
-                    true => "the request limits of the servers leave no room in time",
-                    false => "no server can serve this in time",
+                let refusal = match (reason, is_limited) {
+                    (Reason::Draining, _) => self.drain_refusal(retry_after),
+                    (_, true) => {
+                        let detail = "the request limits of the servers leave no room in time";
+                        Refusal::not_run(reason, detail).retry_after(retry_after)
+                    }
+                    (_, false) => Refusal::not_run(reason, "no server can serve this in time")
+                        .retry_after(retry_after),
                 };
-                let refusal = Refusal::not_run(reason, detail).retry_after(retry_after);
                 self.resolve_waiter(number, Err(refusal));
             }
             DispatchOutput::RequestPermits(request) => self.request_permits(request),
