End streams at their deadline while bytes keep coming

Operators of similar systems saw a machine run out of memory by bytes that were no answer. Here a stream of comments or events without end was still served 10 s after the request, past its deadline of 3 s. Cause: a limit was a timer beside a read, and a read that is always ready wins. The splitter gave each event the buffer of all bytes behind it and searched the whole rest for each, so memory and processor time grew with the square of a read. Comments counted as events. Ruled out: the limits of bodies and heads; their tests passed before. Change: no time left ends a loop; events share one buffer that is searched once; comments are forwarded and are no progress; a stream beyond its share of the host waits before its next read, counted in parsley_gateway_endless_total. It is never cut for its length. A caller that takes no bytes ends its stream at the deadline.

--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -3,6 +3,7 @@
 use std::{cell::Cell, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use async_channel::Sender;
+use async_io::Timer;
 use http_body_util::BodyExt;
 use hyper::{Response, StatusCode, body::Incoming};
 use parsley_core::{
@@ -20,6 +21,7 @@
     link::{SendError, ServerConnection},
     listener::with_timeout,
     memory,
+    pace::StreamPace,
     quarantine::SentProcess,
     receive::receive_body,
 };
@@ -32,6 +34,8 @@
 /// One gap between events in this many is sampled: each sample runs a dispatcher step over all
 /// work.
 const GAP_SAMPLE_INTERVAL: u32 = 4;
+/// Shortest gap that is sampled: events received together have none.
+const MIN_SAMPLED_GAP: Duration = Duration::from_millis(1);
 /// Result of one attempt.
 pub enum AttemptEnd {
     /// The caller got the whole response.
@@ -345,6 +349,7 @@
             return (EngineVerdict::Good, AttemptEnd::Unknown("the caller left".into()));
         }
         let mut splitter = EventSplitter::default();
+        let mut pace = StreamPace::new(clock::now());
         let mut has_event = false;
         let mut last_event = clock::now();
         loop {
@@ -378,24 +383,36 @@
                     return (EngineVerdict::Failed, AttemptEnd::Unknown(err.to_string().into()));
                 }
             };
+            let cost = StreamPace::cost(bytes.len(), events.len());
+            let mut accepted = Vec::new();
             for event in events {
-                if !has_event {
-                    has_event = true;
-                    self.record_first_event();
-                } else {
-                    self.sample_gap(last_event);
+                if !event.is_comment {
+                    if !has_event {
+                        has_event = true;
+                        self.record_first_event();
+                    } else {
+                        self.sample_gap(last_event);
+                    }
+                    last_event = clock::now();
                 }
-                last_event = clock::now();
                 if let (Some(id), Some(last)) = (event.id, self.stream.last_event)
                     && id <= last
                 {
                     continue;
                 }
                 self.stream.last_event = event.id.or(self.stream.last_event);
-                self.stream.events += 1;
-                let Some(chunks) = &self.stream.chunks else { continue };
-                // A send fails only if the caller left; the request's task is cancelled then.
-                let _ = chunks.send(BodyChunk::Data(event.bytes)).await;
+                self.stream.events += u32::from(!event.is_comment);
+                accepted.extend_from_slice(&event.bytes);
+            }
+            if !self.send_chunk(accepted).await {
+                let fault = "the caller took the answer too slowly";
+                return (EngineVerdict::Undecided, AttemptEnd::Unknown(fault.into()));
+            }
+            let open = self.exchange.gateway.open_requests.get();
+            let pause = pace.record(clock::now(), cost, open);
+            if !pause.is_zero() {
+                self.exchange.gateway.metrics.endless.with_label_values(&["stream"]).inc();
+                Timer::after(pause.min(self.exchange.time_left())).await;
             }
         }
         if may_keep {
@@ -407,6 +424,16 @@
         (EngineVerdict::Good, AttemptEnd::Answered(status))
     }
 
+    /// Sends whole events to the caller. Returns `false` if it did not take them by the deadline.
+    async fn send_chunk(&self, events: Vec<u8>) -> bool {
+        let Some(chunks) = self.stream.chunks.as_ref().filter(|_| !events.is_empty()) else {
+            return true;
+        };
+        // A send fails only if the caller left; the request's task is cancelled then.
+        let sent = chunks.send(BodyChunk::Data(events.into()));
+        with_timeout(self.exchange.time_left(), sent).await.is_some()
+    }
+
     /// Sends the first attempt's response headers to the caller. Returns whether the caller is
     /// still connected.
     fn start_response(&mut self, parts: hyper::http::response::Parts) -> bool {
@@ -434,8 +461,8 @@
 
     /// Reports a sample of the gaps between events as a measure of the engine's pace.
     fn sample_gap(&self, last_event: Time) {
-        if self.stream.events.is_multiple_of(GAP_SAMPLE_INTERVAL) {
-            let gap = clock::now().since(last_event);
+        let gap = clock::now().since(last_event);
+        if gap >= MIN_SAMPLED_GAP && self.stream.events.is_multiple_of(GAP_SAMPLE_INTERVAL) {
             let engine = self.placement.engine;
             self.exchange.gateway.dispatch(DispatchInput::EventGap { engine, gap });
         }
--- a/crates/node/src/gateway/body.rs
+++ b/crates/node/src/gateway/body.rs
@@ -6,6 +6,7 @@
 };
 
 use async_channel::{Receiver, Sender};
+use bytes::BytesMut;
 use futures_lite::Stream;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 
@@ -141,7 +142,7 @@
 /// Splits a byte stream into whole server-sent events.
 #[derive(Default)]
 pub struct EventSplitter {
-    pending: Vec<u8>,
+    pending: BytesMut,
     /// Length of the prefix of `pending` in which no event ends.
     searched: usize,
 }
@@ -153,6 +154,8 @@
     pub bytes: Bytes,
     /// Value of the `id` field, if it is present and a number.
     pub id: Option<u64>,
+    /// Whether it consists only of comments, which are no progress.
+    pub is_comment: bool,
 }
 
 impl EventSplitter {
@@ -161,11 +164,11 @@
         self.pending.extend_from_slice(bytes);
         let mut events = Vec::new();
         while let Some(end) = event_end(&self.pending[self.searched..]) {
-            let rest = self.pending.split_off(self.searched + end);
-            let event = std::mem::replace(&mut self.pending, rest);
+            let event = self.pending.split_to(self.searched + end).freeze();
             self.searched = 0;
-            let id = event_id(&event);
-            events.push(StreamEvent { bytes: event.into(), id });
+            let is_comment = event.starts_with(b":") && event_is_comment(&event);
+            let id = if is_comment { None } else { event_id(&event) };
+            events.push(StreamEvent { bytes: event, id, is_comment });
         }
         // The last three bytes may begin the longest line ending, which has four.
         self.searched = self.pending.len().saturating_sub(3);
@@ -189,12 +192,15 @@
 
 /// Index after the first blank line, with either kind of line ending.
 fn event_end(bytes: &[u8]) -> Option<usize> {
-    let line_feed = bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
-    let crlf = bytes.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
-    match (line_feed, crlf) {
-        (Some(line_feed), Some(crlf)) => Some(line_feed.min(crlf)),
-        (line_feed, crlf) => line_feed.or(crlf),
-    }
+    memchr::memchr_iter(b'\n', bytes).find_map(|at| {
+        let before = &bytes[..at];
+        (before.ends_with(b"\n") || before.ends_with(b"\r\n\r")).then_some(at + 1)
+    })
+}
+
+/// Whether every line of an event is a comment or blank.
+fn event_is_comment(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n').all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/crates/node/src/gateway/listener.rs
+++ b/crates/node/src/gateway/listener.rs
@@ -252,8 +252,12 @@
     Ok(())
 }
 
-/// Runs a future for at most `limit`; `None` if it did not finish.
+/// Runs a future for at most `limit`; `None` if it did not finish. Without time left it is not run
+/// at all, so that a loop over input that is always ready ends.
 pub async fn with_timeout<T>(limit: Duration, work: impl Future<Output = T>) -> Option<T> {
+    if limit.is_zero() {
+        return None;
+    }
     let work = async { Some(work.await) };
     let end = async {
         Timer::after(limit).await;
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -29,6 +29,8 @@
     pub notices: IntCounterVec,
     /// Placed requests that were not sent because their server no longer accepted work.
     pub held_back: IntCounter,
+    /// Times that a server's bytes were cut off or slowed down because they had no end, by part.
+    pub endless: IntCounterVec,
     /// Connections opened to backend servers for requests.
     pub connects: IntCounter,
     /// Calls to the store, by kind and result.
@@ -117,6 +119,12 @@
                     "Requests held back from servers that want nothing.",
                 ),
             ),
+            endless: counters(
+                &registry,
+                "gateway_endless_total",
+                "Responses cut off or slowed down because they had no end.",
+                &["part"],
+            ),
             connects: register(
                 &registry,
                 IntCounter::new("parsley_gateway_connects_total", "Connections opened to servers."),
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -57,6 +57,7 @@
 mod listing;
 mod memory;
 mod metrics;
+mod pace;
 mod quarantine;
 mod receive;
 mod refuse;
