Limit the answers of engines and stores on the own interface

Cause: body_json, body_string and read_line of the clients read without a limit, in a loop that does not yield while bytes are ready, so neither memory nor time was bounded. Change: an answer kept whole has 16 MB, a stream's line 1 MB, and reading a body has a time limit. A last line without its end is an error, not an event. Conclusion: fixed; chunk framing without end was not tried on this path.

--- a/crates/node/src/adapter/engine.rs
+++ b/crates/node/src/adapter/engine.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use futures_lite::AsyncBufReadExt;
+use futures_lite::{AsyncBufReadExt, AsyncReadExt};
 use http_types::{Method, Response, StatusCode};
 use parsley_core::{
     fleet::pause_in_seconds,
@@ -24,6 +24,9 @@
 /// keep-alive line every 500 ms.
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
+/// Longest line of a stream, in bytes.
+const MAX_LINE_BYTES: u64 = 1 << 20;
+
 /// Present with the value 1 if the engine is shutting down.
 const LEAVING_FIELD: &str = "parsley-leaving";
 
@@ -148,17 +151,11 @@
 /// know the stream.
 pub async fn export_state(address: &str, stream: &str) -> Result<String, NodeError> {
     let path = format!("/streams/{stream}/state");
-    let mut response = http::send(address, Method::Get, &path, None, HEAD_LIMIT).await?;
+    let response = http::send(address, Method::Get, &path, None, HEAD_LIMIT).await?;
     if response.status() != StatusCode::Ok {
         return Err(NodeError::Protocol("engine does not know the stream"));
     }
-    let state = async {
-        response
-            .body_json()
-            .await
-            .map_err(|_| NodeError::Protocol("engine sent a malformed KV state"))
-    };
-    with_timeout(HEAD_LIMIT, state).await
+    http::read_json(response, HEAD_LIMIT).await
 }
 
 /// Reserves memory for a group, or renews the reservation, for `term`. Returns whether the engine
@@ -220,9 +217,9 @@
 /// Lists the unfinished streams of an engine, which occupy its memory.
 pub async fn list_streams(address: &str) -> Result<Vec<ListedStream>, NodeError> {
     let list = async {
-        let mut response =
+        let response =
             http::send(address, Method::Get, "/streams?open=1", None, HEAD_LIMIT).await?;
-        Ok(response.body_json::<StreamList>().await?)
+        http::read_json::<StreamList>(response, HEAD_LIMIT).await
     };
     let list = with_timeout(HEAD_LIMIT, list).await?;
     let open = list.streams.into_iter().filter(|line| !line.finished);
@@ -258,10 +255,14 @@
     /// sends a malformed line.
     pub async fn next(&mut self) -> Result<EngineEvent, NodeError> {
         self.line.clear();
-        let read = async { Ok(self.body.read_line(&mut self.line).await?) };
+        let mut limited = (&mut self.body).take(MAX_LINE_BYTES);
+        let read = async { Ok(limited.read_line(&mut self.line).await?) };
         if with_timeout(SILENCE_LIMIT, read).await? == 0 {
             return Err(NodeError::Protocol("engine closed the stream"));
         }
+        if !self.line.ends_with('\n') {
+            return Err(NodeError::Protocol("engine sent an incomplete or too long line"));
+        }
         let line: StreamLine = serde_json::from_str(&self.line)
             .map_err(|_| NodeError::Protocol("engine sent a malformed line"))?;
         Ok(match line {
@@ -290,8 +291,8 @@
 
 /// Reads an engine's load report.
 pub async fn load_report(address: &str) -> Result<LoadReport, NodeError> {
-    let mut response = http::send(address, Method::Get, "/load", None, HEAD_LIMIT).await?;
-    Ok(response.body_json().await?)
+    let response = http::send(address, Method::Get, "/load", None, HEAD_LIMIT).await?;
+    http::read_json(response, HEAD_LIMIT).await
 }
 
 #[derive(Deserialize)]
@@ -308,11 +309,11 @@
 /// yields an empty list.
 pub async fn cache_events(address: &str, after: u64) -> Result<Vec<CacheEvent>, NodeError> {
     let path = format!("/cache?after={after}");
-    let mut response = http::send(address, Method::Get, &path, None, HEAD_LIMIT).await?;
+    let response = http::send(address, Method::Get, &path, None, HEAD_LIMIT).await?;
     if response.status() != StatusCode::Ok {
         return Ok(Vec::new());
     }
-    let lines: Vec<CacheEventBody> = response.body_json().await?;
+    let lines: Vec<CacheEventBody> = http::read_json(response, HEAD_LIMIT).await?;
     let event = |line: CacheEventBody| CacheEvent {
         sequence: line.sequence,
         added: line.added,
--- a/crates/node/src/adapter/hostlist.rs
+++ b/crates/node/src/adapter/hostlist.rs
@@ -26,15 +26,15 @@
 
 /// Reads the complete list.
 pub async fn hosts(address: &str) -> Result<Vec<ListedHost>, NodeError> {
-    let mut response = http::send(address, Method::Get, "/hosts", None, CALL_LIMIT).await?;
-    Ok(response.body_json().await?)
+    let response = http::send(address, Method::Get, "/hosts", None, CALL_LIMIT).await?;
+    http::read_json(response, CALL_LIMIT).await
 }
 
 /// Reads the entries that are leaving.
 pub async fn leaving(address: &str) -> Result<Vec<ListedHost>, NodeError> {
     let path = "/hosts?leaving=true";
-    let mut response = http::send(address, Method::Get, path, None, CALL_LIMIT).await?;
-    let listed: Vec<ListedHost> = response.body_json().await?;
+    let response = http::send(address, Method::Get, path, None, CALL_LIMIT).await?;
+    let listed: Vec<ListedHost> = http::read_json(response, CALL_LIMIT).await?;
     // A service that does not support the filter returns all entries.
     Ok(listed.into_iter().filter(|host| host.leaving).collect())
 }
--- a/crates/node/src/adapter/store.rs
+++ b/crates/node/src/adapter/store.rs
@@ -67,8 +67,8 @@
             (format!("/watch/{prefix}?after={}&wait_ms={wait_ms}", after.0), wait + CALL_LIMIT)
         }
     };
-    let mut response = http::send(address, Method::Get, &path, None, limit).await?;
-    let body: RangeBody = response.body_json().await?;
+    let response = http::send(address, Method::Get, &path, None, limit).await?;
+    let body: RangeBody = http::read_json(response, CALL_LIMIT).await?;
     let items = body.items.into_iter().map(|item| ConfigItem {
         key: item.key,
         revision: Revision(item.revision),
@@ -93,10 +93,10 @@
 /// Reads a key's revision and value. Returns `None` if the key does not exist.
 pub async fn read(address: &str, key: &str) -> Result<Option<(Revision, Arc<str>)>, NodeError> {
     let path = format!("/kv/{key}");
-    let mut response = http::send(address, Method::Get, &path, None, CALL_LIMIT).await?;
+    let response = http::send(address, Method::Get, &path, None, CALL_LIMIT).await?;
     match response.status() {
         StatusCode::Ok => {
-            let body: ValueBody = response.body_json().await?;
+            let body: ValueBody = http::read_json(response, CALL_LIMIT).await?;
             Ok(Some((Revision(body.revision), body.value)))
         }
         StatusCode::NotFound => Ok(None),
@@ -111,9 +111,9 @@
     swap_answer(response).await
 }
 
-async fn swap_answer(mut response: Response) -> Result<SwapAnswer, NodeError> {
+async fn swap_answer(response: Response) -> Result<SwapAnswer, NodeError> {
     let status = response.status();
-    let body: RevisionBody = response.body_json().await?;
+    let body: RevisionBody = http::read_json(response, CALL_LIMIT).await?;
     match status {
         StatusCode::Ok => Ok(SwapAnswer::Written(Revision(body.revision))),
         StatusCode::Conflict => Ok(SwapAnswer::RevisionConflict(Revision(body.revision))),
@@ -165,15 +165,15 @@
         return Ok(LeaseAnswer::NotHeld);
     }
     let body = json!({"ttl_ms": term.as_millis() as u64}).to_string();
-    let mut response = http::send(address, Method::Post, "/leases", Some(body), CALL_LIMIT).await?;
-    let LeaseBody { lease } = response.body_json().await?;
+    let response = http::send(address, Method::Post, "/leases", Some(body), CALL_LIMIT).await?;
+    let LeaseBody { lease } = http::read_json(response, CALL_LIMIT).await?;
     let body = json!({"value": value, "expect": 0, "lease": lease}).to_string();
     let path = format!("/kv/{key}");
-    let mut response = http::send(address, Method::Put, &path, Some(body), CALL_LIMIT).await?;
+    let response = http::send(address, Method::Put, &path, Some(body), CALL_LIMIT).await?;
     if response.status() != StatusCode::Ok {
         return Ok(LeaseAnswer::NotHeld);
     }
-    let body: RevisionBody = response.body_json().await?;
+    let body: RevisionBody = http::read_json(response, CALL_LIMIT).await?;
     Ok(LeaseAnswer::Held { lease, revision: Revision(body.revision) })
 }
 
@@ -271,8 +271,8 @@
     let mut last = NodeError::Protocol("no address of the key-value service is configured");
     for address in addresses {
         let call = async {
-            let mut response = http::send(address, method, path, body.clone(), CALL_LIMIT).await?;
-            Ok((u16::from(response.status()), response.body_string().await?))
+            let response = http::send(address, method, path, body.clone(), CALL_LIMIT).await?;
+            Ok((u16::from(response.status()), http::read_text(response, CALL_LIMIT).await?))
         };
         match with_timeout(CALL_LIMIT, call).await {
             Err(err @ NodeError::Connect(_)) => last = err,
--- a/crates/node/src/adapter/weights.rs
+++ b/crates/node/src/adapter/weights.rs
@@ -19,7 +19,7 @@
 /// Reads the number of loads per second that the store can serve, over all engines. A negative
 /// value is returned as zero.
 pub async fn load_rate(address: &str) -> Result<f64, NodeError> {
-    let mut response = http::send(address, Method::Get, "/rate", None, CALL_LIMIT).await?;
-    let body: RateBody = response.body_json().await?;
+    let response = http::send(address, Method::Get, "/rate", None, CALL_LIMIT).await?;
+    let body: RateBody = http::read_json(response, CALL_LIMIT).await?;
     Ok(body.loads_per_second.max(0.0))
 }
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -12,11 +12,16 @@
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use async_net::TcpStream;
-use futures_lite::{AsyncBufRead, AsyncRead, FutureExt, Stream, io};
+use futures_lite::{AsyncBufRead, AsyncRead, AsyncReadExt, FutureExt, Stream, io};
 use http_types::{Method, Request, Response, Url};
+use serde::de::DeserializeOwned;
 
 use crate::{error::NodeError, host::RequestGuard};
 
+/// Longest body of an answer that is kept whole, in bytes: a list of ten thousand entries, or some values of the
+/// key-value service, which are up to a megabyte each.
+const MAX_TEXT_BYTES: u64 = 16 << 20;
+
 /// Listens on an address. The error contains the address.
 pub fn listen(address: &Arc<str>) -> Result<Async<TcpListener>, NodeError> {
     let listener = TcpListener::bind(&**address).and_then(Async::try_from);
@@ -64,6 +69,26 @@
     Ok(async_h1::connect(stream, request).await?)
 }
 
+/// Reads a JSON body. Fails if it is longer than `MAX_TEXT_BYTES` or not complete within `timeout`.
+pub async fn read_json<T: DeserializeOwned>(
+    response: Response,
+    timeout: Duration,
+) -> Result<T, NodeError> {
+    let text = read_text(response, timeout).await?;
+    serde_json::from_str(&text).map_err(|err| NodeError::Http(err.to_string().into()))
+}
+
+/// Reads a text body, with the same limits as [`read_json`].
+pub async fn read_text(response: Response, timeout: Duration) -> Result<String, NodeError> {
+    let mut body = Vec::new();
+    let read = async { Ok(response.take(MAX_TEXT_BYTES + 1).read_to_end(&mut body).await?) };
+    with_timeout(timeout, read).await?;
+    if body.len() as u64 > MAX_TEXT_BYTES {
+        return Err(NodeError::Protocol("the answer is longer than allowed"));
+    }
+    String::from_utf8(body).map_err(|_| NodeError::Protocol("the answer is not text"))
+}
+
 /// A response body that consists of the byte blocks received from a channel until it is closed.
 pub struct ChannelReader {
     blocks: Pin<Box<Receiver<Vec<u8>>>>,
