Ask the store for what it can deliver

A watch that was too long was asked again after the same revision, and only grew. A cut of one waiting watch counted as an outage. A call has one limit for the head and one for the body: an answer that began and was cut is Overflowed, after which the newest state is read without history. A watch cut before its answer is Cut, and counts as an outage only if the next call fails too.

--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -27,6 +27,9 @@
 pub const LEAD_COUNT: usize = 2;
 /// Time beyond the wait of a watch, or for a read, after which a call counts as lost.
 pub const CALL_LIMIT: Duration = Duration::from_millis(700);
+/// Time for the body of a read, once the store has begun to answer: a page of a megabyte on the
+/// slowest link, with room for other traffic there.
+pub const READ_BODY_LIMIT: Duration = Duration::from_millis(2_000);
 /// Time for which a peer may have a later list of servers, because changes may be in flight.
 const DIVERGENCE_LIMIT: Duration = Duration::from_millis(600);
 /// The same limit for a standby host, which gets changes only when it polls a member.
@@ -185,6 +188,11 @@
     /// The store does not have the history after the requested revision: it was dropped, or the
     /// store was restored.
     Compacted,
+    /// The store began to answer a watch, and the changes were too many to be received in time or to
+    /// be held.
+    Overflowed,
+    /// The connection of a watch ended before the store answered. That says nothing of the store.
+    Cut,
     /// The call failed or was not answered in time.
     Failed,
 }
@@ -197,6 +205,8 @@
     revision: Option<StoreRevision>,
     /// Failed calls in a row.
     failures: u32,
+    /// Whether the store counts as unreachable.
+    is_lost: bool,
     last_read: Option<Time>,
     /// Whether the last read was a stale one.
     was_stale: bool,
@@ -246,7 +256,8 @@
     /// Records the result of a call. Returns `Some(true)` if the store became unreachable by it,
     /// `Some(false)` if it became reachable again and `None` if that did not change.
     pub fn step(&mut self, now: Time, result: FeedResult) -> Option<bool> {
-        let was_lost = self.failures > 0;
+        let was_lost = self.is_lost;
+        let is_cut = matches!(result, FeedResult::Cut);
         match result {
             FeedResult::Read { revision, is_stale } => {
                 // A stale answer must not set the revision back.
@@ -267,15 +278,22 @@
                 self.revision = None;
                 self.failures = 0;
             }
+            // The same watch would be answered at even greater length. A read asks for what is there
+            // now, without the history.
+            FeedResult::Overflowed => {
+                self.revision = None;
+                self.failures = 0;
+            }
             // The next watch continues after the same revision, so no change is missed.
-            FeedResult::Failed => self.failures += 1,
+            FeedResult::Cut | FeedResult::Failed => self.failures += 1,
         }
-        let is_lost = self.failures > 0;
-        (was_lost != is_lost).then_some(is_lost)
+        self.is_lost = self.failures > 0 && (was_lost || !is_cut || self.failures > 1);
+        (was_lost != self.is_lost).then_some(self.is_lost)
     }
 
-    /// Returns whether the last call failed.
+    /// Returns whether the store counts as unreachable: the last call failed, and not only because
+    /// the connection of one watch was cut.
     pub fn is_lost(&self) -> bool {
-        self.failures > 0
+        self.is_lost
     }
 }
--- a/crates/core/src/feed/tests.rs
+++ b/crates/core/src/feed/tests.rs
@@ -191,3 +191,35 @@
     let wait = context.watch_wait;
     assert_eq!(action, FeedAction::Watch { after: 41.into(), wait }, "reads are spaced");
 }
+
+/// Guards against a watch whose answer grows with each repeat: after one that was too long, the
+/// newest state is read, without its history.
+#[test]
+fn overflowed_watch_is_followed_by_a_read() {
+    for context in [LEAD, STANDBY] {
+        let mut follower = follower();
+        assert_eq!(follower.step(at(2), FeedResult::Overflowed), None);
+        assert_eq!(follower.next_action(at(2), &context), (Duration::ZERO, EXACT));
+        follower.step(at(3), FeedResult::Read { revision: 90.into(), is_stale: false });
+        let (_, action) = follower.next_action(at(4), &LEAD);
+        assert_eq!(action, FeedAction::Watch { after: 90.into(), wait: WATCH_WAIT });
+    }
+}
+
+/// Guards against outages that are none: a cut of one waiting watch began the grace period for
+/// removed servers anew.
+#[test]
+fn one_cut_watch_is_no_outage() {
+    let mut follower = follower();
+    for cut in 0..10 {
+        let now = at(2 + 1_500 * cut);
+        assert_eq!(follower.step(now, FeedResult::Cut), None);
+        let (pause, action) = follower.next_action(now, &LEAD);
+        assert_eq!(pause, FIRST_PAUSE);
+        assert!(matches!(action, FeedAction::Watch { .. }), "{action:?}");
+        let watched = FeedResult::Watched { revision: 40.into(), has_changes: false };
+        assert_eq!(follower.step(now + FIRST_PAUSE, watched), None);
+    }
+    assert_eq!(follower.step(at(20_000), FeedResult::Cut), None);
+    assert_eq!(follower.step(at(20_100), FeedResult::Cut), Some(true));
+}
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -48,6 +48,14 @@
             from(err: http_types::Error) -> (err.to_string().into())
             display("{detail}")
         }
+        /// The connection ended before the response began.
+        Cut {
+            display("the connection ended before the answer")
+        }
+        /// A response began to arrive and was cut, as it was too long or too slow.
+        Overflow {
+            display("the answer was too long")
+        }
         /// No response arrived within the timeout.
         Timeout {
             display("no answer in time")
