Hold bodies within one memory budget

Cause: admit collected each body, up to max_body_bytes, whatever was held already; only responses had a limit together. A body was also copied whole for its write to the server. Change: one budget of 0.4 of memory_mb. Bodies take their bytes before they are kept: other requests up to 0.7 of it, the most urgent rank up to 0.8, responses all of it, each body always 64 kB. What finds none is read to its end, dropped and refused (503, host-memory, Retry-After). Bodies are handed to connections in pieces of 64 kB. The budget and what is held are metrics. Conclusion: request and response bodies are bounded; waiting requests without a body and connections are not yet in the budget.

--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -64,6 +64,8 @@
     AccountLimit,
     /// The target of the request's rank cannot be met at the current load.
     Overloaded,
+    /// The host has no memory for the request's body.
+    HostMemory,
     /// No engine currently serves the model.
     NoEngine,
     /// The key-value service cannot be reached.
@@ -88,7 +90,7 @@
 
 impl Reason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [Reason; 26] = [
+    pub const ALL: [Reason; 27] = [
         Reason::BadRequest,
         Reason::Unauthenticated,
         Reason::Forbidden,
@@ -105,6 +107,7 @@
         Reason::InUse,
         Reason::AccountLimit,
         Reason::Overloaded,
+        Reason::HostMemory,
         Reason::NoEngine,
         Reason::StoreUnavailable,
         Reason::ServiceUnavailable,
@@ -136,6 +139,7 @@
             Reason::InUse => "in-use",
             Reason::AccountLimit => "account-limit",
             Reason::Overloaded => "overloaded",
+            Reason::HostMemory => "host-memory",
             Reason::NoEngine => "no-engine",
             Reason::StoreUnavailable => "store-unavailable",
             Reason::ServiceUnavailable => "service-unavailable",
@@ -166,6 +170,7 @@
             Reason::BodyTooLarge | Reason::HeadTooLarge | Reason::PromptExceedsFleet => 413,
             Reason::AccountLimit => 429,
             Reason::Overloaded
+            | Reason::HostMemory
             | Reason::TooManyConnections
             | Reason::NoEngine
             | Reason::StoreUnavailable
--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -309,8 +309,8 @@
                 received => received,
             }
         };
-        let bytes = match received {
-            Some(Ok(bytes)) => bytes,
+        let (bytes, held) = match received {
+            Some(Ok(received)) => received,
             Some(Err(fault)) => return (EngineVerdict::Failed, AttemptEnd::Unknown(fault)),
             None => {
                 let waited = clock::now().since(self.sent);
@@ -325,7 +325,7 @@
         let status = parts.status;
         let mut headers = parts.headers;
         strip_hop_by_hop_headers(&mut headers);
-        let mut response = Response::new(ResponseBody::Whole(Some(bytes)));
+        let mut response = Response::new(ResponseBody::whole(bytes, Some(held)));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
         if status.is_server_error() && self.permit.may_retry.get() {
--- a/crates/node/src/gateway/body.rs
+++ b/crates/node/src/gateway/body.rs
@@ -10,6 +10,7 @@
 use futures_lite::Stream;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 
+use super::budget::HeldMemory;
 use crate::error::NodeError;
 
 /// Events buffered for a slow caller; when the buffer is full, its engine is not read.
@@ -25,10 +26,57 @@
     End,
 }
 
+/// Longest piece in which a whole body is handed to the connection, which copies it before it is
+/// written.
+const SLICE_BYTES: usize = 64 << 10;
+
+/// Splits the next piece off a whole body.
+fn next_slice(bytes: &mut Bytes) -> Poll<Option<Result<Frame<Bytes>, NodeError>>> {
+    if bytes.is_empty() {
+        return Poll::Ready(None);
+    }
+    Poll::Ready(Some(Ok(Frame::data(bytes.split_to(bytes.len().min(SLICE_BYTES))))))
+}
+
+/// Whole body of a request.
+pub struct RequestBody(Bytes);
+
+impl RequestBody {
+    /// Creates the body of these bytes.
+    pub fn new(bytes: Bytes) -> RequestBody {
+        RequestBody(bytes)
+    }
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = NodeError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, NodeError>>> {
+        next_slice(&mut self.0)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.0.len() as u64)
+    }
+}
+
 /// Body of a response to a caller.
 pub enum ResponseBody {
-    /// Complete body; `None` once it was sent.
-    Whole(Option<Bytes>),
+    /// Complete body.
+    Whole {
+        /// Bytes that are not sent yet.
+        rest: Bytes,
+        /// Memory of the body.
+        _held: Option<HeldMemory>,
+    },
     /// Body received in chunks.
     Stream {
         /// Receiver of the chunks.
@@ -41,6 +89,11 @@
 }
 
 impl ResponseBody {
+    /// Creates a complete body and keeps its memory until it is sent or dropped.
+    pub fn whole(bytes: Bytes, held: Option<HeldMemory>) -> ResponseBody {
+        ResponseBody::Whole { rest: bytes, _held: held }
+    }
+
     /// Creates a streamed body and the sender of its chunks.
     pub fn stream(alive: Sender<()>) -> (Sender<BodyChunk>, ResponseBody) {
         let (sender, receiver) = async_channel::bounded(MAX_BUFFERED_EVENTS);
@@ -97,9 +150,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, NodeError>>> {
         match &mut *self {
-            ResponseBody::Whole(bytes) => {
-                Poll::Ready(bytes.take().map(|data| Ok(Frame::data(data))))
-            }
+            ResponseBody::Whole { rest, .. } => next_slice(rest),
             ResponseBody::Stream { is_done: true, .. } => Poll::Ready(None),
             ResponseBody::Stream { chunks, is_done, .. } => {
                 match chunks.as_mut().poll_next(context) {
@@ -124,16 +175,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            ResponseBody::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            ResponseBody::Whole { rest, .. } => rest.is_empty(),
             ResponseBody::Stream { is_done, .. } => *is_done,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            ResponseBody::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |data| data.len() as u64))
-            }
+            ResponseBody::Whole { rest, .. } => SizeHint::with_exact(rest.len() as u64),
             ResponseBody::Stream { .. } => SizeHint::default(),
         }
     }
--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -4,7 +4,6 @@
 
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt;
-use http_body_util::{BodyExt, Limited};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri,
     body::{Bytes, Incoming},
@@ -25,10 +24,12 @@
     CONFIG_UNAVAILABLE, Gateway, GatewayRef, Placement,
     attempt::{self, AttemptEnd, CallerStream, RetryPermit},
     body::ResponseBody,
+    budget::HeldMemory,
     clock,
     edge::RequestInfo,
     listener::with_timeout,
     metrics::GatewayMetrics,
+    receive::receive_request,
     refuse::{refusal_response, status_of},
 };
 use crate::event;
@@ -53,6 +54,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// Memory of the body.
+    _held: HeldMemory,
     pub info: RequestInfo,
     pub account: Option<Arc<str>>,
     pub route: Arc<ServingRoute>,
@@ -239,15 +242,10 @@
             "config" => version,
             "config_age_ms" => config.age_ms, "config_proof" => config.proof);
     }
-    let read = with_timeout(timeout, Limited::new(body, limit).collect()).await;
-    let body = match read {
-        Some(Ok(body)) => body.to_bytes(),
-        Some(Err(err)) if err.is::<http_body_util::LengthLimitError>() => {
-            return Err(Refusal::not_run(Reason::BodyTooLarge, "the body is larger than allowed"));
-        }
-        Some(Err(_)) => return Err(Refusal::not_run(Reason::BadRequest, "the body broke off")),
-        None => return Err(Refusal::not_run(Reason::ReceiveTimeout, "the body came too slowly")),
-    };
+    let read = with_timeout(timeout, receive_request(gateway, body, limit, priority)).await;
+    let (body, held) = read.unwrap_or_else(|| {
+        Err(Refusal::not_run(Reason::ReceiveTimeout, "the body came too slowly"))
+    })?;
     Ok(Exchange {
         gateway: gateway.clone(),
         number,
@@ -256,6 +254,7 @@
         uri: parts.uri,
         headers: parts.headers,
         body,
+        _held: held,
         info,
         account,
         route,
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -2,14 +2,14 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use http_body_util::Full;
 use hyper::{
     HeaderMap, Request,
-    body::Bytes,
     header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 
-use super::{Placement, edge::ForwardInfo, exchange::Exchange, memory::MemoryReservation};
+use super::{
+    Placement, body::RequestBody, edge::ForwardInfo, exchange::Exchange, memory::MemoryReservation,
+};
 
 /// Steps of the engines' urgency scale for each priority rank of the gateway.
 const URGENCY_PER_PRIORITY: u8 = 3;
@@ -34,8 +34,8 @@
     placement: &Placement,
     reservation: &MemoryReservation,
     last_event: Option<u64>,
-) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(exchange.body.clone()));
+) -> Request<RequestBody> {
+    let mut request = Request::new(RequestBody::new(exchange.body.clone()));
     *request.method_mut() = exchange.method.clone();
     *request.uri_mut() = exchange.uri.clone();
     let mut headers = exchange.headers.clone();
--- a/crates/node/src/gateway/link.rs
+++ b/crates/node/src/gateway/link.rs
@@ -12,10 +12,9 @@
 use async_executor::{LocalExecutor, Task};
 use async_net::TcpStream;
 use futures_lite::FutureExt;
-use http_body_util::Full;
 use hyper::{
     Request, Response,
-    body::{Bytes, Incoming},
+    body::Incoming,
     client::conn::http1::{Builder, SendRequest},
     header::{CONNECTION, HeaderMap},
 };
@@ -24,6 +23,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use super::{
+    body::RequestBody,
     clock,
     yielding::{HeadLimit, YieldingStream},
 };
@@ -61,7 +61,7 @@
 
 /// Open HTTP connection.
 pub struct ServerConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestBody>,
     /// Bytes received so far.
     received: Rc<Cell<u64>>,
     head_limit: Rc<HeadLimit>,
@@ -129,7 +129,7 @@
     /// Sends a request and waits for the response head.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, SendError> {
         self.head_limit.set(MAX_BYTES_BEFORE_BODY);
         let result = self.sender.try_send_request(request).await;
--- a/crates/node/src/gateway/memory.rs
+++ b/crates/node/src/gateway/memory.rs
@@ -8,13 +8,12 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::FutureExt;
-use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
 use parsley_core::fleet::EngineTag;
 use parsley_macros::value;
 
 use super::{
-    GatewayRef, Placement, clock, edge::ReservationRequest, exchange::Exchange,
+    GatewayRef, Placement, body::RequestBody, clock, edge::ReservationRequest, exchange::Exchange,
     link::ServerConnection, listener::with_timeout,
 };
 use crate::event;
@@ -147,7 +146,7 @@
     reservation: &ReservationRequest,
 ) -> Result<StatusCode, Arc<str>> {
     let (path, body) = (gateway.codec.encode_reservation)(reservation);
-    let mut request = Request::new(Full::new(body));
+    let mut request = Request::new(RequestBody::new(body));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = path.parse().map_err(|_| Arc::from("the path is not valid"))?;
     let headers = request.headers_mut();
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -43,6 +43,10 @@
     pub datagram_bytes: IntCounterVec,
     /// Log lines dropped by the rate limit.
     pub dropped_log_lines: IntCounter,
+    /// Memory for bodies, in bytes.
+    pub memory_budget: IntGauge,
+    /// Memory that bodies hold, in bytes.
+    pub memory_held: IntGauge,
     /// Requests in progress.
     pub open_requests: IntGauge,
     /// Requests waiting for a placement.
@@ -160,6 +164,8 @@
                     "Log lines not written.",
                 ),
             ),
+            memory_budget: gauge(&registry, "gateway_memory_budget_bytes", "Memory for bodies."),
+            memory_held: gauge(&registry, "gateway_memory_held_bytes", "Memory held by bodies."),
             open_requests: gauge(&registry, "gateway_open_requests", "Open requests."),
             waiting_requests: gauge(&registry, "gateway_waiting_requests", "Waiting requests."),
             config_version: gauge(
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 mod attempt;
 mod beats;
 mod body;
+mod budget;
 pub mod clock;
 mod drain;
 pub mod edge;
@@ -65,12 +66,14 @@
 mod tests;
 mod yielding;
 
+pub use body::RequestBody;
 pub use edge::WireCodec;
 pub use feed::ServerChange;
 pub use listener::{serve_pages, with_timeout};
 pub use memory::ReservationLimits;
 pub use metrics::GatewayMetrics;
 
+use budget::MemoryBudget;
 use edge::ResponseInfo;
 use line_budget::LineBudget;
 use link::ConnectionPool;
@@ -102,6 +105,8 @@
     pub retry: RetryLimit,
     /// Limits on memory reservations.
     pub reservation: ReservationLimits,
+    /// Memory that the process may use, in bytes.
+    pub memory_limit: u64,
 }
 
 /// Server chosen for a request.
@@ -196,8 +201,8 @@
     open_requests: Cell<usize>,
     /// Open connections of callers.
     caller_connections: Cell<usize>,
-    /// Bytes of response bodies being received.
-    buffered_bytes: Cell<usize>,
+    /// Memory for bodies of requests and responses.
+    budget: Rc<MemoryBudget>,
     /// Wakes the task that sends changes of the work in flight.
     work_changed: (Sender<()>, Receiver<()>),
     /// Wakes the tick task when the first request starts to wait.
@@ -247,6 +252,7 @@
             peer_clocks: BTreeMap::new(),
             rng: fastrand::Rng::new(),
         };
+        let budget = MemoryBudget::for_process(settings.memory_limit);
         let (closing, closed) = async_channel::bounded(1);
         let (draining, drain_over) = async_channel::bounded(1);
         Rc::new(Gateway {
@@ -261,7 +267,7 @@
             connections: ConnectionPool::default(),
             open_requests: Cell::new(0),
             caller_connections: Cell::new(0),
-            buffered_bytes: Cell::new(0),
+            budget,
             work_changed: async_channel::bounded(1),
             wait_started: async_channel::bounded(1),
             permit_requests: async_channel::bounded(MAX_PERMIT_REQUESTS),
@@ -497,6 +503,8 @@
         let left: f64 =
             state.retry_budgets.values_mut().map(|budget| budget.remaining(now, hosts)).sum();
         self.metrics.retry_budget_left.set(left as i64);
+        self.metrics.memory_budget.set(self.budget.total() as i64);
+        self.metrics.memory_held.set(self.budget.held() as i64);
         self.metrics.open_requests.set(self.open_requests.get() as i64);
         self.metrics.waiting_requests.set(state.dispatcher.waiting_count() as i64);
         self.metrics.live_hosts.set(state.roster.alive(now).count() as i64 + 1);
--- a/crates/node/src/gateway/receive.rs
+++ b/crates/node/src/gateway/receive.rs
@@ -1,22 +1,24 @@
-//! Receives response bodies that are not streams, within memory limits. A faulty server may send
-//! without end, and many may do so at once.
+//! Receives the bodies of requests, and of responses that are not streams, within memory limits. A
+//! faulty server may send without end, and many callers and servers may send at once.
 
 use std::{cell::Cell, sync::Arc, time::Duration};
 
 use async_io::Timer;
 use futures_lite::FutureExt;
 use http_body_util::BodyExt;
-use hyper::body::{Bytes, Incoming};
+use hyper::body::{Body, Bytes, Incoming};
+use parsley_core::refusal::{Reason, Refusal};
 
-use super::Gateway;
+use super::{
+    Gateway,
+    budget::{HeldMemory, MemoryUse},
+};
 
 /// Largest response body, in bytes; as large as the largest request body.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
-/// Bytes of all response bodies in progress: a fifth of the smallest host's memory.
-const MAX_BUFFERED_BYTES: usize = 32 << 20;
-/// Bytes that a response may always take, so that long ones from faulty servers do not fail those
-/// of healthy servers.
-const GUARANTEED_BYTES: usize = 64 << 10;
+/// Added to `Retry-After` of a request whose body finds no memory: bodies are held for as long as
+/// their requests run.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// Bytes on the wire for each byte of a body, at most: a chunk of one byte takes six.
 const MAX_FRAMING_RATIO: u64 = 8;
@@ -25,40 +27,14 @@
 /// Interval at which the bytes on the wire are compared with those of the body.
 const FRAMING_CHECK_PERIOD: Duration = Duration::from_millis(50);
 
-/// Bytes buffered for one response; subtracted from the total when dropped.
-struct BufferedBytes<'a> {
-    gateway: &'a Gateway,
-    length: usize,
-}
-
-impl BufferedBytes<'_> {
-    /// Whether `length` more bytes may be buffered; counts them if so.
-    fn try_add(&mut self, length: usize) -> bool {
-        let total = self.gateway.buffered_bytes.get() + length;
-        let own = self.length + length;
-        if own > MAX_RESPONSE_BYTES || (own > GUARANTEED_BYTES && total > MAX_BUFFERED_BYTES) {
-            return false;
-        }
-        self.gateway.buffered_bytes.set(total);
-        self.length += length;
-        true
-    }
-}
-
-impl Drop for BufferedBytes<'_> {
-    fn drop(&mut self) {
-        self.gateway.buffered_bytes.set(self.gateway.buffered_bytes.get() - self.length);
-    }
-}
-
 /// Receives a body from a connection with the given counter of received bytes. Errs if the body
 /// exceeds the limit of one response or of all together, or consists almost only of framing.
 pub async fn receive_body(
     gateway: &Gateway,
     mut body: Incoming,
     received: &Cell<u64>,
-) -> Result<Bytes, Arc<str>> {
-    let mut buffered = BufferedBytes { gateway, length: 0 };
+) -> Result<(Bytes, HeldMemory), Arc<str>> {
+    let mut held = gateway.budget.holder(MemoryUse::Response);
     let mut bytes = Vec::new();
     let start = received.get();
     loop {
@@ -76,10 +52,57 @@
         let Some(frame) = frame else { break };
         let frame = frame.map_err(|err| Arc::from(err.to_string()))?;
         let Some(data) = frame.data_ref() else { continue };
-        if !buffered.try_add(data.len()) {
+        if bytes.len() + data.len() > MAX_RESPONSE_BYTES || !held.try_take(data.len()) {
             return Err("the answer is longer than a host holds".into());
         }
         bytes.extend_from_slice(data);
     }
-    Ok(bytes.into())
+    Ok((bytes.into(), held))
+}
+
+/// Receives the body of a request of at most `limit` bytes. If the budget has no room for it, the
+/// rest is read and dropped, so that the caller gets the refusal and not a reset connection.
+pub async fn receive_request(
+    gateway: &Gateway,
+    mut body: Incoming,
+    limit: usize,
+    priority: u8,
+) -> Result<(Bytes, HeldMemory), Refusal> {
+    let mut held = gateway.budget.holder(MemoryUse::for_priority(priority));
+    let mut bytes = Vec::new();
+    let mut received = 0;
+    let mut has_room = true;
+    let announced = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+    if announced.is_some_and(|length| length > limit) {
+        return Err(too_large());
+    }
+    if let Some(length) = announced {
+        has_room = held.try_take(length);
+        bytes.reserve_exact(if has_room { length } else { 0 });
+    }
+    while let Some(frame) = body.frame().await {
+        let frame =
+            frame.map_err(|_| Refusal::not_run(Reason::BadRequest, "the body broke off"))?;
+        let Some(data) = frame.data_ref() else { continue };
+        received += data.len();
+        if received > limit {
+            return Err(too_large());
+        }
+        if received > held.length() {
+            has_room = has_room && held.try_take(received - held.length());
+        }
+        match has_room {
+            true => bytes.extend_from_slice(data),
+            false => bytes = Vec::new(),
+        }
+    }
+    if !has_room {
+        return Err(Refusal::not_run(Reason::HostMemory, "this host has no memory for the body")
+            .retry_after(gateway.peer_retry_after() + MEMORY_RETRY_DELAY));
+    }
+    Ok((bytes.into(), held))
+}
+
+fn too_large() -> Refusal {
+    Refusal::not_run(Reason::BodyTooLarge, "the body is larger than allowed")
 }
--- a/crates/node/src/gateway/refuse.rs
+++ b/crates/node/src/gateway/refuse.rs
@@ -36,7 +36,7 @@
     if let Some(after) = refusal.retry_after {
         problem["retry_after_ms"] = after.as_millis().to_string().into();
     }
-    let mut response = Response::new(ResponseBody::Whole(Some(Bytes::from(problem.to_string()))));
+    let mut response = Response::new(ResponseBody::whole(Bytes::from(problem.to_string()), None));
     *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
