Count what a body's buffer takes

Change: what is counted is the buffer, which grows in the budget; an announced length that cannot fit is refused at once; the share of the budget is 0.35 of memory_mb in place of 0.4.

--- a/crates/node/src/gateway/budget.rs
+++ b/crates/node/src/gateway/budget.rs
@@ -9,7 +9,7 @@
 
 /// Share of the process's memory limit in the budget. The rest is for connections, the program and
 /// the allocator's overhead.
-const BUDGET_SHARE: f64 = 0.4;
+const BUDGET_SHARE: f64 = 0.35;
 /// Bytes that each body may always take, so that large bodies do not keep out small ones.
 const GUARANTEED_BYTES: usize = 64 << 10;
 
--- a/crates/node/src/gateway/receive.rs
+++ b/crates/node/src/gateway/receive.rs
@@ -24,6 +24,8 @@
 const MAX_FRAMING_RATIO: u64 = 8;
 /// Bytes on the wire that a response may always take.
 const FRAMING_ALLOWANCE: u64 = 256 << 10;
+/// Fault of a response that finds no room.
+const TOO_LONG: &str = "the answer is longer than a host holds";
 /// Interval at which the bytes on the wire are compared with those of the body.
 const FRAMING_CHECK_PERIOD: Duration = Duration::from_millis(50);
 
@@ -36,6 +38,9 @@
 ) -> Result<(Bytes, HeldMemory), Arc<str>> {
     let mut held = gateway.budget.holder(MemoryUse::Response);
     let mut bytes = Vec::new();
+    if body.size_hint().lower() > MAX_RESPONSE_BYTES as u64 {
+        return Err(TOO_LONG.into());
+    }
     let start = received.get();
     loop {
         let limit = start + bytes.len() as u64 * MAX_FRAMING_RATIO + FRAMING_ALLOWANCE;
@@ -52,14 +57,32 @@
         let Some(frame) = frame else { break };
         let frame = frame.map_err(|err| Arc::from(err.to_string()))?;
         let Some(data) = frame.data_ref() else { continue };
-        if bytes.len() + data.len() > MAX_RESPONSE_BYTES || !held.try_take(data.len()) {
-            return Err("the answer is longer than a host holds".into());
+        if !grow_for(&mut bytes, data.len(), MAX_RESPONSE_BYTES, &mut held) {
+            return Err(TOO_LONG.into());
         }
         bytes.extend_from_slice(data);
     }
     Ok((bytes.into(), held))
 }
 
+/// Makes room for `length` more bytes, of at most `limit` in all, and takes it from the budget.
+/// Returns whether there is room.
+fn grow_for(bytes: &mut Vec<u8>, length: usize, limit: usize, held: &mut HeldMemory) -> bool {
+    let needed = bytes.len() + length;
+    if needed <= bytes.capacity() {
+        return true;
+    }
+    if needed > limit {
+        return false;
+    }
+    let capacity = needed.max(2 * bytes.capacity()).min(limit);
+    if !held.try_take(capacity.saturating_sub(held.length())) {
+        return false;
+    }
+    bytes.reserve_exact(capacity - bytes.len());
+    true
+}
+
 /// Receives the body of a request of at most `limit` bytes. If the budget has no room for it, the
 /// rest is read and dropped, so that the caller gets the refusal and not a reset connection.
 pub async fn receive_request(
@@ -72,13 +95,12 @@
     let mut bytes = Vec::new();
     let mut received = 0;
     let mut has_room = true;
-    let announced = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
-    if announced.is_some_and(|length| length > limit) {
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if announced > limit {
         return Err(too_large());
     }
-    if let Some(length) = announced {
-        has_room = held.try_take(length);
-        bytes.reserve_exact(if has_room { length } else { 0 });
+    if announced > 0 {
+        has_room = grow_for(&mut bytes, announced, announced, &mut held);
     }
     while let Some(frame) = body.frame().await {
         let frame =
@@ -88,9 +110,7 @@
         if received > limit {
             return Err(too_large());
         }
-        if received > held.length() {
-            has_room = has_room && held.try_take(received - held.length());
-        }
+        has_room = has_room && grow_for(&mut bytes, data.len(), limit, &mut held);
         match has_room {
             true => bytes.extend_from_slice(data),
             false => bytes = Vec::new(),
