Give up a silent server only for a place elsewhere

Cause: a retry was granted if any other server was usable, whatever its slots and memory; the connection to the silent engine was dropped before a place was found. Change: a retry is granted only if the dispatcher would place the request at once on a server that was not tried. Without one the current server is waited for and the question is asked again every 250 ms; the retry budget is charged only then. Conclusion: the place may still be taken between the question and the placement, which takes a turn of the host.

--- a/crates/core/src/dispatch/decide.rs
+++ b/crates/core/src/dispatch/decide.rs
@@ -1,18 +1,19 @@
 //! Decides when a waiting request is placed or refused.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use parsley_macros::{key, value};
 
 use super::{
     Dispatcher, MAX_IMMEDIATE_COST, UNSTREAMED_TIMEOUT_FACTOR, WaitingRequest,
-    choose::{MAX_PARTS, PlacementChoice, memory_parts},
+    choose::{ChoiceInput, DENSE_PACKING, MAX_PARTS, PlacementChoice, memory_parts},
+    collect_loads,
     refusal::MIN_RETRY_AFTER,
 };
 use crate::{
     fleet::EngineTag,
     time::Time,
-    work::{WorkDemand, WorkEntry},
+    work::{WorkDemand, WorkEntry, WorkPhase},
 };
 
 /// Highest cost, in requests made late, of a placement for a request that cannot wait any longer.
@@ -94,6 +95,45 @@
         }
     }
 
+    /// Whether a request that runs on another server could be placed at once on one that is not
+    /// excluded.
+    pub fn has_place(
+        &mut self,
+        now: Time,
+        service: &str,
+        demand: &WorkDemand,
+        (arrived, deadline): (Time, Time),
+        excluded: &[EngineTag],
+    ) -> bool {
+        self.refresh_counts(now);
+        let loads = collect_loads(now, &self.work_view, &self.fleet, &self.latency_models);
+        let input = ChoiceInput {
+            now,
+            demand,
+            waited: now.since(arrived),
+            excluded,
+            loads: &loads,
+            reserved: &BTreeSet::new(),
+            packing: DENSE_PACKING,
+            is_own: true,
+        };
+        let Some(choice) = self.choose(service, &input).best else { return false };
+        let entry = WorkEntry {
+            demand: demand.clone(),
+            phase: WorkPhase::Waiting,
+            start_tag_us: 0,
+            engines: Vec::new(),
+            arrived,
+            phase_start: now,
+        };
+        let work = WaitingRequest { service: service.into(), deadline, excluded: Vec::new() };
+        let limit = self.first_event_limit(Some(&work), &entry).latest();
+        let position = QueuePosition { delay_ms: 0.0, ahead: 0, limit };
+        let decision =
+            self.decide_placement(now, service, &entry, Some(&choice), excluded, position);
+        decision == PlacementDecision::Place
+    }
+
     /// Decides whether a request takes the best current placement, waits for a better one, or is
     /// refused because none can meet its deadline.
     pub(super) fn decide_placement(
--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -1,6 +1,12 @@
 //! One attempt: a request sent to a backend server and the relay of its response.
 
-use std::{cell::Cell, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    pin::{Pin, pin},
+    sync::Arc,
+    time::Duration,
+};
 
 use async_channel::Sender;
 use async_io::Timer;
@@ -31,6 +37,8 @@
 const ONCE_IDLE_LIMIT: Duration = Duration::from_millis(1_500);
 /// Longest idle time of a pooled connection that carries a repeatable request.
 const REPEATABLE_IDLE_LIMIT: Duration = Duration::from_secs(60);
+/// Interval of the checks for another server with room, while the current one is silent.
+const PLACE_CHECK_PERIOD: Duration = Duration::from_millis(250);
 /// One gap between events in this many is sampled: each sample runs a dispatcher step over all
 /// work.
 const GAP_SAMPLE_INTERVAL: u32 = 4;
@@ -85,19 +93,43 @@
     pub may_retry: Cell<bool>,
     /// Whether a retry was granted and charged to the retry budget.
     pub is_granted: Cell<bool>,
+    /// When to look again for a server with room, after one was not found.
+    pub next_check: Cell<Time>,
 }
 
 impl RetryPermit<'_> {
-    /// Requests a retry. After a refusal the caller waits for the current server.
+    /// Requests a retry. While no other server has room, the caller waits for the current one until
+    /// [`RetryPermit::next_check`]; after a refusal, until the deadline.
     fn acquire(&self) -> bool {
         let exchange = self.exchange;
-        let is_granted = self.may_retry.get()
-            && exchange.has_other_server(self.tried)
-            && exchange.gateway.spend_retry(&exchange.service);
+        if self.may_retry.get() && !exchange.has_place_elsewhere(self.tried) {
+            self.next_check.set(clock::now() + PLACE_CHECK_PERIOD);
+            return false;
+        }
+        let is_granted = self.may_retry.get() && exchange.gateway.spend_retry(&exchange.service);
         self.may_retry.set(is_granted);
         self.is_granted.set(is_granted);
         is_granted
     }
+
+    /// Waits for the current server for `limit`, and beyond it until a retry is granted or the
+    /// deadline has passed; `None` in both of these cases.
+    async fn wait<T>(
+        &self,
+        limit: Duration,
+        mut work: Pin<&mut impl Future<Output = T>>,
+    ) -> Option<T> {
+        let mut limit = limit;
+        loop {
+            let left = self.exchange.time_left();
+            let result = with_timeout(limit.min(left), work.as_mut()).await;
+            let is_over = self.exchange.time_left().is_zero();
+            if result.is_some() || is_over || self.acquire() {
+                return result;
+            }
+            limit = if self.may_retry.get() { PLACE_CHECK_PERIOD } else { left };
+        }
+    }
 }
 
 /// Sends a request to the server of its placement and relays the response.
@@ -147,11 +179,8 @@
         if may_retry { placement.first_event_timeout } else { exchange.time_left() };
     let limit = first_event_timeout.min(exchange.time_left());
     let response = {
-        let mut sending = pin!(connection.send(request));
-        match with_timeout(limit, sending.as_mut()).await {
-            None if !permit.acquire() => with_timeout(exchange.time_left(), sending).await,
-            response => response,
-        }
+        let sending = pin!(connection.send(request));
+        permit.wait(limit, sending).await
     };
     let (verdict, end) = match response {
         None => {
@@ -301,13 +330,8 @@
         let received_bytes = connection.received_bytes();
         let received = {
             let gateway = &self.exchange.gateway;
-            let mut receiving = pin!(receive_body(gateway, body, &received_bytes));
-            match with_timeout(self.next_timeout(None), receiving.as_mut()).await {
-                None if !self.permit.acquire() => {
-                    with_timeout(self.exchange.time_left(), receiving).await
-                }
-                received => received,
-            }
+            let receiving = pin!(receive_body(gateway, body, &received_bytes));
+            self.permit.wait(self.next_timeout(None), receiving).await
         };
         let (bytes, held) = match received {
             Some(Ok(received)) => received,
@@ -485,7 +509,8 @@
             Some(at) => (at, self.placement.gap_timeout),
             None => (self.sent, self.placement.first_event_timeout),
         };
-        let limit = limit.saturating_sub(clock::now().since(since));
-        limit.min(left)
+        let now = clock::now();
+        let limit = limit.saturating_sub(now.since(since));
+        limit.max(self.permit.next_check.get().since(now)).min(left)
     }
 }
--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -322,12 +322,12 @@
         self.route.execution == ExecutionPolicy::Idempotent
     }
 
-    /// Whether a usable server is left that was not tried.
-    pub fn has_other_server(&self, tried: &[EngineTag]) -> bool {
-        let now = clock::now();
-        let dispatcher = &self.gateway.state.borrow().dispatcher;
-        let mut usable = dispatcher.fleet.usable(now, &self.service);
-        usable.any(|(tag, _)| !tried.contains(&tag) && dispatcher.is_open(now, tag))
+    /// Whether a server that was not tried could take the request at once.
+    pub fn has_place_elsewhere(&self, tried: &[EngineTag]) -> bool {
+        let times = (self.arrived, self.deadline);
+        let demand = self.work_demand();
+        let dispatcher = &mut self.gateway.state.borrow_mut().dispatcher;
+        dispatcher.has_place(clock::now(), &self.service, &demand, times, tried)
     }
 
     fn work_demand(&self) -> WorkDemand {
@@ -395,6 +395,7 @@
                 tried: &excluded,
                 may_retry: Cell::new(self.is_repeatable() && sends + 1 < self.route.max_attempts),
                 is_granted: Cell::new(false),
+                next_check: Cell::new(Time::ZERO),
             };
             let end = attempt::run(&self, &placement, &mut stream, progress, alive, &permit).await;
             let is_paid = permit.is_granted.get();
