Do not complete a stream by an answer without events

Cause: any success on a route with streams was relayed as a stream, and one without events ends at once. Change: a continuation that is not answered 200 has failed; the stream is continued elsewhere or broken off. A continuation answered 200 without events still completes the stream, as an engine may have nothing left to send.

--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -313,6 +313,14 @@
         if response.status().is_success() && !info.is_sealed {
             return (EngineVerdict::Failed, AttemptEnd::Unknown("an answer without a seal".into()));
         }
+        if self.stream.has_started()
+            && response.status().is_success()
+            && response.status() != StatusCode::OK
+        {
+            // Such an answer has no events, so its end is not the end of the stream.
+            let fault = format!("a continuation was answered {}", response.status());
+            return (EngineVerdict::Failed, AttemptEnd::Unknown(fault.into()));
+        }
         if response.status().is_success() && self.exchange.route.is_stream {
             return self.relay_events(connection, response, may_keep).await;
         }
