--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -1,12 +1,6 @@
 //! One attempt: a request sent to a backend server and the relay of its response.
 
-use std::{
-    cell::Cell,
-    net::SocketAddr,
-    pin::{Pin, pin},
-    sync::Arc,
-    time::Duration,
-};
+use std::{net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use async_channel::Sender;
 use async_io::Timer;
@@ -30,6 +24,7 @@
     pace::StreamPace,
     quarantine::SentProcess,
     receive::receive_body,
+    retry::RetryPermit,
 };
 
 /// Longest idle time of a pooled connection that carries an at-most-once request. The server may
@@ -37,8 +32,6 @@
 const ONCE_IDLE_LIMIT: Duration = Duration::from_millis(1_500);
 /// Longest idle time of a pooled connection that carries a repeatable request.
 const REPEATABLE_IDLE_LIMIT: Duration = Duration::from_secs(60);
-/// Interval of the checks for another server with room, while the current one is silent.
-const PLACE_CHECK_PERIOD: Duration = Duration::from_millis(250);
 /// One gap between events in this many is sampled: each sample runs a dispatcher step over all
 /// work.
 const GAP_SAMPLE_INTERVAL: u32 = 4;
@@ -81,57 +74,6 @@
     }
 }
 
-/// Decides whether a request is sent to another server when its current one is silent. The current
-/// server is abandoned only after a retry is granted, because it may still answer.
-pub struct RetryPermit<'a> {
-    /// Request to retry.
-    pub exchange: &'a Exchange,
-    /// Servers that were tried, including the current one.
-    pub tried: &'a [EngineTag],
-    /// Whether another send is allowed: set from the route's rules, cleared when a retry is
-    /// refused.
-    pub may_retry: Cell<bool>,
-    /// Whether a retry was granted and charged to the retry budget.
-    pub is_granted: Cell<bool>,
-    /// When to look again for a server with room, after one was not found.
-    pub next_check: Cell<Time>,
-}
-
-impl RetryPermit<'_> {
-    /// Requests a retry. While no other server has room, the caller waits for the current one until
-    /// [`RetryPermit::next_check`]; after a refusal, until the deadline.
-    fn acquire(&self) -> bool {
-        let exchange = self.exchange;
-        if self.may_retry.get() && !exchange.has_place_elsewhere(self.tried) {
-            self.next_check.set(clock::now() + PLACE_CHECK_PERIOD);
-            return false;
-        }
-        let is_granted = self.may_retry.get() && exchange.gateway.spend_retry(&exchange.service);
-        self.may_retry.set(is_granted);
-        self.is_granted.set(is_granted);
-        is_granted
-    }
-
-    /// Waits for the current server for `limit`, and beyond it until a retry is granted or the
-    /// deadline has passed; `None` in both of these cases.
-    async fn wait<T>(
-        &self,
-        limit: Duration,
-        mut work: Pin<&mut impl Future<Output = T>>,
-    ) -> Option<T> {
-        let mut limit = limit;
-        loop {
-            let left = self.exchange.time_left();
-            let result = with_timeout(limit.min(left), work.as_mut()).await;
-            let is_over = self.exchange.time_left().is_zero();
-            if result.is_some() || is_over || self.acquire() {
-                return result;
-            }
-            limit = if self.may_retry.get() { PLACE_CHECK_PERIOD } else { left };
-        }
-    }
-}
-
 /// Sends a request to the server of its placement and relays the response.
 pub async fn run(
     exchange: &Exchange,
--- a/crates/node/src/gateway/drain.rs
+++ b/crates/node/src/gateway/drain.rs
@@ -5,12 +5,15 @@
 use async_io::Timer;
 use parsley_core::{
     dispatch::DispatchInput,
-    refusal::{Reason, Refusal},
+    refusal::{Outcome, Reason, Refusal},
     roster::ADDRESS_LIFETIME,
     time::Time,
 };
 
-use super::{Gateway, beats, clock};
+use super::{
+    Gateway, beats, clock,
+    exchange::{RequestEnd, RequestProgress},
+};
 use crate::event;
 
 /// Share of the grace time after which requests that are still open are abandoned.
@@ -88,4 +91,17 @@
         Refusal::not_run(Reason::Draining, "this host stops")
             .retry_after(self.peer_retry_after() + delay)
     }
+
+    /// End of a request that is still open when the host stops.
+    pub(super) fn abandoned_end(&self, progress: &RequestProgress) -> RequestEnd {
+        let mut refusal = self.drain_refusal(Duration::ZERO);
+        if progress.may_have_run.get() {
+            refusal.outcome = Outcome::Unknown;
+            refusal.retry_after = None;
+        }
+        match progress.has_started.get() {
+            true => RequestEnd::Interrupted(refusal),
+            false => RequestEnd::Refused(refusal),
+        }
+    }
 }
--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -22,7 +22,7 @@
 
 use super::{
     CONFIG_UNAVAILABLE, Gateway, GatewayRef, Placement,
-    attempt::{self, AttemptEnd, CallerStream, RetryPermit},
+    attempt::{self, AttemptEnd, CallerStream},
     body::ResponseBody,
     budget::HeldMemory,
     clock,
@@ -31,6 +31,7 @@
     metrics::GatewayMetrics,
     receive::receive_request,
     refuse::{refusal_response, status_of},
+    retry::RetryPermit,
 };
 use crate::event;
 
@@ -112,7 +113,7 @@
     let drain_over = async {
         // Nothing is sent on this channel; it closes when the host abandons its open requests.
         let _ = gateway.drain_over.1.recv().await;
-        Some(abandoned_end(&gateway, &progress))
+        Some(gateway.abandoned_end(&progress))
     };
     let end = work.or(drain_over).or(caller_left).await;
     gateway.dispatch(DispatchInput::RequestEnded(number));
@@ -143,19 +144,6 @@
     Interrupted(Refusal),
 }
 
-/// End of a request that is still open when the host stops.
-fn abandoned_end(gateway: &Gateway, progress: &RequestProgress) -> RequestEnd {
-    let mut refusal = gateway.drain_refusal(Duration::ZERO);
-    if progress.may_have_run.get() {
-        refusal.outcome = Outcome::Unknown;
-        refusal.retry_after = None;
-    }
-    match progress.has_started.get() {
-        true => RequestEnd::Interrupted(refusal),
-        false => RequestEnd::Refused(refusal),
-    }
-}
-
 fn finish_request(
     gateway: &Gateway,
     id: &str,
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -62,6 +62,7 @@
 mod quarantine;
 mod receive;
 mod refuse;
+mod retry;
 #[cfg(test)]
 mod tests;
 mod yielding;
