Split long prompts further and serve cheap ones first

Cause: in a burst of long prompts few engines are idle, because most of them decode something, and only idle engines took parts of a prompt. A prompt was split over 6 engines at most, so one above some 500,000 tokens missed a target of 4 s on an idle fleet. Requests of accounts with the same share went by start tag, so one very long prompt made several shorter ones late.

Ruled out: too little packing of short prompts (they used 11 to 20 of 78 engines in the burst).

--- a/crates/core/src/dispatch/choose.rs
+++ b/crates/core/src/dispatch/choose.rs
@@ -10,6 +10,7 @@
 use super::{
     Dispatcher, EngineForecast, EngineLoad, LatencyModel, MAX_IMMEDIATE_COST, PrefillHelper,
     headroom::{EngineSlots, UrgentHeadroom},
+    split::{HelperPool, MAX_PARTS, PromptSplit, memory_parts},
 };
 use crate::{
     catalog::ServingService,
@@ -38,10 +39,6 @@
 /// Fraction of the first event target that the prefill on one engine may take before the prompt is
 /// split over several.
 const MAX_PREFILL_SHARE: f64 = 0.6;
-/// Most engines that one prompt is split over.
-pub(super) const MAX_PARTS: usize = 6;
-/// Fraction of an engine's memory that placements may use.
-const USABLE_MEMORY_SHARE: f64 = 0.96;
 /// Weight of a plain server's failure probability relative to its slot utilization.
 const PLAIN_FAILURE_WEIGHT: f64 = 4.0;
 /// Added to the slot utilization of plain servers in another failure domain. Small, so that it only
@@ -75,17 +72,17 @@
 }
 
 impl ChoiceInput<'_> {
-    fn load(&self, tag: EngineTag) -> &EngineLoad {
+    pub(super) fn load(&self, tag: EngineTag) -> &EngineLoad {
         self.loads.get(&tag).unwrap_or(&IDLE_LOAD)
     }
 
     /// Whether the request may be placed on a server: not excluded, nor reserved if it is long.
-    fn is_allowed(&self, model: &LatencyModel, tag: EngineTag) -> bool {
+    pub(super) fn is_allowed(&self, model: &LatencyModel, tag: EngineTag) -> bool {
         let is_reserved = model.is_long_prompt(self.demand) && self.reserved.contains(&tag);
         !is_reserved && !self.excluded.contains(&tag)
     }
 
-    fn is_idle(&self, tag: EngineTag) -> bool {
+    pub(super) fn is_idle(&self, tag: EngineTag) -> bool {
         self.loads.get(&tag).is_none_or(|load| load.requests == 0 && load.prefills.is_empty())
     }
 }
@@ -174,6 +171,7 @@
         let wanted = self.wanted_parts(model, input.demand);
         let parts =
             headroom.as_ref().map_or(wanted, |headroom| wanted.min(headroom.spare().max(1)));
+        let helpers = HelperPool::find(self, service, model, input, parts);
         let mut ranking = CandidateRanking::new(CandidateScore::is_better_than);
         for (tag, record) in self.fleet.usable(input.now, &service.name) {
             let load = input.load(tag);
@@ -185,8 +183,8 @@
             }
             let Some(needs_permit) = self.needs_permit(input, tag) else { continue };
             ranking.candidates += 1;
-            let helpers = self.find_helpers(service, model, input, tag, parts);
-            let Some((helpers, parts)) = helpers else { continue };
+            let Some(split) = helpers.split(model, input, tag) else { continue };
+            let PromptSplit { helpers, parts, extra_ms } = split;
             let allows_load =
                 |headroom: &UrgentHeadroom| self.allows_load(headroom, model, input, tag, &helpers);
             if !headroom.as_ref().is_none_or(allows_load) {
@@ -194,7 +192,9 @@
             }
             let failure = record.failure_probability(input.now);
             let slowdown = record.slowdown(input.now);
-            let forecast = load.forecast(model, input.demand, parts, slowdown, input.waited);
+            let waited = input.waited + Duration::from_secs_f64(extra_ms / 1e3);
+            let mut forecast = load.forecast(model, input.demand, parts, slowdown, waited);
+            forecast.first_event_ms += extra_ms;
             let cost = forecast.delayed as f64 + f64::from(u8::from(forecast.is_late)) + failure;
             let score = self.score_candidate(model, input, record, load, &forecast, cost);
             let requests = load.requests;
@@ -321,48 +321,6 @@
         ranking.close()
     }
 
-    /// Finds idle engines for the other parts of a prompt. Returns them and the number of parts,
-    /// which is lower if too few engines are idle, or `None` if their memory does not suffice.
-    fn find_helpers(
-        &self,
-        service: &ServingService,
-        model: &LatencyModel,
-        input: &ChoiceInput,
-        first: EngineTag,
-        parts: usize,
-    ) -> Option<(Vec<PrefillHelper>, usize)> {
-        let wanted = input.demand.prompt_tokens.saturating_add(input.demand.answer_tokens);
-        let memory = (f64::from(model.memory_tokens) * USABLE_MEMORY_SHARE) as u32;
-        let room = memory.saturating_sub(input.load(first).held_tokens as u32);
-        if parts <= 1 {
-            return (wanted <= room).then(|| (Vec::new(), 1));
-        }
-        let fits = |tag: EngineTag, record: &EngineRecord| {
-            tag != first
-                && input.is_allowed(model, tag)
-                && input.is_idle(tag)
-                && record.failure_probability(input.now) < MAX_IMMEDIATE_COST
-        };
-        let engines = self.unlimited(input.now, &service.name);
-        let helpers: Vec<_> = engines
-            .filter(|(tag, record)| fits(*tag, record))
-            .map(|(tag, _)| tag)
-            .take(parts - 1)
-            .collect();
-        let parts = helpers.len() + 1;
-        let missing = wanted.saturating_sub(room);
-        let tokens = match missing {
-            0 => None,
-            _ if helpers.is_empty() => return None,
-            _ => Some(missing.div_ceil(helpers.len() as u32).max(wanted / parts as u32)),
-        };
-        if tokens.is_some_and(|tokens| tokens > memory) {
-            return None;
-        }
-        let helpers = helpers.into_iter().map(|engine| PrefillHelper { engine, tokens });
-        Some((helpers.collect(), parts))
-    }
-
     /// Scores an engine; packing counts only for short requests within the packing bounds.
     fn score_candidate(
         &self,
@@ -394,13 +352,6 @@
     }
 }
 
-/// Number of engines whose combined memory a request needs; at least 1.
-pub(super) fn memory_parts(model: &LatencyModel, demand: &WorkDemand) -> usize {
-    let memory = f64::from(model.memory_tokens) * USABLE_MEMORY_SHARE;
-    let parts = f64::from(demand.prompt_tokens.saturating_add(demand.answer_tokens)) / memory;
-    parts.ceil().max(1.0) as usize
-}
-
 /// Ranks candidates by lowest cost, then most similar decodes, then earliest first event, then own
 /// failure domain.
 #[value]
--- a/crates/core/src/dispatch/decide.rs
+++ b/crates/core/src/dispatch/decide.rs
@@ -6,9 +6,10 @@
 
 use super::{
     Dispatcher, MAX_IMMEDIATE_COST, UNSTREAMED_TIMEOUT_FACTOR, WaitingRequest,
-    choose::{ChoiceInput, DENSE_PACKING, MAX_PARTS, PlacementChoice, memory_parts},
+    choose::{ChoiceInput, DENSE_PACKING, PlacementChoice},
     collect_loads,
     refusal::MIN_RETRY_AFTER,
+    split::{MAX_PARTS, memory_parts},
 };
 use crate::{
     fleet::EngineTag,
--- a/crates/core/src/dispatch/limited.rs
+++ b/crates/core/src/dispatch/limited.rs
@@ -8,9 +8,8 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use super::{
-    DECISION_LEAD, DispatchOutput, Dispatcher,
-    choose::{PlacementChoice, memory_parts},
-    refusal::MIN_RETRY_AFTER,
+    DECISION_LEAD, DispatchOutput, Dispatcher, choose::PlacementChoice, refusal::MIN_RETRY_AFTER,
+    split::memory_parts,
 };
 use crate::{
     fleet::{EngineRecord, EngineTag, RequestRate, hash_name},
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -40,6 +40,9 @@
 mod load_tests;
 mod message;
 mod refusal;
+mod split;
+#[cfg(test)]
+mod split_tests;
 #[cfg(test)]
 mod tests;
 
@@ -387,8 +390,10 @@
     }
 
     /// The waiting work of all hosts in scheduling order: by rank, then requests that can still
-    /// meet their target before late ones, then by start tag of the account. Serving late requests
-    /// first would make every request late for as long as the overload lasts.
+    /// meet their target before late ones, then by the finish tag of the account, its start tag plus
+    /// the cost of the request. Serving late requests first would make every request late for as long
+    /// as the overload lasts. Between accounts with the same share, finish tags put cheap requests
+    /// first, so that one very long prompt does not make several shorter ones late.
     fn queue(&self, now: Time) -> Vec<(Option<HostTag>, WorkNumber, WorkEntry)> {
         let mut queue: Vec<_> = self
             .work_view
@@ -415,8 +420,9 @@
                 .saturating_add(*waiting);
             *waiting = waiting.saturating_add(self.cost_us(demand));
         }
-        queue.sort_by_key(|(_, _, entry)| {
-            (entry.demand.priority, is_late(entry), entry.start_tag_us)
+        queue.sort_by_cached_key(|(_, _, entry)| {
+            let finish_tag = entry.start_tag_us.saturating_add(self.cost_us(&entry.demand));
+            (entry.demand.priority, is_late(entry), finish_tag)
         });
         queue
     }
