Show that hosts beyond the members leave nobody as lead

Leads are the lowest-ranking live hosts that are members. Hosts that have just stepped down are heard of for some 1.4 s, count as live and rank lowest, so no member takes their duty meanwhile.

--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -80,22 +80,33 @@
     assert!(roster.take_newly_silent(at(3_000)).is_empty());
 }
 
+/// Indices of the hosts that are leads if all hear of one another.
+fn leads(infos: &[HostInfo]) -> Vec<usize> {
+    let is_lead = |index: &usize| {
+        let mut roster = PeerRoster::default();
+        roster.set_listed();
+        let peers = infos.iter().enumerate().filter(|(other, _)| other != index);
+        peers.for_each(|(_, peer)| _ = roster.record_heartbeat(at(0), peer.clone()));
+        roster.is_lead(at(1), &infos[*index], 2)
+    };
+    (0..infos.len()).filter(is_lead).collect()
+}
+
+/// Guards against seconds without a lead, in which every host calls the store: hosts beyond the
+/// members have just stepped down and are still heard of.
+#[test]
+fn hosts_beyond_the_members_are_no_leads() {
+    let mut infos: Vec<_> = (1..=35).map(|port| info("h", port, 1, true)).collect();
+    infos.sort_by_key(HostInfo::tag);
+    assert_eq!(leads(&infos), [MEMBER_LIMIT - 2, MEMBER_LIMIT - 1]);
+}
+
 /// Guards against a fleet that nobody watches the store for. If a lead loses access to the store,
 /// the next host by rank becomes lead.
 #[test]
 fn leads_are_the_last_members_with_access_to_the_store() {
     let mut infos: Vec<_> = (1..=5).map(|port| info("h", port, 1, true)).collect();
     infos.sort_by_key(HostInfo::tag);
-    let leads = |infos: &[HostInfo]| -> Vec<usize> {
-        let is_lead = |index: &usize| {
-            let mut roster = PeerRoster::default();
-            roster.set_listed();
-            let peers = infos.iter().enumerate().filter(|(other, _)| other != index);
-            peers.for_each(|(_, peer)| _ = roster.record_heartbeat(at(0), peer.clone()));
-            roster.is_lead(at(1), &infos[*index], 2)
-        };
-        (0..infos.len()).filter(is_lead).collect()
-    };
     assert_eq!(leads(&infos), [3, 4]);
     infos[4].has_store = false;
     assert_eq!(leads(&infos), [2, 3]);
