--- a/crates/core/src/roster/duty.rs
+++ b/crates/core/src/roster/duty.rs
@@ -267,12 +267,15 @@
         if !self.is_member(now, me) {
             return false;
         }
-        let hosts = self.live_hosts(now, me);
+        let mut hosts = self.live_hosts(now, me);
+        // A host that steps down is heard of for a while. If it still counted, nobody would lead.
+        hosts.truncate(MEMBER_LIMIT);
+        let own_tag = me.tag();
         let any_store = hosts.iter().any(|(_, info)| info.has_store);
-        if any_store && !me.has_store {
+        let is_first = hosts.iter().any(|(tag, _)| *tag == own_tag);
+        if !is_first || (any_store && !me.has_store) {
             return false;
         }
-        let own_tag = me.tag();
         let below = hosts.iter().rev().take_while(|(tag, _)| *tag != own_tag);
         below.filter(|(_, info)| info.has_store || !any_store).count() < leads
     }
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -277,6 +277,11 @@
         self.state.borrow().roster.is_isolated(clock::now())
     }
 
+    /// Whether another host is known to be alive.
+    pub fn has_live_peer(&self) -> bool {
+        self.state.borrow().roster.alive(clock::now()).next().is_some()
+    }
+
     /// Queues a new or changed entry for the peers unless it is known already.
     pub fn queue_server_entry(&self, entry: EngineEntry) {
         let mut state = self.state.borrow_mut();
