--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -214,6 +214,8 @@
     last_proof: Option<Time>,
     /// When a watch last returned changes.
     last_change: Option<Time>,
+    /// When the last call was sent.
+    last_call: Option<Time>,
 }
 
 impl FeedFollower {
@@ -253,6 +255,17 @@
         (Duration::ZERO, FeedAction::Idle)
     }
 
+    /// Records that a call is sent.
+    pub fn begin_call(&mut self, now: Time) {
+        self.last_call = Some(now);
+    }
+
+    /// Returns whether a peer showed at `news` that it has newer data, after the last call was sent.
+    /// The store answers others then, so a backoff after failed calls ends early, once.
+    pub fn ends_backoff(&self, news: Option<Time>) -> bool {
+        self.failures > 0 && news.is_some() && news > self.last_call
+    }
+
     /// Records the result of a call. Returns `Some(true)` if the store became unreachable by it,
     /// `Some(false)` if it became reachable again and `None` if that did not change.
     pub fn step(&mut self, now: Time, result: FeedResult) -> Option<bool> {
--- a/crates/core/src/feed/tests.rs
+++ b/crates/core/src/feed/tests.rs
@@ -223,3 +223,21 @@
     assert_eq!(follower.step(at(20_000), FeedResult::Cut), None);
     assert_eq!(follower.step(at(20_100), FeedResult::Cut), Some(true));
 }
+
+/// Guards against an outage that lasts two seconds longer for most hosts than for the first ones
+/// that reach the store again: callers then crowd onto these few hosts.
+#[test]
+fn newer_data_at_a_peer_ends_a_backoff_once() {
+    let mut follower = follower();
+    for millis in [100, 900] {
+        follower.begin_call(at(millis));
+        follower.step(at(millis + 700), FeedResult::Failed);
+    }
+    assert_eq!(follower.next_action(at(1_600), &STANDBY).0, NON_LEAD_PAUSE);
+    assert!(!follower.ends_backoff(None));
+    assert!(!follower.ends_backoff(Some(at(800))), "the last call was sent later");
+    assert!(follower.ends_backoff(Some(at(1_000))), "it came while the last call was pending");
+    follower.begin_call(at(1_700));
+    follower.step(at(2_400), FeedResult::Failed);
+    assert!(!follower.ends_backoff(Some(at(1_000))), "hosts without access do not retry at once");
+}
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -238,6 +238,18 @@
         })
     }
 
+    /// When a peer first showed that it has a newer configuration than this host or, if not
+    /// `is_config`, a later list of servers; `None` if none has.
+    pub fn news_time(&self, is_config: bool) -> Option<Time> {
+        let state = self.state.borrow();
+        if is_config {
+            let (newest, heard) = state.evidence.newest_known();
+            return (newest > state.evidence.version()).then_some(heard);
+        }
+        let now = clock::now();
+        state.dispatcher.fleet.list_divergence(now).map(|age| now - age)
+    }
+
     /// Records that the store returned every change of the servers up to `revision` in a call that
     /// was sent at `call_start`.
     pub fn confirm_servers(&self, call_start: Time, revision: StoreRevision) {
