Count refusals that turn out to be needless

Operators and tests could not see whether the forecasts refuse too much. A sample of up to 4 refused requests is followed until their deadlines; two metrics give how many were checked and for how many a server had room in time. It changes no decision.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -27,6 +27,7 @@
     work::{WorkDemand, WorkEntry, WorkNumber, WorkPhase, WorkView},
 };
 
+mod audit;
 mod choose;
 mod decide;
 #[cfg(test)]
@@ -46,6 +47,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use audit::RefusalAudit;
 use choose::{ChoiceInput, ChoiceResult, DENSE_PACKING, LOOSE_PACKING, PlacementChoice};
 use decide::{DECISION_LEAD, PlacementDecision, QueuePosition};
 pub use forecast::{EngineForecast, EngineLoad, LatencyModel, collect_load, collect_loads};
@@ -108,6 +110,8 @@
     permits: BTreeMap<EngineTag, PermitHolder>,
     /// End of the turns promised to refused callers, by the hash of the service's name and the rank.
     return_turns: BTreeMap<(u64, u8), Time>,
+    /// Sample of refusals, for the metric of needless ones.
+    pub audit: RefusalAudit,
     /// Earliest time of the next scheduling run.
     next_run: Time,
     /// When this host abandons its open requests; `None` while it does not stop.
@@ -149,6 +153,7 @@
                 self.work_view.expire_peers(now);
                 self.purge_permits();
                 self.return_turns.retain(|_, end| *end > now);
+                self.audit_refusals(now);
                 outputs.extend(self.fleet.expire(now).into_iter().map(DispatchOutput::ServerGone));
             }
             DispatchInput::Services { services, urgent_targets } => {
--- a/crates/core/src/dispatch/refusal.rs
+++ b/crates/core/src/dispatch/refusal.rs
@@ -49,6 +49,9 @@
         queue_delay_ms: f64,
     ) -> DispatchOutput {
         let work = self.waiting.remove(&number);
+        if let (Some(work), Some(entry)) = (&work, self.work_view.get(number)) {
+            self.audit.record(now, work, entry);
+        }
         self.work_view.remove(number);
         let excluded = work.map(|work| work.excluded).unwrap_or_default();
         let has_usable = self.fleet.usable(now, service).next().is_some();
--- a/crates/core/src/dispatch/split_tests.rs
+++ b/crates/core/src/dispatch/split_tests.rs
@@ -72,3 +72,27 @@
     let order: Vec<_> = queue.iter().map(|(_, number, _)| number.0).collect();
     assert_eq!(order, [2, 1]);
 }
+
+/// Guards against refusals that callers pay for although a server had room in time, and that nobody
+/// sees.
+#[test]
+fn refusal_is_counted_as_needless_if_a_server_gets_room_in_time() {
+    for (is_room_in_time, counts) in [(true, (1, 1)), (false, (1, 0))] {
+        let mut dispatcher = dispatcher(1, 0);
+        for number in 0..6 {
+            submit(&mut dispatcher, at(0), number, long(210_000), 60_000);
+        }
+        let outputs = submit(&mut dispatcher, at(10), 10, long(210_000), 6_000);
+        let is_refused = |output: &DispatchOutput| matches!(output, DispatchOutput::Refuse { .. });
+        assert!(outputs.iter().any(is_refused), "{outputs:?}");
+        if is_room_in_time {
+            for number in 0..6 {
+                dispatcher.step(at(500), DispatchInput::RequestEnded(WorkNumber(number)));
+            }
+        }
+        for millis in (600..8_000).step_by(100) {
+            dispatcher.step(at(millis), DispatchInput::Tick);
+        }
+        assert_eq!(dispatcher.audit.counts(), counts);
+    }
+}
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -69,6 +69,10 @@
     pub permits: IntCounterVec,
     /// Backend servers that limit the rate of requests.
     pub limited_servers: IntGauge,
+    /// Refusals of a sample that were followed to the caller's deadline.
+    pub audited_refusals: IntGauge,
+    /// Those among them for which a server had room in time.
+    pub needless_refusals: IntGauge,
     /// Age of the proof that the list of servers is complete, in milliseconds; the maximum if there
     /// is none.
     pub server_list_age: IntGauge,
@@ -197,6 +201,16 @@
                 "gateway_limited_servers",
                 "Backend servers that limit the rate of requests.",
             ),
+            audited_refusals: gauge(
+                &registry,
+                "gateway_audited_refusals",
+                "Refusals of a sample that were followed to the caller's deadline.",
+            ),
+            needless_refusals: gauge(
+                &registry,
+                "gateway_needless_refusals",
+                "Audited refusals for which a server had room in time.",
+            ),
             server_list_age: gauge(
                 &registry,
                 "gateway_server_list_age_milliseconds",
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -509,6 +509,9 @@
         self.metrics.open_requests.set(self.open_requests.get() as i64);
         self.metrics.waiting_requests.set(state.dispatcher.waiting_count() as i64);
         self.metrics.live_hosts.set(state.roster.alive(now).count() as i64 + 1);
+        let (audited, needless) = state.dispatcher.audit.counts();
+        self.metrics.audited_refusals.set(audited as i64);
+        self.metrics.needless_refusals.set(needless as i64);
         let fleet = &state.dispatcher.fleet;
         let usable = fleet.iter().filter(|(tag, _)| fleet.is_usable(now, *tag));
         self.metrics.usable_servers.set(usable.count() as i64);
