Keep evacuated failure domains and merge views of peers

Cause: operators evacuate a failure domain by a key in the store, and every host must respect it within 5 s without calls of its own. Ruled out: changes instead of whole views between hosts, because a lost change would need a repair of its own; one view without its era, because a copy of the store may lack an acknowledged evacuation. The keeper holds the latest view of each era. The latest one counts, and earlier ones until the era is settled. The simulation of the feed gets a third part, so that its hosts spread evacuations too. Before: nothing.

--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -18,7 +18,7 @@
 };
 
 #[cfg(test)]
-mod spread_tests;
+pub(crate) mod spread_tests;
 #[cfg(test)]
 mod tests;
 
--- a/crates/core/src/feed/spread_tests.rs
+++ b/crates/core/src/feed/spread_tests.rs
@@ -10,6 +10,7 @@
 use super::*;
 use crate::{
     era::EraKeeper,
+    evacuation::{EvacuationChange, EvacuationKeeper, EvacuationView},
     evidence::{EvidenceEffect, EvidenceKeeper, EvidenceLimits, PeerEvidence, StoreSighting},
     fleet::{EngineEntry, FleetChange, FleetTable, ListEffect},
     roster::{HostInfo, HostTag, PeerRole, PeerRoster, STANDBY_POLL_PERIOD},
@@ -19,12 +20,23 @@
 /// Number of hosts registered in the store.
 const LISTED: usize = 64;
 
-struct SpreadHost {
+/// The part of the store that changes.
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum SpreadPart {
+    Config,
+    Servers,
+    /// The evacuations, which are watched together with the configuration.
+    Evacuations,
+}
+
+pub(crate) struct SpreadHost {
     info: HostInfo,
     roster: PeerRoster,
     evidence: EvidenceKeeper,
     /// List of the only server, whose entry changes with each version.
     fleet: FleetTable,
+    /// Evacuation of the only failure domain, which holds at even versions.
+    pub(crate) evacuation: EvacuationKeeper,
     follower: FeedFollower,
     /// Clock reading in each peer's last heartbeat, and when it arrived.
     clocks: BTreeMap<HostTag, (u64, Time)>,
@@ -34,26 +46,28 @@
     call: Option<(FeedAction, Time, Time)>,
     is_cut: bool,
     /// Whether the host does nothing, like a frozen one.
-    is_frozen: bool,
+    pub(crate) is_frozen: bool,
 }
 
-struct SpreadFleet {
-    /// Whether the hosts follow the configuration rather than the servers.
-    is_config: bool,
-    /// Share of the datagrams with changes that are lost, in percent.
-    loss_percent: u8,
-    now: Time,
-    hosts: Vec<SpreadHost>,
+pub(crate) struct SpreadFleet {
+    pub(crate) part: SpreadPart,
+    /// Share of the datagrams with changes that are lost, in percent. Of the evacuations, all
+    /// datagrams with a view, a digest or a proof are lost with this probability.
+    pub(crate) loss_percent: u8,
+    pub(crate) now: Time,
+    pub(crate) hosts: Vec<SpreadHost>,
+    /// Calls to the store so far.
+    pub(crate) calls: usize,
     places: BTreeMap<SocketAddr, usize>,
     /// Version of the configuration in the store, which is also the store's revision.
-    version: u64,
+    pub(crate) version: u64,
     /// Time within which a change must be in force.
     apply: Duration,
-    rng: fastrand::Rng,
+    pub(crate) rng: fastrand::Rng,
 }
 
 impl SpreadFleet {
-    fn start(count: u16, apply: Duration, seed: u64) -> SpreadFleet {
+    pub(crate) fn start(count: u16, apply: Duration, seed: u64) -> SpreadFleet {
         let mut rng = fastrand::Rng::with_seed(seed);
         let now = Time(1_000_000_000);
         let limits =
@@ -72,6 +86,7 @@
             SpreadHost {
                 evidence: EvidenceKeeper::new(limits, info.incarnation),
                 fleet: FleetTable::new(info.tag()),
+                evacuation: EvacuationKeeper::default(),
                 info: info.clone(),
                 roster,
                 follower: FeedFollower::default(),
@@ -86,11 +101,11 @@
         let hosts: Vec<_> = infos.iter().map(host).collect();
         let places =
             infos.iter().enumerate().map(|(place, info)| (info.heartbeat_address, place)).collect();
-        let (is_config, loss_percent) = (true, 0);
-        SpreadFleet { is_config, loss_percent, now, hosts, places, version: 1, apply, rng }
+        let (part, loss_percent, calls) = (SpreadPart::Config, 0, 0);
+        SpreadFleet { part, loss_percent, now, hosts, calls, places, version: 1, apply, rng }
     }
 
-    fn run(&mut self, span: Duration) {
+    pub(crate) fn run(&mut self, span: Duration) {
         let end = self.now + span;
         while self.now < end {
             self.now = self.now + STEP;
@@ -106,16 +121,16 @@
         }
     }
 
-    fn facts(&self, place: usize) -> FeedFacts {
+    pub(crate) fn facts(&self, place: usize) -> FeedFacts {
         let SpreadHost { info, roster, evidence, fleet, .. } = &self.hosts[place];
         let facts = FeedFacts {
-            is_config: self.is_config,
+            is_config: self.part != SpreadPart::Servers,
             limit: self.apply,
             is_lead: roster.is_lead(self.now, info, LEAD_COUNT),
             is_member: roster.is_member(self.now, info),
             ..FeedFacts::default()
         };
-        if !self.is_config {
+        if self.part == SpreadPart::Servers {
             return FeedFacts {
                 is_known: fleet.list_revision() > StoreRevision::default(),
                 proof_age: fleet.list_age(self.now),
@@ -150,19 +165,21 @@
                 _ => FeedResult::Read { revision: version.into(), is_stale: false },
             };
             if result != FeedResult::Failed {
+                let config = if self.part == SpreadPart::Config { version } else { 1 };
                 let sighting = StoreSighting {
-                    version: Some(version),
+                    version: Some(config),
                     revision: version.into(),
                     call_start: *asked,
                 };
                 host.evidence.confirm(&sighting, &EraKeeper::default());
                 host.fleet.upsert(now, entry(version));
                 host.fleet.confirm_list(*asked, version.into());
+                host.read_evacuation(now, version, matches!(result, FeedResult::Watched { .. }));
             }
             host.follower.step(now, result);
             host.info.has_store = !host.follower.is_lost();
             (host.call, host.next_call) = (None, now);
-            if is_changed && !host.is_cut && !self.is_config {
+            if is_changed && !host.is_cut && self.part != SpreadPart::Config {
                 self.push_change(place);
             }
         }
@@ -172,7 +189,7 @@
         }
         let context = FeedContext::from_facts(&self.facts(place));
         let host = &mut self.hosts[place];
-        if !self.is_config {
+        if self.part == SpreadPart::Servers {
             host.follower.advance(host.fleet.list_revision());
         }
         let (pause, action) = host.follower.next_action(now, &context);
@@ -181,6 +198,7 @@
             FeedAction::Watch { wait, .. } => wait,
             FeedAction::Read { .. } => Duration::ZERO,
         };
+        self.calls += 1;
         let answer = if host.is_cut { CALL_LIMIT } else { delay };
         let asked = now + pause;
         host.call = Some((action, asked, asked + wait + answer));
@@ -189,11 +207,17 @@
     /// Sends the change that a host read to the live members.
     fn push_change(&mut self, place: usize) {
         let now = self.now;
+        if self.part == SpreadPart::Evacuations && !self.facts(place).is_lead {
+            return;
+        }
+        let view = self.hosts[place].evacuation.latest().cloned();
         let alive = self.hosts[place].roster.alive(now);
         let targets: Vec<_> = alive.map(|(_, info)| self.places[&info.heartbeat_address]).collect();
         for target in targets {
             if self.rng.u8(0..100) >= self.loss_percent {
-                self.hosts[target].fleet.upsert(now, entry(self.version));
+                let target = &mut self.hosts[target];
+                target.fleet.upsert(now, entry(self.version));
+                view.iter().for_each(|view| target.merge_evacuation(now, view.clone()));
             }
         }
     }
@@ -252,12 +276,15 @@
         if self.hosts[from].is_frozen || self.hosts[to].is_frozen {
             return;
         }
+        if self.part == SpreadPart::Evacuations && !self.sync_evacuations(from, to) {
+            return;
+        }
         let evidence = self.hosts[from].evidence.attest(
             self.now,
             &EraKeeper::default(),
             (incarnation, echo, held),
         );
-        if !self.is_config {
+        if self.part == SpreadPart::Servers {
             return self.send_list(from, to, &evidence);
         }
         let host = &mut self.hosts[to];
@@ -289,13 +316,45 @@
         self.hosts[to].roster.reset_unanswered();
     }
 
+    /// Compares the digest of a host with that in a heartbeat or poll; the hosts send each other
+    /// their views if they differ. Returns whether the heartbeat or poll arrived.
+    fn sync_evacuations(&mut self, from: usize, to: usize) -> bool {
+        if self.is_lost() {
+            return false;
+        }
+        let [one, other] = [from, to].map(|place| &self.hosts[place].evacuation);
+        let mut sent = Vec::new();
+        if one.digest() != other.digest() {
+            sent.extend(other.reports(self.now, true).into_iter().map(|view| (from, view)));
+            // The receiver of a later view than its own is sent that view in reply.
+            let views = one.reports(self.now, true).into_iter();
+            sent.extend(views.filter(|view| other.latest() != Some(view)).map(|view| (to, view)));
+        }
+        for (place, view) in sent {
+            if !self.is_lost() {
+                self.hosts[place].merge_evacuation(self.now, view);
+            }
+        }
+        true
+    }
+
+    fn is_lost(&mut self) -> bool {
+        self.rng.u8(0..100) < self.loss_percent
+    }
+
     /// Returns the number of hosts with access to the store that have an older version than it.
-    fn behind(&self) -> usize {
-        let version = |host: &SpreadHost| match self.is_config {
-            true => host.evidence.version(),
-            false => {
+    pub(crate) fn behind(&self) -> usize {
+        let version = |host: &SpreadHost| match self.part {
+            SpreadPart::Config => host.evidence.version(),
+            SpreadPart::Servers => {
                 host.fleet.get(entry(1).tag()).map_or(0, |record| record.entry.revision.number)
             }
+            SpreadPart::Evacuations => {
+                let is_evacuated =
+                    !host.evacuation.domains(self.now, &EraKeeper::default()).is_empty();
+                let is_known = is_evacuated == self.version.is_multiple_of(2);
+                if is_known { self.version } else { 0 }
+            }
         };
         let is_behind =
             |host: &&SpreadHost| !host.is_cut && !host.is_frozen && version(host) < self.version;
@@ -303,6 +362,37 @@
     }
 }
 
+/// Evacuations at a version of the store.
+fn evacuations(version: u64) -> EvacuationView {
+    let domains = version.is_multiple_of(2).then(|| ("key".into(), "a".into()));
+    EvacuationView { revision: version.into(), domains: domains.into_iter().collect() }
+}
+
+impl SpreadHost {
+    /// Applies what a read or a watch of the store returned.
+    fn read_evacuation(&mut self, now: Time, version: u64, is_watch: bool) {
+        if !is_watch {
+            return self.merge_evacuation(now, evacuations(version));
+        }
+        let changes = self.evacuation.revision().number + 1..=version;
+        let changes = changes.map(|number| EvacuationChange {
+            key: "key".into(),
+            domain: evacuations(number).domains.into_values().next(),
+            number,
+        });
+        self.evacuation.apply_changes(
+            now,
+            &EraKeeper::default(),
+            changes.collect(),
+            version.into(),
+        );
+    }
+
+    fn merge_evacuation(&mut self, now: Time, view: EvacuationView) {
+        self.evacuation.merge(now, &EraKeeper::default(), view);
+    }
+}
+
 fn info(port: u16) -> HostInfo {
     HostInfo {
         name: format!("h{port}").into(),
@@ -368,7 +458,7 @@
         let case_count = if count < 1_000 { cases.len() } else { 2 };
         for (seed, is_frozen, loss_percent) in cases.into_iter().take(case_count) {
             let mut fleet = SpreadFleet::start(count, limit, seed);
-            (fleet.is_config, fleet.loss_percent) = (false, loss_percent);
+            (fleet.part, fleet.loss_percent) = (SpreadPart::Servers, loss_percent);
             fleet.run(Duration::from_secs(8));
             assert_eq!(fleet.behind(), 0, "{count} hosts, seed {seed}: the first version");
             for place in 0..fleet.hosts.len() {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod document;
 pub mod entry;
 pub mod era;
+pub mod evacuation;
 pub mod evidence;
 pub mod feed;
 pub mod fleet;
