Give no work to servers of evacuated domains

Cause: the dispatcher does not know that a domain is evacuated. Ruled out: a check in each choice, because every path that picks or checks a server already asks the table of servers. FleetTable::accepts_work is false for servers of an evacuated domain, and the end of a pause there is not waited for. If all servers that stay are in evacuated domains, requests are refused at once with the reason `evacuated` and 2 s or more as Retry-After. Before: nothing.

--- a/crates/core/src/dispatch/decide.rs
+++ b/crates/core/src/dispatch/decide.rs
@@ -152,6 +152,9 @@
         let has_time = now + Duration::from_secs_f64(first_ms / 1e3) < limit;
         let is_candidate = |(tag, _): &(EngineTag, _)| !excluded.contains(tag);
         let engines = self.fleet.usable(now, service).filter(is_candidate).count();
+        if engines == 0 && self.fleet.is_evacuated(service) {
+            return PlacementDecision::Refuse;
+        }
         if engines == 0
             && let Some(pause_end) = self.fleet.next_pause_end(now, service, excluded)
         {
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -31,6 +31,8 @@
 mod decide;
 #[cfg(test)]
 mod drain_tests;
+#[cfg(test)]
+mod evacuation_tests;
 mod forecast;
 mod headroom;
 mod limited;
--- a/crates/core/src/dispatch/refusal.rs
+++ b/crates/core/src/dispatch/refusal.rs
@@ -14,6 +14,8 @@
 /// Longest `Retry-After` derived from the queueing delay. Overloads last seconds, and the forecast
 /// is no more precise than that.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
+/// `Retry-After` while all failure domains of a service are evacuated, which operators end by hand.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Largest jitter added to `Retry-After`, as a fraction of it.
 const RETRY_JITTER: f64 = 0.5;
 /// Least urgent rank with a jitter band of its own; ranks below share it.
@@ -53,9 +55,12 @@
         let excluded = work.map(|work| work.excluded).unwrap_or_default();
         let has_usable = self.fleet.usable(now, service).next().is_some();
         let pause_end = self.fleet.next_pause_end(now, service, &excluded).filter(|_| !has_usable);
-        let is_served = has_usable || pause_end.is_some();
-        let reason = if is_served { Reason::Overloaded } else { Reason::NoEngine };
-        let pause_left = pause_end.map_or(Duration::ZERO, |at| at.since(now));
+        let (reason, pause_left) = match pause_end {
+            _ if self.fleet.is_evacuated(service) => (Reason::Evacuated, EVACUATED_RETRY_AFTER),
+            Some(at) => (Reason::Overloaded, at.since(now)),
+            None if has_usable => (Reason::Overloaded, Duration::ZERO),
+            None => (Reason::NoEngine, Duration::ZERO),
+        };
         let delay =
             Duration::from_secs_f64(queue_delay_ms / 1e3).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         let retry_after =
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -6,7 +6,12 @@
 //! the results of real requests count. If discovery stops, the last known list stays in use.
 //! Entries that expire during an outage of the store get a grace period in which to register again.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use parsley_macros::{key, message, value};
 
@@ -270,6 +275,8 @@
     missing_count: usize,
     notices: NoticeTable,
     limits: LimitTable,
+    /// Failure domains whose servers get no new work.
+    evacuated: BTreeSet<Arc<str>>,
     list: ListState,
     /// What is known of removed entries, so that neither a delayed older update nor a copy restores
     /// them.
--- a/crates/core/src/fleet/notice.rs
+++ b/crates/core/src/fleet/notice.rs
@@ -7,7 +7,12 @@
 //! applies. Other hosts learn of a notice only through a higher failure estimate. A pause ends by
 //! itself when its time is over.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use parsley_macros::{key, value};
 
@@ -198,7 +203,36 @@
 
     pub(super) fn accepts_work(&self, now: Time, tag: EngineTag, record: &EngineRecord) -> bool {
         let until = self.notices.paused_until(tag, &record.entry);
-        self.is_staying(tag, record) && until.is_none_or(|until| until <= now)
+        self.is_staying(tag, record)
+            && !self.is_domain_evacuated(record)
+            && until.is_none_or(|until| until <= now)
+    }
+
+    /// Sets the failure domains whose servers get no new work.
+    pub fn set_evacuated(&mut self, domains: BTreeSet<Arc<str>>) {
+        self.evacuated = domains;
+    }
+
+    fn is_domain_evacuated(&self, record: &EngineRecord) -> bool {
+        !self.evacuated.is_empty() && self.evacuated.contains(&record.entry.failure_domain)
+    }
+
+    /// Returns whether all servers of a service that are neither leaving nor replaced are in
+    /// evacuated failure domains; `false` if there are none.
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        if self.evacuated.is_empty() {
+            return false;
+        }
+        let of_service = self.iter().filter(|(_, record)| &*record.entry.service == service);
+        let mut staying = of_service.filter(|(tag, record)| self.is_staying(*tag, record));
+        let Some((_, first)) = staying.next() else { return false };
+        self.is_domain_evacuated(first)
+            && staying.all(|(_, record)| self.is_domain_evacuated(record))
+    }
+
+    /// Returns whether a known server is in the failure domain.
+    pub fn has_domain(&self, domain: &str) -> bool {
+        self.engines.values().any(|record| &*record.entry.failure_domain == domain)
     }
 
     /// Returns whether the pause of a server is over but no request has been served since. Like the
@@ -213,7 +247,8 @@
     pub fn next_pause_end(&self, now: Time, service: &str, excluded: &[EngineTag]) -> Option<Time> {
         let is_candidate = |(tag, record): &(EngineTag, &EngineRecord)| {
             let is_of_service = &*record.entry.service == service;
-            is_of_service && self.is_staying(*tag, record) && !excluded.contains(tag)
+            let may_serve = self.is_staying(*tag, record) && !self.is_domain_evacuated(record);
+            is_of_service && may_serve && !excluded.contains(tag)
         };
         let candidates = self.iter().filter(is_candidate);
         let pauses =
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -86,11 +86,13 @@
     InProgress,
     /// The outcome of an at-most-once call cannot be determined.
     OutcomeUnknown,
+    /// All failure domains with servers of the service are evacuated.
+    Evacuated,
 }
 
 impl Reason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [Reason; 27] = [
+    pub const ALL: [Reason; 28] = [
         Reason::BadRequest,
         Reason::Unauthenticated,
         Reason::Forbidden,
@@ -118,6 +120,7 @@
         Reason::Cancelled,
         Reason::InProgress,
         Reason::OutcomeUnknown,
+        Reason::Evacuated,
     ];
 
     /// Returns the name used in answers, logs and metrics.
@@ -150,6 +153,7 @@
             Reason::Cancelled => "cancelled",
             Reason::InProgress => "in-progress",
             Reason::OutcomeUnknown => "outcome-unknown",
+            Reason::Evacuated => "evacuated",
         }
     }
 
@@ -178,7 +182,8 @@
             | Reason::ServiceFailed
             | Reason::EngineFailed
             | Reason::PromptQuarantined
-            | Reason::Draining => 503,
+            | Reason::Draining
+            | Reason::Evacuated => 503,
         }
     }
 }
