Spread evacuations between hosts

Cause: hosts that do not watch the store must learn of an evacuation within seconds, without calls of their own. Ruled out: a layout change of heartbeats, because versions are mixed during an upgrade. A new datagram at the end of the enum carries a whole view. Events E2601 to E2605, the number of evacuated domains and the age of the view tell operators. Before: nothing. Conclusion: without evacuations nothing more is sent than before.

--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -11,6 +11,7 @@
 use parsley_core::{
     dispatch::DispatchInput,
     era::StoreRevision,
+    evacuation::EvacuationView,
     evidence::{EvidenceEffect, PeerEvidence},
     fleet::{EngineEstimate, LimitReport, ListEvidence},
     permit::{PermitReply, PermitRequest},
@@ -23,6 +24,7 @@
 
 use super::{
     Gateway, GatewayRef, GatewayState, ServerChange, clock,
+    evacuation::evacuation_datagrams,
     listing::{self, ListUpdate},
 };
 use crate::{error::NodeError, event};
@@ -50,7 +52,8 @@
         clock: u64,
         evidence: PeerEvidence,
         list: ListEvidence,
-        /// Digest of what the sender knows of request limits and of suspect parts of prompts.
+        /// Digest of what the sender knows of request limits, suspect parts of prompts and
+        /// evacuations.
         beliefs_digest: u64,
         /// Whether the sender counts the receiver as a member.
         counts_receiver: bool,
@@ -72,7 +75,8 @@
         members_digest: u64,
         /// Revision up to which the sender knows every change of the servers.
         list_revision: StoreRevision,
-        /// Digest of what the sender knows of request limits and of suspect parts of prompts.
+        /// Digest of what the sender knows of request limits, suspect parts of prompts and
+        /// evacuations.
         beliefs_digest: u64,
     },
     /// Response to a [`PeerDatagram::SyncRequest`], or unsolicited to a host that wrongly acts as a
@@ -82,7 +86,8 @@
         /// Infos of the live members; `None` if the requester's digest matches.
         members: Option<Vec<HostInfo>>,
         list: ListUpdate,
-        /// Digest of what the sender knows of request limits and of suspect parts of prompts.
+        /// Digest of what the sender knows of request limits, suspect parts of prompts and
+        /// evacuations.
         beliefs_digest: u64,
     },
     /// What servers named as their request limits.
@@ -104,6 +109,8 @@
     ListResponse { evidence: PeerEvidence, list: ListUpdate },
     /// What the sender knows of parts of prompts under which engines crashed.
     PartReports { reply_to: SocketAddr, reports: Vec<PartReport> },
+    /// The evacuations of failure domains that the sender knows of.
+    Evacuations { reply_to: SocketAddr, view: EvacuationView },
 }
 
 /// Binds the socket and starts the tasks that send and receive.
@@ -221,6 +228,7 @@
         let targets = state.roster.heartbeat_targets(now, &state.host_info);
         let mut states = state_datagrams(state, now);
         states.extend(limit_datagram(state, now, false));
+        states.extend(evacuation_datagrams(state, now, false));
         (targets, states)
     };
     for target in targets {
@@ -385,6 +393,7 @@
         PeerDatagram::PermitReply(reply) => gateway.receive_permits(reply),
         PeerDatagram::SyncResponse { evidence, members, list, beliefs_digest } => {
             gateway.sync_beliefs(from, beliefs_digest);
+            gateway.confirm_evacuations(&evidence, beliefs_digest);
             let now = clock::now();
             {
                 let state = &mut *gateway.state.borrow_mut();
@@ -403,6 +412,7 @@
         } => {
             let address = host_info.heartbeat_address;
             gateway.sync_beliefs(address, beliefs_digest);
+            gateway.confirm_evacuations(&evidence, beliefs_digest);
             handle_heartbeat(gateway, socket, host_info, clock, counts_receiver);
             listing::merge_evidence(gateway, socket, address, &evidence, &list);
             merge_evidence(gateway, clock::now(), from, &evidence);
@@ -424,6 +434,7 @@
         PeerDatagram::PartReports { reply_to, reports } => {
             gateway.merge_part_reports(reply_to, &reports);
         }
+        PeerDatagram::Evacuations { reply_to, view } => gateway.merge_evacuations(reply_to, view),
     }
 }
 
@@ -499,6 +510,7 @@
             let state = gateway.state.borrow();
             let mut states = state_datagrams(&state, now);
             states.extend(limit_datagram(&state, now, true));
+            states.extend(evacuation_datagrams(&state, now, true));
             states
         };
         states.iter().for_each(|bytes| send(gateway, socket, host_info.heartbeat_address, bytes));
--- a/crates/node/src/gateway/feed.rs
+++ b/crates/node/src/gateway/feed.rs
@@ -215,7 +215,7 @@
         if is_config {
             return FeedContext::from_facts(&FeedFacts {
                 is_config,
-                limit: self.settings.evidence.apply_limit,
+                limit: self.config_limit(),
                 is_lead,
                 is_member,
                 is_known: state.catalog.is_some(),
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -80,6 +80,11 @@
     pub quarantined_parts: IntGauge,
     /// Retries left in the budgets of all services.
     pub retry_budget_left: IntGauge,
+    /// Evacuated failure domains with servers.
+    pub evacuated_domains: IntGauge,
+    /// Age of the proof that all evacuations are known, in milliseconds; the maximum if there is
+    /// none, 0 if the deployment has no evacuations.
+    pub evacuation_age: IntGauge,
 }
 
 impl GatewayMetrics {
@@ -224,6 +229,16 @@
                 "gateway_retry_budget_left",
                 "Repeats that may still be sent.",
             ),
+            evacuated_domains: gauge(
+                &registry,
+                "gateway_evacuated_domains",
+                "Evacuated failure domains with servers.",
+            ),
+            evacuation_age: gauge(
+                &registry,
+                "gateway_evacuation_age_milliseconds",
+                "Age of the proof that all evacuations are known.",
+            ),
             registry,
         }
     }
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -48,6 +48,7 @@
 pub mod clock;
 mod drain;
 pub mod edge;
+mod evacuation;
 mod exchange;
 mod feed;
 mod forward;
@@ -76,6 +77,7 @@
 
 use budget::MemoryBudget;
 use edge::ResponseInfo;
+use evacuation::EvacuationState;
 use line_budget::LineBudget;
 use link::ConnectionPool;
 
@@ -108,6 +110,9 @@
     pub reservation: ReservationLimits,
     /// Memory that the process may use, in bytes.
     pub memory_limit: u64,
+    /// Time after which an evacuated failure domain gets no request any more; `None` if the
+    /// deployment has no evacuations.
+    pub evacuation_limit: Option<Duration>,
 }
 
 /// Server chosen for a request.
@@ -154,6 +159,8 @@
     permit_issuer: PermitIssuer,
     /// Parts of prompts that crash engines.
     quarantine: PartQuarantine,
+    /// Failure domains that are evacuated.
+    evacuation: EvacuationState,
     /// When changes of the server list were last requested from a peer.
     list_requested: Option<Time>,
     /// Server changes to send to peers.
@@ -180,7 +187,8 @@
     /// Digest of what this host knows and all hosts must respect.
     fn beliefs_digest(&self) -> u64 {
         let limits = self.dispatcher.fleet.limits_digest();
-        self.quarantine.digest().wrapping_add(limits)
+        let evacuations = self.evacuation.keeper.digest();
+        self.quarantine.digest().wrapping_add(limits).wrapping_add(evacuations)
     }
 }
 
@@ -248,6 +256,7 @@
             store_lost: (false, false),
             permit_issuer: PermitIssuer::default(),
             quarantine: PartQuarantine::default(),
+            evacuation: EvacuationState::default(),
             list_requested: None,
             pending_server_changes: Vec::new(),
             peer_clocks: BTreeMap::new(),
@@ -402,6 +411,10 @@
             DispatchOutput::Refuse { number, reason, retry_after, is_limited } => {
                 let refusal = match (reason, is_limited) {
                     (Reason::Draining, _) => self.drain_refusal(retry_after),
+                    (Reason::Evacuated, _) => {
+                        let detail = "all failure domains of the service are evacuated";
+                        Refusal::not_run(reason, detail).retry_after(retry_after)
+                    }
                     (_, true) => {
                         let detail = "the request limits of the servers leave no room in time";
                         Refusal::not_run(reason, detail).retry_after(retry_after)
@@ -493,6 +506,7 @@
     fn sweep(&self) {
         self.connections.remove_expired();
         self.sweep_quarantine();
+        self.sweep_evacuations();
         self.update_readiness();
         let now = clock::now();
         let mut state = self.state.borrow_mut();
--- a/crates/node/src/gateway/quarantine.rs
+++ b/crates/node/src/gateway/quarantine.rs
@@ -15,6 +15,7 @@
     Gateway, GatewayRef, GatewayState,
     beats::{self, PeerDatagram},
     clock,
+    evacuation::evacuation_datagrams,
     exchange::Exchange,
     listener::with_timeout,
 };
@@ -126,19 +127,24 @@
         });
     }
 
-    /// Sends a peer with another digest what this host knows of request limits and suspect parts.
+    /// Sends a peer with another digest what this host knows of request limits, suspect parts and
+    /// evacuations.
     pub(super) fn sync_beliefs(&self, target: SocketAddr, digest: u64) {
-        let (reports, limits) = {
+        let (reports, datagrams) = {
             let state = self.state.borrow();
             if state.beliefs_digest() == digest {
                 return;
             }
             let now = clock::now();
             let reports = state.quarantine.reports(now, REPORTS_PER_PEER);
-            (reports, beats::limit_datagram(&state, now, true))
+            let mut datagrams = evacuation_datagrams(&state, now, true);
+            datagrams.extend(beats::limit_datagram(&state, now, true));
+            (reports, datagrams)
         };
-        if let Some(bytes) = limits {
-            beats::with_ephemeral_socket(self, |socket| beats::send(self, socket, target, &bytes));
+        if !datagrams.is_empty() {
+            beats::with_ephemeral_socket(self, |socket| {
+                datagrams.iter().for_each(|bytes| beats::send(self, socket, target, bytes));
+            });
         }
         if !reports.is_empty() {
             self.send_part_reports(&[target], reports);
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -126,6 +126,12 @@
     CALLER_DISCONNECTED: "E2406" Info "caller disconnected" ["request", "attempts", "total_ms"];
     LINES_DROPPED: "E2407" Warning "log lines dropped" ["count"];
     CALLER_CONNECTION_FAILED: "E2408" Info "caller connection failed" ["from", "error"];
+    DOMAIN_EVACUATED: "E2601" Warning "failure domain evacuated"
+        ["domain", "key", "era", "revision", "from"];
+    EVACUATION_WITHDRAWN: "E2602" Info "evacuation withdrawn" ["domain", "era", "revision", "from"];
+    EVACUATION_UNKNOWN: "E2603" Warning "evacuation of an unknown failure domain" ["key"];
+    EVACUATION_INVALID: "E2604" Warning "malformed evacuation" ["key", "error"];
+    EVACUATIONS_OLD: "E2605" Warning "evacuations may be old" ["age_ms", "limit_ms"];
 }
 
 /// Logs an event of the catalogue: `event!(log, EVENT, "field" => value)`.
