Plan hedges within a share of a host's requests

A few slow responses decide the 0.99 quantile, and operators accept some extra work on servers if it shortens them. Ruled out: a fixed delay, which hedges every request once all servers are slow; a limit exchanged between hosts, because hosts that each keep the share of their own requests keep it together.

The planner hedges a request that takes longer than a quantile of the latencies of its service and size class. The quantile is 1 - share, bounded to 0.9 and 0.98. Nothing calls the planner yet.

Before: no planner. After: `cargo test -p parsley-core hedge`, 3 passed in 0.8 s. With a window of requests twice as long, with no check for waiting requests and with latencies that are never replaced the tests fail, one each.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod fleet;
 pub mod group;
 pub mod health;
+pub mod hedge;
 pub mod key;
 pub mod member;
 pub mod order;
