Give the gateway's request modules one direction

attempt.rs, exchange.rs, forward.rs, listener.rs, memory.rs and retry.rs imported each other in circles, so two copies of a request had no place above the single attempt. Ruled out: a trait between the layers, because the types need no variation.

The caller's side (caller.rs) uses the choice of attempts (attempts.rs), which uses one attempt; all use the request's type (exchange.rs). `with_timeout` joins the clock. Code is only moved.

Before: six modules in circles.

--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -15,11 +15,10 @@
 use super::{
     Placement,
     body::{BodyChunk, EventSplitter, ResponseBody},
-    clock,
+    clock::{self, with_timeout},
     exchange::{Exchange, RequestProgress},
     forward::{build_request, strip_hop_by_hop_headers},
     link::{SendError, ServerConnection},
-    listener::with_timeout,
     memory,
     pace::StreamPace,
     quarantine::SentProcess,
--- a/crates/node/src/gateway/listener.rs
+++ b/crates/node/src/gateway/listener.rs
@@ -3,7 +3,6 @@
 use std::{
     cell::Cell,
     convert::Infallible,
-    future::Future,
     net::{SocketAddr, TcpListener},
     pin::pin,
     rc::Rc,
@@ -26,7 +25,7 @@
 use super::{
     Gateway, GatewayRef,
     body::{DropHook, TrackedBody},
-    clock, exchange,
+    caller, clock,
     yielding::YieldingStream,
 };
 use crate::{error::NodeError, event};
@@ -210,7 +209,7 @@
 ) -> Result<Response<TrackedBody>, Infallible> {
     caller.requests.set(caller.requests.get() + 1);
     let on_end = DropHook(Some(Box::new(move || caller.end_request())));
-    let mut response = exchange::serve(&gateway, request).await;
+    let mut response = caller::serve(&gateway, request).await;
     if gateway.drain_time_left().is_some() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -251,17 +250,3 @@
     });
     Ok(())
 }
-
-/// Runs a future for at most `limit`; `None` if it did not finish. Without time left it is not run
-/// at all, so that a loop over input that is always ready ends.
-pub async fn with_timeout<T>(limit: Duration, work: impl Future<Output = T>) -> Option<T> {
-    if limit.is_zero() {
-        return None;
-    }
-    let work = async { Some(work.await) };
-    let end = async {
-        Timer::after(limit).await;
-        None
-    };
-    work.or(end).await
-}
--- a/crates/node/src/gateway/memory.rs
+++ b/crates/node/src/gateway/memory.rs
@@ -13,8 +13,12 @@
 use parsley_macros::value;
 
 use super::{
-    GatewayRef, Placement, body::RequestBody, clock, edge::ReservationRequest, exchange::Exchange,
-    link::ServerConnection, listener::with_timeout,
+    GatewayRef, Placement,
+    body::RequestBody,
+    clock::{self, with_timeout},
+    edge::ReservationRequest,
+    exchange::Exchange,
+    link::ServerConnection,
 };
 use crate::event;
 
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -42,9 +42,11 @@
 use crate::event;
 
 mod attempt;
+mod attempts;
 mod beats;
 mod body;
 mod budget;
+mod caller;
 pub mod clock;
 mod drain;
 pub mod edge;
@@ -68,9 +70,10 @@
 mod yielding;
 
 pub use body::RequestBody;
+pub use clock::with_timeout;
 pub use edge::WireCodec;
 pub use feed::ServerChange;
-pub use listener::{serve_pages, with_timeout};
+pub use listener::serve_pages;
 pub use memory::ReservationLimits;
 pub use metrics::GatewayMetrics;
 
--- a/crates/node/src/gateway/quarantine.rs
+++ b/crates/node/src/gateway/quarantine.rs
@@ -14,9 +14,8 @@
 use super::{
     Gateway, GatewayRef, GatewayState,
     beats::{self, PeerDatagram},
-    clock,
+    clock::{self, with_timeout},
     exchange::Exchange,
-    listener::with_timeout,
 };
 use crate::event;
 
--- a/crates/node/src/gateway/retry.rs
+++ b/crates/node/src/gateway/retry.rs
@@ -4,7 +4,10 @@
 
 use parsley_core::{fleet::EngineTag, time::Time};
 
-use super::{clock, exchange::Exchange, listener::with_timeout};
+use super::{
+    clock::{self, with_timeout},
+    exchange::Exchange,
+};
 
 /// Interval of the checks for another server with room, while the current one is silent.
 const PLACE_CHECK_PERIOD: Duration = Duration::from_millis(250);
