Hedge slow repeatable requests through a second server

A slow response of one server decides the tail of a repeatable request, although other servers are free. A retry helps only after twice the target. Ruled out: a second copy outside the normal placement, because it would pass by pauses, limits and capacity.

The gateway runs two attempts as values of one type. The hedge has its own work number, is placed without the first server and without servers that are suspected or limited, and is charged to the retry budget and the route's attempts. The first whole response wins; the other copy is dropped.

--- a/crates/core/src/hedge/mod.rs
+++ b/crates/core/src/hedge/mod.rs
@@ -125,19 +125,19 @@
     }
 
     /// Decides on the hedge of a request whose first copy has run for `age`, while `waiting`
-    /// requests of its service wait for capacity.
+    /// requests of its service wait for capacity; they are counted only when needed.
     pub fn decide(
         &mut self,
         now: Time,
         class: HedgeClass,
         age: Duration,
-        waiting: usize,
+        waiting: impl FnOnce() -> usize,
     ) -> HedgeDecision {
         let Some(delay) = self.delay(now, class) else { return HedgeDecision::Unmeasured };
         if age < delay {
             return HedgeDecision::Wait(delay - age);
         }
-        if waiting > 0 {
+        if waiting() > 0 {
             return HedgeDecision::RequestsWait;
         }
         let share = self.share;
--- a/crates/core/src/hedge/tests.rs
+++ b/crates/core/src/hedge/tests.rs
@@ -38,7 +38,7 @@
                 if age >= *latency {
                     self.planner.record_latency(now, CLASS, *latency);
                 } else if next.is_some_and(|next| next <= now) {
-                    let decision = self.planner.decide(now, CLASS, age, waiting);
+                    let decision = self.planner.decide(now, CLASS, age, || waiting);
                     *next = match decision {
                         HedgeDecision::Wait(left) => Some(now + left),
                         _ => None,
--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -10,6 +10,7 @@
     dispatch::DispatchInput,
     fleet::{EngineTag, EngineVerdict},
     time::Time,
+    work::WorkNumber,
 };
 
 use super::{
@@ -73,15 +74,26 @@
     }
 }
 
-/// Sends a request to the server of its placement and relays the response.
-pub async fn run(
-    exchange: &Exchange,
-    placement: &Placement,
-    stream: &mut CallerStream,
-    progress: &RequestProgress,
-    alive: &async_channel::WeakSender<()>,
-    permit: &RetryPermit<'_>,
-) -> AttemptEnd {
+/// One copy of a request, to be sent to the server of its placement.
+pub struct Attempt<'a> {
+    /// Request to send.
+    pub exchange: &'a Exchange,
+    /// Number of the copy's work: the request's own, or that of a hedge.
+    pub number: WorkNumber,
+    /// Server that gets the copy.
+    pub placement: &'a Placement,
+    /// Progress of the request, shared by its copies.
+    pub progress: &'a RequestProgress,
+    /// Whether the caller is still connected.
+    pub alive: &'a async_channel::WeakSender<()>,
+    /// Decides when the server is given up.
+    pub permit: &'a RetryPermit<'a>,
+}
+
+/// Sends a request to the server of its placement and relays the response. Dropping the future
+/// closes the connection.
+pub async fn run(attempt: &Attempt<'_>, stream: &mut CallerStream) -> AttemptEnd {
+    let Attempt { exchange, number, placement, progress, alive, permit } = *attempt;
     let gateway = &exchange.gateway;
     let engine = placement.engine;
     let not_sent = || {
@@ -89,7 +101,7 @@
         AttemptEnd::HeldBack("the server is gone or wants nothing".into())
     };
     let Some((address, instance)) = server_target(exchange, engine) else { return not_sent() };
-    let reservation = match memory::reserve(exchange, placement).await {
+    let reservation = match memory::reserve(exchange, number, placement).await {
         Ok(reservation) => reservation,
         Err(fault) => return AttemptEnd::NotRun(fault),
     };
@@ -166,7 +178,8 @@
     (EngineVerdict::Failed, end)
 }
 
-fn verdict_name(verdict: EngineVerdict) -> &'static str {
+/// Name of a verdict in the metrics.
+pub fn verdict_name(verdict: EngineVerdict) -> &'static str {
     match verdict {
         EngineVerdict::Good => "good",
         EngineVerdict::Failed => "failed",
@@ -301,18 +314,14 @@
         let mut response = Response::new(ResponseBody::whole(bytes, Some(held)));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
-        if status.is_server_error() && self.permit.may_retry.get() {
+        if status.is_server_error() {
             return (EngineVerdict::Failed, AttemptEnd::ServerError(response));
         }
-        self.progress.first_part.set(Some(clock::now()));
         if status.is_success() {
             self.exchange.gateway.record_answer(self.exchange);
         }
-        // Fails only if the caller has left; it needs no response then.
-        let _ = self.exchange.reply.try_send(response);
-        let verdict =
-            if status.is_server_error() { EngineVerdict::Failed } else { EngineVerdict::Good };
-        (verdict, AttemptEnd::Answered(status))
+        self.exchange.answer(self.progress, response);
+        (EngineVerdict::Good, AttemptEnd::Answered(status))
     }
 
     /// Forwards each event to the caller as soon as it is complete.
--- a/crates/node/src/gateway/attempts.rs
+++ b/crates/node/src/gateway/attempts.rs
@@ -11,10 +11,11 @@
 
 use super::{
     Placement,
-    attempt::{self, AttemptEnd, CallerStream},
+    attempt::{Attempt, AttemptEnd, CallerStream},
     body::ResponseBody,
     clock,
     exchange::{Exchange, RequestEnd, RequestProgress},
+    hedge,
     retry::RetryPermit,
 };
 use crate::event;
@@ -58,11 +59,25 @@
                 is_granted: Cell::new(false),
                 next_check: Cell::new(Time::ZERO),
             };
-            let end = attempt::run(&self, &placement, &mut stream, progress, alive, &permit).await;
+            let first = Attempt {
+                exchange: &self,
+                number: self.number,
+                placement: &placement,
+                progress,
+                alive,
+                permit: &permit,
+            };
+            let (end, hedged) = hedge::run(&first, &mut stream).await;
+            let may_retry = permit.may_retry.get();
             let is_paid = permit.is_granted.get();
             let is_lost = matches!(end, AttemptEnd::ConnectionLost(_));
             let (fault, not_run) = match end {
                 AttemptEnd::Answered(status) => return RequestEnd::Answered(status),
+                AttemptEnd::ServerError(response) if !may_retry => {
+                    let status = response.status();
+                    self.answer(progress, response);
+                    return RequestEnd::Answered(status);
+                }
                 AttemptEnd::ServerError(response) => {
                     may_have_run = true;
                     let fault = "the server answered with a failure";
@@ -80,6 +95,7 @@
                     (fault, false)
                 }
             };
+            excluded.extend(hedged);
             progress.may_have_run.set(may_have_run);
             if gateway.log_budget.may_write(clock::now(), true) {
                 event!(gateway.log, ATTEMPT_FAILED, "request" => &*self.id, "server" => engine.0,
@@ -139,7 +155,8 @@
         }
     }
 
-    fn log_placement(&self, placement: &Placement, attempt: u32, wait_start: Time) {
+    /// Logs the placement of a copy as the given attempt.
+    pub fn log_placement(&self, placement: &Placement, attempt: u32, wait_start: Time) {
         let now = clock::now();
         if !self.gateway.log_budget.may_write(now, false) {
             return;
--- a/crates/node/src/gateway/caller.rs
+++ b/crates/node/src/gateway/caller.rs
@@ -81,8 +81,10 @@
         Some(gateway.abandoned_end(&progress))
     };
     let end = work.or(drain_over).or(caller_left).await;
-    gateway.dispatch(DispatchInput::RequestEnded(number));
-    gateway.state.borrow_mut().waiters.remove(&number);
+    for number in [Some(number), progress.hedge.get()].into_iter().flatten() {
+        gateway.dispatch(DispatchInput::RequestEnded(number));
+        gateway.state.borrow_mut().waiters.remove(&number);
+    }
     gateway.open_requests.set(gateway.open_requests.get() - 1);
     finish_request(&gateway, &id, arrived, &progress, end, reply);
 }
--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, sync::Arc, time::Duration};
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri, body::Bytes};
 use parsley_core::{
     catalog::{ExecutionPolicy, ServingRoute},
@@ -21,6 +21,9 @@
     edge::RequestInfo,
 };
 
+/// Placement of a copy, or the dispatcher's refusal.
+pub type PlacementResult = Result<Placement, Refusal>;
+
 /// Request that is being served.
 pub struct Exchange {
     pub gateway: GatewayRef,
@@ -52,6 +55,8 @@
     pub prompt_tokens: Cell<u32>,
     /// Whether a server may have run the request.
     pub may_have_run: Cell<bool>,
+    /// Work of the request's hedge, to be ended with the request.
+    pub hedge: Cell<Option<WorkNumber>>,
     /// Whether the head of a streamed response was given to the caller.
     pub has_started: Cell<bool>,
 }
@@ -72,6 +77,13 @@
         self.deadline.since(clock::now())
     }
 
+    /// Sends a whole response to the caller.
+    pub fn answer(&self, progress: &RequestProgress, response: Response<ResponseBody>) {
+        progress.first_part.set(Some(clock::now()));
+        // Fails only if the caller has left; it needs no response then.
+        let _ = self.reply.try_send(response);
+    }
+
     /// Whether the request may be executed again after it may have run.
     pub fn is_repeatable(&self) -> bool {
         self.route.execution == ExecutionPolicy::Idempotent
@@ -100,18 +112,24 @@
         }
     }
 
-    /// Waits for a placement until the deadline.
-    pub async fn wait_for_placement(&self, excluded: &[EngineTag]) -> Result<Placement, Refusal> {
+    /// Submits a copy of the request for a placement, which arrives on the returned channel.
+    pub fn submit(&self, number: WorkNumber, excluded: &[EngineTag]) -> Receiver<PlacementResult> {
         let (sender, receiver) = async_channel::bounded(1);
-        self.gateway.state.borrow_mut().waiters.insert(self.number, sender);
+        self.gateway.state.borrow_mut().waiters.insert(number, sender);
         self.gateway.dispatch(DispatchInput::Submit {
-            number: self.number,
+            number,
             service: self.service.clone(),
             demand: self.work_demand(),
             arrived: self.arrived,
             deadline: self.deadline,
             excluded: excluded.to_vec(),
         });
+        receiver
+    }
+
+    /// Waits for a placement until the deadline.
+    pub async fn wait_for_placement(&self, excluded: &[EngineTag]) -> PlacementResult {
+        let receiver = self.submit(self.number, excluded);
         let timeout_refusal =
             Refusal::not_run(Reason::DeadlineExceeded, "no server was free in time");
         with_timeout(self.time_left(), receiver.recv())
--- a/crates/node/src/gateway/memory.rs
+++ b/crates/node/src/gateway/memory.rs
@@ -9,7 +9,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use hyper::{Method, Request, StatusCode};
-use parsley_core::fleet::EngineTag;
+use parsley_core::{fleet::EngineTag, work::WorkNumber};
 use parsley_macros::value;
 
 use super::{
@@ -60,16 +60,16 @@
     }
 }
 
-/// Reserves the memory that a placement needs. Errs if an engine does not grant it. The memory is
+/// Reserves the memory that the placement of work `number` needs. Errs if an engine does not grant it. The memory is
 /// released when the guard is dropped, also when the caller leaves.
 pub async fn reserve(
     exchange: &Exchange,
+    number: WorkNumber,
     placement: &Placement,
 ) -> Result<MemoryReservation, Arc<str>> {
     let gateway = &exchange.gateway;
     let incarnation = gateway.settings.host_info.incarnation;
-    let name: Arc<str> =
-        format!("{:x}-{}-{}", incarnation, exchange.number.0, clock::now().0).into();
+    let name: Arc<str> = format!("{:x}-{}-{}", incarnation, number.0, clock::now().0).into();
     let targets = helper_targets(exchange, placement);
     if targets.is_empty() {
         return Ok(MemoryReservation { name, _done: None });
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -80,6 +80,8 @@
     pub quarantined_parts: IntGauge,
     /// Retries left in the budgets of all services.
     pub retry_budget_left: IntGauge,
+    /// Second copies of slow requests by what happened: sent, won, or refused by a limit.
+    pub hedges: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -224,6 +226,12 @@
                 "gateway_retry_budget_left",
                 "Repeats that may still be sent.",
             ),
+            hedges: counters(
+                &registry,
+                "gateway_hedges_total",
+                "Second copies of slow requests.",
+                &["event"],
+            ),
             registry,
         }
     }
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -28,6 +28,7 @@
     evidence::{ConfigTrust, EvidenceKeeper, EvidenceLimits, PeerEvidence, ProofSource},
     feed::CALL_LIMIT,
     fleet::{EngineTag, EngineVerdict, LimitNotice, ServerNotice},
+    hedge::HedgePlanner,
     permit::{PermitIssuer, PermitRequest},
     quarantine::PartQuarantine,
     refusal::{Reason, Refusal},
@@ -53,6 +54,7 @@
 mod exchange;
 mod feed;
 mod forward;
+mod hedge;
 mod limits;
 pub mod line_budget;
 pub mod link;
@@ -111,6 +113,8 @@
     pub reservation: ReservationLimits,
     /// Memory that the process may use, in bytes.
     pub memory_limit: u64,
+    /// Hedges over all hosts as a share of the requests, from 0 to 1; 0 is off.
+    pub hedge_share: f64,
 }
 
 /// Server chosen for a request.
@@ -157,6 +161,8 @@
     permit_issuer: PermitIssuer,
     /// Parts of prompts that crash engines.
     quarantine: PartQuarantine,
+    /// Decides on second copies of slow requests.
+    hedge_planner: HedgePlanner,
     /// When changes of the server list were last requested from a peer.
     list_requested: Option<Time>,
     /// Server changes to send to peers.
@@ -251,6 +257,7 @@
             store_lost: (false, false),
             permit_issuer: PermitIssuer::default(),
             quarantine: PartQuarantine::default(),
+            hedge_planner: HedgePlanner::new(settings.hedge_share),
             list_requested: None,
             pending_server_changes: Vec::new(),
             peer_clocks: BTreeMap::new(),
@@ -503,6 +510,7 @@
             event!(self.log, PEER_HEARTBEATS_MISSING, "peer" => &*peer);
         }
         state.roster.purge_silent(now);
+        state.hedge_planner.expire(now);
         let hosts = state.roster.peak_alive();
         let left: f64 =
             state.retry_budgets.values_mut().map(|budget| budget.remaining(now, hosts)).sum();
