--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -89,6 +89,8 @@
     /// Age of the proof that all evacuations are known, in milliseconds; the maximum if there is
     /// none, 0 if the deployment has no evacuations.
     pub evacuation_age: IntGauge,
+    /// Second copies of slow requests by what happened: sent, won, or refused by a limit.
+    pub hedges: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -253,6 +255,12 @@
                 "gateway_evacuation_age_milliseconds",
                 "Age of the proof that all evacuations are known.",
             ),
+            hedges: counters(
+                &registry,
+                "gateway_hedges_total",
+                "Second copies of slow requests.",
+                &["event"],
+            ),
             registry,
         }
     }
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -28,6 +28,7 @@
     evidence::{ConfigTrust, EvidenceKeeper, EvidenceLimits, PeerEvidence, ProofSource},
     feed::CALL_LIMIT,
     fleet::{EngineTag, EngineVerdict, LimitNotice, ServerNotice},
+    hedge::HedgePlanner,
     permit::{PermitIssuer, PermitRequest},
     quarantine::PartQuarantine,
     refusal::{Reason, Refusal},
@@ -42,9 +43,11 @@
 use crate::event;
 
 mod attempt;
+mod attempts;
 mod beats;
 mod body;
 mod budget;
+mod caller;
 pub mod clock;
 mod drain;
 pub mod edge;
@@ -52,6 +55,7 @@
 mod exchange;
 mod feed;
 mod forward;
+mod hedge;
 mod limits;
 pub mod line_budget;
 pub mod link;
@@ -69,9 +73,10 @@
 mod yielding;
 
 pub use body::RequestBody;
+pub use clock::with_timeout;
 pub use edge::WireCodec;
 pub use feed::ServerChange;
-pub use listener::{serve_pages, with_timeout};
+pub use listener::serve_pages;
 pub use memory::ReservationLimits;
 pub use metrics::GatewayMetrics;
 
@@ -113,6 +118,8 @@
     /// Time after which an evacuated failure domain gets no request any more; `None` if the
     /// deployment has no evacuations.
     pub evacuation_limit: Option<Duration>,
+    /// Hedges over all hosts as a share of the requests, from 0 to 1; 0 is off.
+    pub hedge_share: f64,
 }
 
 /// Server chosen for a request.
@@ -161,6 +168,8 @@
     quarantine: PartQuarantine,
     /// Failure domains that are evacuated.
     evacuation: EvacuationState,
+    /// Decides on second copies of slow requests.
+    hedge_planner: HedgePlanner,
     /// When changes of the server list were last requested from a peer.
     list_requested: Option<Time>,
     /// Server changes to send to peers.
@@ -257,6 +266,7 @@
             permit_issuer: PermitIssuer::default(),
             quarantine: PartQuarantine::default(),
             evacuation: EvacuationState::default(),
+            hedge_planner: HedgePlanner::new(settings.hedge_share),
             list_requested: None,
             pending_server_changes: Vec::new(),
             peer_clocks: BTreeMap::new(),
@@ -514,6 +524,7 @@
             event!(self.log, PEER_HEARTBEATS_MISSING, "peer" => &*peer);
         }
         state.roster.purge_silent(now);
+        state.hedge_planner.expire(now);
         let hosts = state.roster.peak_alive();
         let left: f64 =
             state.retry_budgets.values_mut().map(|budget| budget.remaining(now, hosts)).sum();
--- a/crates/node/src/gateway/quarantine.rs
+++ b/crates/node/src/gateway/quarantine.rs
@@ -14,10 +14,9 @@
 use super::{
     Gateway, GatewayRef, GatewayState,
     beats::{self, PeerDatagram},
-    clock,
+    clock::{self, with_timeout},
     evacuation::evacuation_datagrams,
     exchange::Exchange,
-    listener::with_timeout,
 };
 use crate::event;
 
