End callers that read nothing and count their buffers

A caller that never read kept its connection, and what it had not read, until the idle time or for good: nothing looked at a response once its body was handed to the connection. Connections, waiting requests and chunks of streams were in no budget, and the kernel buffered up to 4 MB for each caller.

Ruled out: a limit on writes that find no room. A write succeeds only when a third of the socket's buffer is free again, so a slow reader looks like none.

Each connection, request and stream takes a fixed charge, with a reserve beside bodies; chunks and unsent output count with their bytes. What finds no room is refused with host-memory. The buffer of a response of known length takes no more than that.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod permit;
 pub mod placement;
 pub mod quarantine;
+pub mod reader;
 pub mod record;
 pub mod refusal;
 pub mod request;
--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -14,7 +14,8 @@
 
 use super::{
     Placement,
-    body::{BodyChunk, EventSplitter, ResponseBody},
+    body::{BodyChunk, EventSplitter, ResponseBody, wait_for_room},
+    budget::MemoryUse,
     clock,
     exchange::{Exchange, RequestProgress},
     forward::{build_request, strip_hop_by_hop_headers},
@@ -23,7 +24,7 @@
     memory,
     pace::StreamPace,
     quarantine::SentProcess,
-    receive::receive_body,
+    receive::{TOO_LONG, receive_body},
     retry::RetryPermit,
 };
 
@@ -329,6 +330,7 @@
             return (EngineVerdict::Good, AttemptEnd::Unknown("the caller left".into()));
         }
         let mut splitter = EventSplitter::default();
+        let mut held = self.exchange.gateway.budget.holder(MemoryUse::Response);
         let mut pace = StreamPace::new(clock::now());
         let mut has_event = false;
         let mut last_event = clock::now();
@@ -363,6 +365,9 @@
                     return (EngineVerdict::Failed, AttemptEnd::Unknown(err.to_string().into()));
                 }
             };
+            if !held.try_resize(splitter.buffered()) {
+                return (EngineVerdict::Undecided, AttemptEnd::Unknown(TOO_LONG.into()));
+            }
             let cost = StreamPace::cost(bytes.len(), events.len());
             let mut accepted = Vec::new();
             for event in events {
@@ -410,7 +415,11 @@
             return true;
         };
         // A send fails only if the caller left; the request's task is cancelled then.
-        let sent = chunks.send(BodyChunk::Data(events.into()));
+        let held = self.exchange.gateway.budget.holder(MemoryUse::Output);
+        let sent = async {
+            let held = wait_for_room(held, chunks, events.capacity()).await;
+            chunks.send(BodyChunk::Data(events.into(), held)).await
+        };
         with_timeout(self.exchange.time_left(), sent).await.is_some()
     }
 
--- a/crates/node/src/gateway/body.rs
+++ b/crates/node/src/gateway/body.rs
@@ -3,9 +3,11 @@
 use std::{
     pin::Pin,
     task::{Context, Poll},
+    time::Duration,
 };
 
 use async_channel::{Receiver, Sender};
+use async_io::Timer;
 use bytes::BytesMut;
 use futures_lite::Stream;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
@@ -20,12 +22,28 @@
 
 /// Chunk of a streamed body. A channel that closes without `End` marks a truncated response.
 pub enum BodyChunk {
-    /// Body bytes.
-    Data(Bytes),
+    /// Body bytes and their memory.
+    Data(Bytes, HeldMemory),
     /// End of a complete response.
     End,
 }
 
+/// Interval at which a chunk that found no room looks for it.
+const ROOM_CHECK_PERIOD: Duration = Duration::from_millis(10);
+
+/// Waits until the budget has room for a chunk. A caller that has taken all before it always gets
+/// it, because the memory of its stream covers one chunk.
+pub async fn wait_for_room(
+    mut held: HeldMemory,
+    chunks: &Sender<BodyChunk>,
+    length: usize,
+) -> HeldMemory {
+    while !held.try_take(length) && !chunks.is_empty() {
+        Timer::after(ROOM_CHECK_PERIOD).await;
+    }
+    held
+}
+
 /// Longest piece in which a whole body is handed to the connection, which copies it before it is
 /// written.
 const SLICE_BYTES: usize = 64 << 10;
@@ -155,7 +173,9 @@
             ResponseBody::Stream { chunks, is_done, .. } => {
                 match chunks.as_mut().poll_next(context) {
                     Poll::Pending => Poll::Pending,
-                    Poll::Ready(Some(BodyChunk::Data(bytes))) => {
+                    Poll::Ready(Some(BodyChunk::Data(bytes, held))) => {
+                        // The connection counts what it buffers itself.
+                        held.release();
                         Poll::Ready(Some(Ok(Frame::data(bytes))))
                     }
                     Poll::Ready(Some(BodyChunk::End)) => {
@@ -233,6 +253,11 @@
         self.searched
     }
 
+    /// Bytes of an incomplete event that are buffered.
+    pub fn buffered(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Whether bytes of an incomplete event are buffered.
     pub fn has_partial_event(&self) -> bool {
         !self.pending.is_empty()
--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -1,6 +1,6 @@
 //! Lifecycle of one request, from its headers to the end of its response.
 
-use std::{cell::Cell, sync::Arc, time::Duration};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt;
@@ -24,12 +24,11 @@
     CONFIG_UNAVAILABLE, Gateway, GatewayRef, Placement,
     attempt::{self, AttemptEnd, CallerStream},
     body::ResponseBody,
-    budget::HeldMemory,
     clock,
     edge::RequestInfo,
     listener::with_timeout,
     metrics::GatewayMetrics,
-    receive::receive_request,
+    receive::{RequestMemory, receive_request},
     refuse::{refusal_response, status_of},
     retry::RetryPermit,
 };
@@ -55,8 +54,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
-    /// Memory of the body.
-    _held: HeldMemory,
+    /// Memory of the body and of the request's buffers.
+    _held: RequestMemory,
     pub info: RequestInfo,
     pub account: Option<Arc<str>>,
     pub route: Arc<ServingRoute>,
@@ -69,13 +68,17 @@
     pub reply: Sender<Response<ResponseBody>>,
 }
 
-/// Serves a request. When the caller leaves, hyper drops this future or the response body, and with
+/// Serves a request and sets its deadline once that is known. When the caller leaves, hyper drops this future or the response body, and with
 /// it the sender that keeps the request's task running.
-pub async fn serve(gateway: &GatewayRef, request: Request<Incoming>) -> Response<ResponseBody> {
+pub async fn serve(
+    gateway: &GatewayRef,
+    request: Request<Incoming>,
+    deadline: Rc<Cell<Time>>,
+) -> Response<ResponseBody> {
     let (reply, receiver) = async_channel::bounded(1);
     let (alive, left) = async_channel::bounded::<()>(1);
     // The task holds a weak sender, so that only the caller's side keeps it alive.
-    let task = run(gateway.clone(), request, reply, left, alive.downgrade());
+    let task = run(gateway.clone(), request, deadline, reply, left, alive.downgrade());
     gateway.spawn(task);
     let response = receiver.recv().await;
     drop(alive);
@@ -87,6 +90,7 @@
 async fn run(
     gateway: GatewayRef,
     request: Request<Incoming>,
+    deadline: Rc<Cell<Time>>,
     reply: Sender<Response<ResponseBody>>,
     left: Receiver<()>,
     alive: async_channel::WeakSender<()>,
@@ -100,7 +104,10 @@
     let progress = RequestProgress::default();
     let work = async {
         let end = match admit(&gateway, number, arrived, parts, info, body, &reply).await {
-            Ok(exchange) => exchange.run_attempts(&progress, &alive).await,
+            Ok(exchange) => {
+                deadline.set(exchange.deadline);
+                exchange.run_attempts(&progress, &alive).await
+            }
             Err(refusal) => RequestEnd::Refused(refusal),
         };
         Some(end)
@@ -230,7 +237,9 @@
             "config" => version,
             "config_age_ms" => config.age_ms, "config_proof" => config.proof);
     }
-    let read = with_timeout(timeout, receive_request(gateway, body, limit, priority)).await;
+    let read =
+        with_timeout(timeout, receive_request(gateway, body, limit, (priority, route.is_stream)))
+            .await;
     let (body, held) = read.unwrap_or_else(|| {
         Err(Refusal::not_run(Reason::ReceiveTimeout, "the body came too slowly"))
     })?;
--- a/crates/node/src/gateway/listener.rs
+++ b/crates/node/src/gateway/listener.rs
@@ -1,16 +1,12 @@
 //! Accepts callers' connections and serves requests on them.
 
 use std::{
-    cell::Cell,
-    convert::Infallible,
-    future::Future,
-    net::{SocketAddr, TcpListener},
-    pin::pin,
-    rc::Rc,
+    cell::Cell, convert::Infallible, future::Future, net::SocketAddr, pin::pin, rc::Rc,
     time::Duration,
 };
 
 use async_io::{Async, Timer};
+use async_net::TcpStream;
 use futures_lite::FutureExt;
 use http_body_util::Full;
 use hyper::{
@@ -25,8 +21,11 @@
 
 use super::{
     Gateway, GatewayRef,
-    body::{DropHook, TrackedBody},
+    body::{DropHook, ResponseBody, TrackedBody},
     clock, exchange,
+    reader::{CallerOutput, CallerStream},
+    receive::memory_refusal,
+    refuse::refusal_response,
     yielding::YieldingStream,
 };
 use crate::{error::NodeError, event};
@@ -44,6 +43,8 @@
 const INITIAL_HEAD_LIMIT: Duration = Duration::from_secs(5);
 /// Time that a closing connection waits for a request that may already be under way.
 const CLOSE_GRACE: Duration = Duration::from_secs(1);
+/// Idle limit of connections whose buffers found no room.
+const ROOMLESS_IDLE_LIMIT: Duration = Duration::from_secs(1);
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -79,8 +80,8 @@
     Ok(())
 }
 
-fn bind(address: SocketAddr) -> Result<Async<TcpListener>, NodeError> {
-    Async::<TcpListener>::bind(address)
+fn bind(address: SocketAddr) -> Result<Async<std::net::TcpListener>, NodeError> {
+    Async::<std::net::TcpListener>::bind(address)
         .map_err(|err| NodeError::Listen(address.to_string().into(), err))
 }
 
@@ -92,15 +93,23 @@
     /// Bytes received so far, and the count when the connection last became idle.
     received: Rc<Cell<u64>>,
     idle_received: Cell<u64>,
+    from: SocketAddr,
+    output: Rc<CallerOutput>,
 }
 
 impl CallerConnection {
-    fn new(received: Rc<Cell<u64>>) -> CallerConnection {
+    fn new(
+        received: Rc<Cell<u64>>,
+        from: SocketAddr,
+        output: Rc<CallerOutput>,
+    ) -> CallerConnection {
         CallerConnection {
             requests: Cell::new(0),
             idle_since: Cell::new(clock::now()),
             received,
             idle_received: Cell::new(0),
+            from,
+            output,
         }
     }
 
@@ -119,15 +128,17 @@
 async fn serve_caller(gateway: &GatewayRef, stream: Async<std::net::TcpStream>, from: SocketAddr) {
     // Fails only on a closed connection, whose first read fails as well.
     let _ = stream.get_ref().set_nodelay(true);
-    let stream = YieldingStream::new(stream.into());
-    let caller = Rc::new(CallerConnection::new(stream.received_bytes()));
+    let socket: TcpStream = stream.into();
+    let output = CallerOutput::new(gateway, socket.clone());
+    let stream = YieldingStream::new(socket);
+    let caller = Rc::new(CallerConnection::new(stream.received_bytes(), from, output.clone()));
     let service = {
         let (gateway, caller) = (gateway.clone(), caller.clone());
         service_fn(move |request| serve_request(gateway.clone(), caller.clone(), request))
     };
     let connection = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(CallerStream::new(stream, output.clone())), service);
     let mut connection = pin!(connection);
     let result = {
         let served = async { Some(connection.as_mut().await) };
@@ -158,6 +169,13 @@
             }
         }
     };
+    if output.is_unread() {
+        gateway.metrics.unread_connections.inc();
+        if gateway.log_budget.may_write(clock::now(), true) {
+            event!(gateway.log, CALLER_UNREADING, "from" => from.to_string());
+        }
+        return;
+    }
     if let Err(err) = result
         && gateway.log_budget.may_write(clock::now(), false)
     {
@@ -171,12 +189,7 @@
     let mut head_since: Option<Time> = None;
     loop {
         Timer::after(IDLE_CHECK_PERIOD).await;
-        let (idle_time, head_time) = {
-            let state = gateway.state.borrow();
-            let limits = state.catalog.as_ref().map(|catalog| catalog.limits());
-            let idle_time = limits.map_or(INITIAL_IDLE_LIMIT, |limits| limits.idle_timeout);
-            (idle_time, limits.map_or(INITIAL_HEAD_LIMIT, |limits| limits.head_timeout))
-        };
+        let (idle_limit, head_time) = time_limits(gateway);
         let now = clock::now();
         if caller.is_reading_head() {
             let since = *head_since.get_or_insert(now);
@@ -186,13 +199,25 @@
             continue;
         }
         head_since = None;
-        let limit = idle_time.mul_f64(1.0 + IDLE_MARGIN);
+        let limit = match caller.output.has_room() {
+            true => idle_limit,
+            false => idle_limit.min(ROOMLESS_IDLE_LIMIT),
+        };
         if caller.requests.get() == 0 && now.since(caller.idle_since.get()) > limit {
             return;
         }
     }
 }
 
+/// Time after which an idle connection is closed, and time limit for a request head.
+fn time_limits(gateway: &Gateway) -> (Duration, Duration) {
+    let state = gateway.state.borrow();
+    let limits = state.catalog.as_ref().map(|catalog| catalog.limits());
+    let idle_time = limits.map_or(INITIAL_IDLE_LIMIT, |limits| limits.idle_timeout);
+    let head_time = limits.map_or(INITIAL_HEAD_LIMIT, |limits| limits.head_timeout);
+    (idle_time.mul_f64(1.0 + IDLE_MARGIN), head_time)
+}
+
 /// Returns once a closing connection has no request in progress.
 async fn wait_until_no_request(caller: &CallerConnection) {
     loop {
@@ -209,14 +234,32 @@
     request: Request<Incoming>,
 ) -> Result<Response<TrackedBody>, Infallible> {
     caller.requests.set(caller.requests.get() + 1);
+    let (from, output) = (caller.from, caller.output.clone());
     let on_end = DropHook(Some(Box::new(move || caller.end_request())));
-    let mut response = exchange::serve(&gateway, request).await;
-    if gateway.drain_time_left().is_some() {
+    let has_room = output.take_room();
+    let deadline = Rc::new(Cell::new(clock::now()));
+    let mut response = match has_room {
+        true => exchange::serve(&gateway, request, deadline.clone()).await,
+        false => refuse_connection(&gateway, from),
+    };
+    output.begin_response(deadline.get(), time_limits(&gateway).0);
+    if !has_room || gateway.drain_time_left().is_some() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response.map(|body| TrackedBody { body, _on_end: on_end }))
 }
 
+/// Refuses a request on a connection whose buffers found no room.
+fn refuse_connection(gateway: &Gateway, from: SocketAddr) -> Response<ResponseBody> {
+    let refusal = memory_refusal(gateway);
+    gateway.metrics.count_request(refusal.outcome.name(), Some(refusal.reason));
+    if gateway.log_budget.may_write(clock::now(), true) {
+        event!(gateway.log, CALLER_WITHOUT_MEMORY, "from" => from.to_string(),
+            "held" => gateway.budget.held());
+    }
+    refusal_response(gateway, &refusal)
+}
+
 /// Serves small pages, answered without waiting, on an address of their own.
 pub fn serve_pages(
     gateway: &GatewayRef,
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -43,10 +43,14 @@
     pub datagram_bytes: IntCounterVec,
     /// Log lines dropped by the rate limit.
     pub dropped_log_lines: IntCounter,
-    /// Memory for bodies, in bytes.
+    /// Memory for bodies and buffers, in bytes.
     pub memory_budget: IntGauge,
-    /// Memory that bodies hold, in bytes.
+    /// Memory that bodies and buffers hold, in bytes.
     pub memory_held: IntGauge,
+    /// Open connections of callers.
+    pub caller_connections: IntGauge,
+    /// Connections ended because their callers read nothing.
+    pub unread_connections: IntCounter,
     /// Requests in progress.
     pub open_requests: IntGauge,
     /// Requests waiting for a placement.
@@ -164,8 +168,28 @@
                     "Log lines not written.",
                 ),
             ),
-            memory_budget: gauge(&registry, "gateway_memory_budget_bytes", "Memory for bodies."),
-            memory_held: gauge(&registry, "gateway_memory_held_bytes", "Memory held by bodies."),
+            memory_budget: gauge(
+                &registry,
+                "gateway_memory_budget_bytes",
+                "Memory for bodies and buffers.",
+            ),
+            memory_held: gauge(
+                &registry,
+                "gateway_memory_held_bytes",
+                "Memory held by bodies and buffers.",
+            ),
+            caller_connections: gauge(
+                &registry,
+                "gateway_caller_connections",
+                "Open connections of callers.",
+            ),
+            unread_connections: register(
+                &registry,
+                IntCounter::new(
+                    "parsley_gateway_unread_connections_total",
+                    "Connections ended because their callers read nothing.",
+                ),
+            ),
             open_requests: gauge(&registry, "gateway_open_requests", "Open requests."),
             waiting_requests: gauge(&registry, "gateway_waiting_requests", "Waiting requests."),
             config_version: gauge(
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -60,6 +60,7 @@
 mod metrics;
 mod pace;
 mod quarantine;
+mod reader;
 mod receive;
 mod refuse;
 mod retry;
@@ -202,7 +203,7 @@
     open_requests: Cell<usize>,
     /// Open connections of callers.
     caller_connections: Cell<usize>,
-    /// Memory for bodies of requests and responses.
+    /// Memory for bodies and buffers.
     budget: Rc<MemoryBudget>,
     /// Wakes the task that sends changes of the work in flight.
     work_changed: (Sender<()>, Receiver<()>),
@@ -506,6 +507,7 @@
         self.metrics.retry_budget_left.set(left as i64);
         self.metrics.memory_budget.set(self.budget.total() as i64);
         self.metrics.memory_held.set(self.budget.held() as i64);
+        self.metrics.caller_connections.set(self.caller_connections.get() as i64);
         self.metrics.open_requests.set(self.open_requests.get() as i64);
         self.metrics.waiting_requests.set(state.dispatcher.waiting_count() as i64);
         self.metrics.live_hosts.set(state.roster.alive(now).count() as i64 + 1);
--- a/crates/node/src/gateway/receive.rs
+++ b/crates/node/src/gateway/receive.rs
@@ -16,6 +16,11 @@
 
 /// Largest response body, in bytes; as large as the largest request body.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
+/// Memory of a request besides its body: its head, its tasks and its place in the queue.
+const REQUEST_BYTES: usize = 8 << 10;
+/// Memory of a stream besides its further chunks: the buffer of its engine's connection and the
+/// chunk that is handed over.
+const STREAM_BYTES: usize = 32 << 10;
 /// Added to `Retry-After` of a request whose body finds no memory: bodies are held for as long as
 /// their requests run.
 const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -25,7 +30,7 @@
 /// Bytes on the wire that a response may always take.
 const FRAMING_ALLOWANCE: u64 = 256 << 10;
 /// Fault of a response that finds no room.
-const TOO_LONG: &str = "the answer is longer than a host holds";
+pub const TOO_LONG: &str = "the answer is longer than a host holds";
 /// Interval at which the bytes on the wire are compared with those of the body.
 const FRAMING_CHECK_PERIOD: Duration = Duration::from_millis(50);
 
@@ -41,6 +46,9 @@
     if body.size_hint().lower() > MAX_RESPONSE_BYTES as u64 {
         return Err(TOO_LONG.into());
     }
+    // The buffer of a body of known length takes no more than that.
+    let upper = body.size_hint().upper().and_then(|upper| usize::try_from(upper).ok());
+    let most = upper.unwrap_or(usize::MAX).min(MAX_RESPONSE_BYTES);
     let start = received.get();
     loop {
         let limit = start + bytes.len() as u64 * MAX_FRAMING_RATIO + FRAMING_ALLOWANCE;
@@ -57,7 +65,7 @@
         let Some(frame) = frame else { break };
         let frame = frame.map_err(|err| Arc::from(err.to_string()))?;
         let Some(data) = frame.data_ref() else { continue };
-        if !grow_for(&mut bytes, data.len(), MAX_RESPONSE_BYTES, &mut held) {
+        if !grow_for(&mut bytes, data.len(), most, &mut held) {
             return Err(TOO_LONG.into());
         }
         bytes.extend_from_slice(data);
@@ -83,24 +91,31 @@
     true
 }
 
+/// Memory of a request, kept until it ends.
+pub struct RequestMemory {
+    _work: HeldMemory,
+    _body: HeldMemory,
+}
+
 /// Receives the body of a request of at most `limit` bytes. If the budget has no room for it, the
 /// rest is read and dropped, so that the caller gets the refusal and not a reset connection.
 pub async fn receive_request(
     gateway: &Gateway,
     mut body: Incoming,
     limit: usize,
-    priority: u8,
-) -> Result<(Bytes, HeldMemory), Refusal> {
+    (priority, is_stream): (u8, bool),
+) -> Result<(Bytes, RequestMemory), Refusal> {
+    let mut work = gateway.budget.holder(MemoryUse::for_work(priority));
+    let mut has_room = work.try_take(REQUEST_BYTES + if is_stream { STREAM_BYTES } else { 0 });
     let mut held = gateway.budget.holder(MemoryUse::for_priority(priority));
     let mut bytes = Vec::new();
     let mut received = 0;
-    let mut has_room = true;
     let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     if announced > limit {
         return Err(too_large());
     }
     if announced > 0 {
-        has_room = grow_for(&mut bytes, announced, announced, &mut held);
+        has_room = has_room && grow_for(&mut bytes, announced, announced, &mut held);
     }
     while let Some(frame) = body.frame().await {
         let frame =
@@ -117,10 +132,15 @@
         }
     }
     if !has_room {
-        return Err(Refusal::not_run(Reason::HostMemory, "this host has no memory for the body")
-            .retry_after(gateway.peer_retry_after() + MEMORY_RETRY_DELAY));
+        return Err(memory_refusal(gateway));
     }
-    Ok((bytes.into(), held))
+    Ok((bytes.into(), RequestMemory { _work: work, _body: held }))
+}
+
+/// Refusal of a request that finds no memory.
+pub fn memory_refusal(gateway: &Gateway) -> Refusal {
+    Refusal::not_run(Reason::HostMemory, "this host has no memory for the request")
+        .retry_after(gateway.peer_retry_after() + MEMORY_RETRY_DELAY)
 }
 
 fn too_large() -> Refusal {
--- a/crates/node/src/gateway/tests.rs
+++ b/crates/node/src/gateway/tests.rs
@@ -7,7 +7,13 @@
     time::Time,
 };
 
-use super::{body::EventSplitter, line_budget::LineBudget, listing::ListUpdate, refuse::status_of};
+use super::{
+    body::EventSplitter,
+    budget::{MemoryBudget, MemoryUse},
+    line_budget::LineBudget,
+    listing::ListUpdate,
+    refuse::status_of,
+};
 
 #[test]
 fn events_are_cut_whole_whatever_the_pieces() {
@@ -102,3 +108,45 @@
     (60..80).for_each(|number| _ = fleet.upsert(now, entry(number)));
     assert_eq!(ListUpdate::after(now, &fleet, 50.into()).known_revision, 50.into());
 }
+
+/// Guards against bodies that nobody reads and that keep out small requests, and against charges
+/// that are lost or counted twice.
+#[test]
+fn fixed_charges_have_a_reserve_beside_bodies() {
+    const CHARGE: usize = 8 << 10;
+    for seed in 0..200 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let budget = MemoryBudget::for_process(16 << 20);
+        let of_budget = |share: f64| (budget.total() as f64 * share) as usize;
+        let (mut bodies, mut works, mut work_bytes) = (Vec::new(), Vec::new(), 0);
+        for _ in 0..600 {
+            match rng.u32(0..4) {
+                0 => {
+                    let mut body = budget.holder(MemoryUse::Response);
+                    let length = rng.usize(0..1 << 20);
+                    let fits = budget.held() + length <= of_budget(0.85);
+                    assert_eq!(body.try_resize(length), length <= 64 << 10 || fits);
+                    bodies.push(body);
+                }
+                1 if !bodies.is_empty() => bodies.swap_remove(rng.usize(..bodies.len())).release(),
+                2 => {
+                    let mut output = budget.holder(MemoryUse::Output);
+                    output.count(rng.usize(0..128 << 10));
+                    bodies.push(output);
+                }
+                _ => {
+                    let mut work = budget.holder(MemoryUse::for_work(1));
+                    let fits = budget.held() + CHARGE <= of_budget(0.95)
+                        || work_bytes + CHARGE <= of_budget(0.13);
+                    assert_eq!(work.try_take(CHARGE), fits);
+                    work_bytes += work.length();
+                    works.push(work);
+                }
+            }
+            let held: usize = bodies.iter().chain(&works).map(|one| one.length()).sum();
+            assert_eq!(budget.held(), held);
+        }
+        drop((bodies, works));
+        assert_eq!(budget.held(), 0);
+    }
+}
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -126,6 +126,8 @@
     CALLER_DISCONNECTED: "E2406" Info "caller disconnected" ["request", "attempts", "total_ms"];
     LINES_DROPPED: "E2407" Warning "log lines dropped" ["count"];
     CALLER_CONNECTION_FAILED: "E2408" Info "caller connection failed" ["from", "error"];
+    CALLER_UNREADING: "E2621" Warning "caller read nothing of its response" ["from"];
+    CALLER_WITHOUT_MEMORY: "E2622" Warning "no memory for a caller's connection" ["from", "held"];
 }
 
 /// Logs an event of the catalogue: `event!(log, EVENT, "field" => value)`.
