--- a/crates/node/src/gateway/caller.rs
+++ b/crates/node/src/gateway/caller.rs
@@ -1,6 +1,6 @@
 //! Caller's side of a request, from its headers to the end of its response.
 
-use std::{sync::Arc, time::Duration};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt;
@@ -34,13 +34,17 @@
 /// Logged in place of the id for requests that carry none.
 const MISSING_ID: &str = "none";
 
-/// Serves a request. When the caller leaves, hyper drops this future or the response body, and with
-/// it the sender that keeps the request's task running.
-pub async fn serve(gateway: &GatewayRef, request: Request<Incoming>) -> Response<ResponseBody> {
+/// Serves a request and sets its deadline once that is known. When the caller leaves, hyper drops
+/// this future or the response body, and with it the sender that keeps the request's task running.
+pub async fn serve(
+    gateway: &GatewayRef,
+    request: Request<Incoming>,
+    deadline: Rc<Cell<Time>>,
+) -> Response<ResponseBody> {
     let (reply, receiver) = async_channel::bounded(1);
     let (alive, left) = async_channel::bounded::<()>(1);
     // The task holds a weak sender, so that only the caller's side keeps it alive.
-    let task = run(gateway.clone(), request, reply, left, alive.downgrade());
+    let task = run(gateway.clone(), request, deadline, reply, left, alive.downgrade());
     gateway.spawn(task);
     let response = receiver.recv().await;
     drop(alive);
@@ -52,6 +56,7 @@
 async fn run(
     gateway: GatewayRef,
     request: Request<Incoming>,
+    deadline: Rc<Cell<Time>>,
     reply: Sender<Response<ResponseBody>>,
     left: Receiver<()>,
     alive: async_channel::WeakSender<()>,
@@ -65,7 +70,10 @@
     let progress = RequestProgress::default();
     let work = async {
         let end = match admit(&gateway, number, arrived, parts, info, body, &reply).await {
-            Ok(exchange) => exchange.run_attempts(&progress, &alive).await,
+            Ok(exchange) => {
+                deadline.set(exchange.deadline);
+                exchange.run_attempts(&progress, &alive).await
+            }
             Err(refusal) => RequestEnd::Refused(refusal),
         };
         Some(end)
@@ -175,7 +183,8 @@
             "config" => version,
             "config_age_ms" => config.age_ms, "config_proof" => config.proof);
     }
-    let read = with_timeout(timeout, receive_request(gateway, body, limit, priority)).await;
+    let receiving = receive_request(gateway, body, limit, (priority, route.is_stream));
+    let read = with_timeout(timeout, receiving).await;
     let (body, held) = read.unwrap_or_else(|| {
         Err(Refusal::not_run(Reason::ReceiveTimeout, "the body came too slowly"))
     })?;
--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -16,9 +16,9 @@
 use super::{
     GatewayRef, Placement,
     body::ResponseBody,
-    budget::HeldMemory,
     clock::{self, with_timeout},
     edge::RequestInfo,
+    receive::RequestMemory,
 };
 
 /// Placement of a copy, or the dispatcher's refusal.
@@ -33,8 +33,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
-    /// Memory of the body.
-    pub(super) _held: HeldMemory,
+    /// Memory of the body and of the request's buffers.
+    pub(super) _held: RequestMemory,
     pub info: RequestInfo,
     pub account: Option<Arc<str>>,
     pub route: Arc<ServingRoute>,
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -132,6 +132,8 @@
     EVACUATION_UNKNOWN: "E2603" Warning "evacuation of an unknown failure domain" ["key"];
     EVACUATION_INVALID: "E2604" Warning "malformed evacuation" ["key", "error"];
     EVACUATIONS_OLD: "E2605" Warning "evacuations may be old" ["age_ms", "limit_ms"];
+    CALLER_UNREADING: "E2621" Warning "caller read nothing of its response" ["from"];
+    CALLER_WITHOUT_MEMORY: "E2622" Warning "no memory for a caller's connection" ["from", "held"];
 }
 
 /// Logs an event of the catalogue: `event!(log, EVENT, "field" => value)`.
