Limit cold engines through permits

Cause: an engine that starts during traffic takes few requests for some time. Hosts sent it as many as any other.

Ruled out: a time parameter for FleetTable::limit (changes every caller), cold times in EngineEntry or LimitReport (their layout must not change between mixed versions), stricter rules for all request limits (would change deployments without cold engines).

Change: fleet/cold.rs keeps what a host knows of cold processes; the tick starts and ends their limit. permit/cold.rs issues by stricter rules: shorter terms, a smaller substitute share, and a rise of a host's part only after 2 s. PeerDatagram::ColdReports spreads the knowledge. The platform decodes cold_left_ms, Parsleystage-Cold-Ms, cold_start_s, cold_per_s, cold_over and cold_slack and reports bad values.

--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -8,7 +8,10 @@
 
 use parsley_macros::{key, value};
 
-use crate::dispatch::{LatencyModel, UrgentTarget};
+use crate::{
+    dispatch::{LatencyModel, UrgentTarget},
+    fleet::ColdStart,
+};
 
 #[cfg(test)]
 mod tests;
@@ -60,6 +63,9 @@
     pub max_connections: u32,
     /// Latency model of its engines; `None` for a plain service without model engines.
     pub latency_model: Option<LatencyModel>,
+    /// Cold time of its engines, and what one takes from all hosts together meanwhile; `None` if it
+    /// has no cold engines.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// A client account with its API keys.
--- a/crates/core/src/dispatch/limited.rs
+++ b/crates/core/src/dispatch/limited.rs
@@ -132,7 +132,7 @@
     /// Stores the reply to a request for permits.
     pub(super) fn record_permits(&mut self, now: Time, reply: &PermitReply) {
         if let Some(holder) = self.permits.get_mut(&reply.server) {
-            holder.record_reply(now, reply);
+            holder.record_reply(now, reply, self.fleet.is_cold(reply.server));
         }
     }
 
--- a/crates/core/src/dispatch/message.rs
+++ b/crates/core/src/dispatch/message.rs
@@ -9,8 +9,8 @@
     catalog::ServingService,
     era::StoreRevision,
     fleet::{
-        EngineEntry, EngineEstimate, EngineTag, EngineVerdict, LimitReport, RequestRate,
-        ServerNotice,
+        ColdChange, ColdReport, EngineEntry, EngineEstimate, EngineTag, EngineVerdict, LimitReport,
+        RequestRate, ServerNotice,
     },
     permit::{PermitReply, PermitRequest},
     refusal::Reason,
@@ -116,6 +116,19 @@
         /// Whether the store is unreachable.
         is_lost: bool,
     },
+    /// The entry of an engine states how much longer it stays cold.
+    ColdStated {
+        /// Engine of the entry.
+        engine: EngineTag,
+        /// Start of the engine's process in Unix milliseconds by its own clock.
+        started_ms: u64,
+        /// Rest of the cold time.
+        left: Duration,
+        /// Revision of the store at which the entry was written.
+        revision: StoreRevision,
+    },
+    /// A peer sent reports about cold engines.
+    ColdReported(Vec<ColdReport>),
 }
 
 /// An additional engine that prefills a part of a prompt.
@@ -195,4 +208,11 @@
     ServerGone(EngineTag),
     /// A backend server was added, is leaving or has restarted.
     ServerChanged(EngineTag),
+    /// An engine became cold or warm.
+    ColdChanged {
+        /// What changed.
+        change: ColdChange,
+        /// Whether the engine stated it to this host, which then tells its peers at once.
+        is_stated: bool,
+    },
 }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -20,7 +20,7 @@
 use crate::{
     catalog::ServingService,
     fleet::{EngineEntry, EngineTag, EngineVerdict, FleetTable, NoticeChange, hash_name},
-    permit::PermitHolder,
+    permit::{ColdBound, PermitHolder},
     roster::HostTag,
     time::Time,
     turn::StartTagLedger,
@@ -28,6 +28,9 @@
 };
 
 mod choose;
+mod cold;
+#[cfg(test)]
+mod cold_tests;
 mod decide;
 #[cfg(test)]
 mod drain_tests;
@@ -44,6 +47,7 @@
 mod tests;
 
 use choose::{ChoiceInput, ChoiceResult, DENSE_PACKING, LOOSE_PACKING, PlacementChoice};
+use cold::ColdRefresh;
 use decide::{DECISION_LEAD, PlacementDecision, QueuePosition};
 pub use forecast::{EngineForecast, EngineLoad, LatencyModel, collect_load, collect_loads};
 pub use headroom::UrgentTarget;
@@ -109,6 +113,8 @@
     next_run: Time,
     /// When this host abandons its open requests; `None` while it does not stop.
     drain_end: Option<Time>,
+    /// Bound of cold engines; `None` if the deployment has none.
+    cold_bound: Option<ColdBound>,
 }
 
 impl Dispatcher {
@@ -141,6 +147,7 @@
         // do not all claim the same free slot at once.
         let is_due = now >= self.next_run
             && !matches!(input, DispatchInput::PeerUpdate { .. } | DispatchInput::EventGap { .. });
+        let cold_refresh = ColdRefresh::after(&input);
         match input {
             DispatchInput::Tick => {
                 self.work_view.expire_peers(now);
@@ -155,6 +162,7 @@
                     .map(|service| (hash_name(&service.name), service.latency_model.clone()))
                     .collect();
                 self.services = services;
+                self.update_cold_services();
             }
             DispatchInput::Submit { number, service, demand, arrived, deadline, excluded } => {
                 let entry = WorkEntry {
@@ -247,7 +255,14 @@
                 }
             }
             DispatchInput::StoreStatus { is_lost } => self.fleet.set_store_lost(now, is_lost),
+            DispatchInput::ColdStated { engine, started_ms, left, revision } => {
+                self.fleet.record_cold_entry(now, engine, started_ms, left, revision);
+            }
+            DispatchInput::ColdReported(reports) => {
+                reports.iter().for_each(|report| self.fleet.merge_cold(now, report));
+            }
         }
+        self.refresh_cold(now, cold_refresh, &mut outputs);
         if !self.waiting.is_empty() && is_due {
             self.place_waiting(now, &mut outputs);
         }
--- a/crates/core/src/dispatch/tests.rs
+++ b/crates/core/src/dispatch/tests.rs
@@ -49,6 +49,7 @@
         name: name.into(),
         max_connections: 400,
         latency_model: pass,
+        cold_start: None,
     };
     let services = [service(SERVICE, Some(model())), service(PLAIN, None)];
     let services = services.into_iter().map(|service| (service.name.clone(), service)).collect();
--- a/crates/core/src/fleet/copied.rs
+++ b/crates/core/src/fleet/copied.rs
@@ -54,7 +54,12 @@
 
     /// Returns whether an item of `revision` may come from the copy with which the era began,
     /// where `known` was known before.
-    fn may_be_copied(&self, now: Time, revision: StoreRevision, known: StoreRevision) -> bool {
+    pub(super) fn may_be_copied(
+        &self,
+        now: Time,
+        revision: StoreRevision,
+        known: StoreRevision,
+    ) -> bool {
         let is_copy_shown = self.era.age(now).is_some_and(|age| age < self.entry_lifetime);
         let is_later_era = revision.era > known.era;
         is_later_era && is_copy_shown && !self.era.is_rewritten(revision)
--- a/crates/core/src/fleet/limit.rs
+++ b/crates/core/src/fleet/limit.rs
@@ -115,8 +115,15 @@
 }
 
 impl FleetTable {
-    /// Returns the request limit that a server names, if any.
+    /// Returns the request limit of a server: the lower one of what it names and what a cold engine
+    /// takes, if any.
     pub fn limit(&self, tag: EngineTag) -> Option<RequestRate> {
+        let (named, cold) = (self.named_limit(tag), self.cold.rate(tag));
+        named.into_iter().chain(cold).min()
+    }
+
+    /// Returns the request limit that a server names, if any.
+    fn named_limit(&self, tag: EngineTag) -> Option<RequestRate> {
         if self.limits.statements.is_empty() {
             return None;
         }
@@ -132,6 +139,10 @@
         tag: EngineTag,
     ) -> Option<(u64, RequestRate, Duration)> {
         let entry = &self.engines.get(&tag)?.entry;
+        if let Some(rate) = self.cold.rate(tag) {
+            // That an engine is cold follows from what this host knows now.
+            return Some((entry.started_ms, rate.min(self.limit(tag)?), Duration::ZERO));
+        }
         let statement = self.limits.statements.get(&process(tag, entry))?;
         Some((entry.started_ms, statement.rate?, now.since(statement.as_of)))
     }
@@ -194,7 +205,7 @@
             return 0;
         }
         let limits = self.engines.iter().filter_map(|(tag, record)| {
-            let RequestRate(rate) = self.limit(*tag)?;
+            let RequestRate(rate) = self.named_limit(*tag)?;
             Some((tag.0 ^ record.entry.started_ms).wrapping_mul(u64::from(rate) | 1 << 33))
         });
         limits.fold(0, u64::wrapping_add)
@@ -202,6 +213,6 @@
 
     /// Returns the number of servers that name a limit.
     pub fn limited_count(&self) -> usize {
-        self.engines.keys().filter(|tag| self.limit(**tag).is_some()).count()
+        self.engines.keys().filter(|tag| self.named_limit(**tag).is_some()).count()
     }
 }
--- a/crates/core/src/fleet/limit_tests.rs
+++ b/crates/core/src/fleet/limit_tests.rs
@@ -13,7 +13,7 @@
 }
 
 const ABSENT: ServerNotice =
-    ServerNotice { is_leaving: false, pause: None, limit: LimitNotice::Absent };
+    ServerNotice { is_leaving: false, pause: None, limit: LimitNotice::Absent, cold_left: None };
 
 fn table() -> (FleetTable, EngineTag) {
     let mut table = FleetTable::new(HostTag(1));
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -16,6 +16,9 @@
     time::Time,
 };
 
+mod cold;
+#[cfg(test)]
+mod cold_tests;
 mod copied;
 #[cfg(test)]
 mod copied_tests;
@@ -31,6 +34,8 @@
 #[cfg(test)]
 mod tests;
 
+use cold::ColdTable;
+pub use cold::{ColdChange, ColdReport, ColdStart, MAX_COLD_TIME};
 use copied::Tombstone;
 use limit::LimitTable;
 pub use limit::{LimitNotice, LimitReport, RequestRate};
@@ -270,6 +275,7 @@
     missing_count: usize,
     notices: NoticeTable,
     limits: LimitTable,
+    cold: ColdTable,
     list: ListState,
     /// What is known of removed entries, so that neither a delayed older update nor a copy restores
     /// them.
@@ -345,6 +351,9 @@
                 is_state_changed
             }
             _ => {
+                // What a host finds in its first list may have run for any time.
+                let is_new = self.engines.contains_key(&tag) || self.list_age(now).is_some();
+                self.cold.observe_process(now, &entry, is_new);
                 let record = EngineRecord::new(entry, now);
                 self.digest = self.digest.wrapping_add(record.digest);
                 let replaced = self.engines.insert(tag, record);
--- a/crates/core/src/fleet/notice.rs
+++ b/crates/core/src/fleet/notice.rs
@@ -39,6 +39,8 @@
     pub pause: Option<Duration>,
     /// Rate of requests that the server takes from all hosts together.
     pub limit: LimitNotice,
+    /// How much longer the server stays cold, if it says so.
+    pub cold_left: Option<Duration>,
 }
 
 /// Returns the pause that a value of `Retry-After` names in seconds, with fractions. `None` if it is
@@ -170,6 +172,9 @@
         self.notices.purge(now);
         let mut changes = self.notices.apply(now, process(tag, &record.entry), notice);
         changes.extend(self.record_limit(now, sent, tag, notice.limit));
+        if let Some(left) = notice.cold_left {
+            self.record_cold_response(now, tag, left);
+        }
         changes
     }
 
--- a/crates/core/src/fleet/notice_tests.rs
+++ b/crates/core/src/fleet/notice_tests.rs
@@ -9,7 +9,7 @@
 }
 
 const LEAVING: ServerNotice =
-    ServerNotice { is_leaving: true, pause: None, limit: LimitNotice::Unknown };
+    ServerNotice { is_leaving: true, pause: None, limit: LimitNotice::Unknown, cold_left: None };
 
 fn table(host: u64) -> (FleetTable, EngineTag) {
     let mut table = FleetTable::new(HostTag(host));
--- a/crates/core/src/permit/holder.rs
+++ b/crates/core/src/permit/holder.rs
@@ -4,7 +4,7 @@
 
 use parsley_macros::value;
 
-use super::PermitReply;
+use super::{COLD_PERMIT_TERM, PermitReply};
 use crate::time::Time;
 
 /// Time after a request for permits in which they must be used.
@@ -78,15 +78,16 @@
         (self.last_number, now < self.substitute_until)
     }
 
-    /// Stores a reply, unless it is not the one to the latest request.
-    pub fn record_reply(&mut self, now: Time, reply: &PermitReply) {
+    /// Stores a reply, unless it is not the one to the latest request. The permits of a cold engine
+    /// expire sooner.
+    pub fn record_reply(&mut self, now: Time, reply: &PermitReply, is_cold: bool) {
         let Some((_, since)) = self.pending.filter(|(number, _)| *number == reply.number) else {
             return;
         };
         self.pending = None;
         self.unanswered = 0;
         self.held = reply.issued;
-        self.held_until = since + PERMIT_TERM;
+        self.held_until = since + if is_cold { COLD_PERMIT_TERM } else { PERMIT_TERM };
         self.closed_until = now + Duration::from_micros(reply.next_us);
     }
 }
--- a/crates/core/src/permit/mod.rs
+++ b/crates/core/src/permit/mod.rs
@@ -17,10 +17,16 @@
     time::Time,
 };
 
+mod cold;
+#[cfg(test)]
+mod cold_tests;
 mod holder;
 #[cfg(test)]
 mod tests;
 
+pub(crate) use cold::COLD_PERMIT_TERM;
+use cold::ViewHistory;
+pub use cold::{ColdBound, MemberView};
 pub(crate) use holder::REPLY_TIMEOUT;
 pub use holder::{PermitHolder, PermitState};
 
@@ -80,12 +86,42 @@
     /// End of the turns promised to hosts that got no permit.
     turns_end: Time,
     last_request: Time,
+    /// Since when this host has regarded itself as the issuer; used for cold engines only.
+    issuer_since: Option<Time>,
+}
+
+impl PermitBucket {
+    /// Issues the wanted permits that are available, one every `interval` and up to `burst` ahead.
+    fn issue(
+        &mut self,
+        now: Time,
+        request: &PermitRequest,
+        interval: Duration,
+        burst: Duration,
+    ) -> PermitReply {
+        let mut issued = 0;
+        while issued < request.wanted && self.full_at <= now + burst {
+            self.full_at = self.full_at.max(now) + interval;
+            issued += 1;
+        }
+        let next = if issued == request.wanted {
+            now
+        } else {
+            let opening = (self.full_at - burst).max(now);
+            let turn = opening.max(self.turns_end.min(now + MAX_TURN_DELAY));
+            self.turns_end = turn + interval;
+            turn
+        };
+        let next_us = next.since(now).as_micros() as u64;
+        PermitReply { server: request.server, number: request.number, issued, next_us }
+    }
 }
 
 /// Issues the permits of the servers for which this host is the issuer.
 #[derive(Debug, Default)]
 pub struct PermitIssuer {
     buckets: BTreeMap<(EngineTag, u64), PermitBucket>,
+    views: ViewHistory,
 }
 
 impl PermitIssuer {
@@ -111,28 +147,14 @@
             full_at,
             turns_end: now,
             last_request: now,
+            issuer_since: None,
         });
         bucket.last_request = now;
         if rate_as_of > bucket.rate_as_of {
             (bucket.rate, bucket.rate_as_of) = (request.rate, rate_as_of);
         }
         let interval = interval(bucket.rate);
-        let burst = burst(interval);
-        let mut issued = 0;
-        while issued < request.wanted && bucket.full_at <= now + burst {
-            bucket.full_at = bucket.full_at.max(now) + interval;
-            issued += 1;
-        }
-        let next = if issued == request.wanted {
-            now
-        } else {
-            let opening = (bucket.full_at - burst).max(now);
-            let turn = opening.max(bucket.turns_end.min(now + MAX_TURN_DELAY));
-            bucket.turns_end = turn + interval;
-            turn
-        };
-        let next_us = next.since(now).as_micros() as u64;
-        PermitReply { server: request.server, number: request.number, issued, next_us }
+        bucket.issue(now, request, interval, burst(interval))
     }
 
     /// Drops buckets that are not used any more, and any one above [`BUCKET_LIMIT`].
--- a/crates/core/src/permit/tests.rs
+++ b/crates/core/src/permit/tests.rs
@@ -82,15 +82,15 @@
     assert!(!holder.begin_request(at(250)).1, "one lost datagram");
     let (third, to_substitute) = holder.begin_request(at(500));
     assert!(to_substitute);
-    holder.record_reply(at(510), &reply(first, 9, 0));
+    holder.record_reply(at(510), &reply(first, 9, 0), false);
     assert_eq!(holder.state(at(510)), PermitState::Requested, "a late reply");
-    holder.record_reply(at(520), &reply(third, 2, 0));
+    holder.record_reply(at(520), &reply(third, 2, 0), false);
     holder.take();
     assert_eq!(holder.state(at(1_499)), PermitState::Held);
     assert_eq!(holder.state(at(1_500)), PermitState::Missing, "expired");
     let (fourth, to_substitute) = holder.begin_request(at(1_500));
     assert!(!to_substitute, "the issuer again");
-    holder.record_reply(at(1_510), &reply(fourth, 0, 40_000));
+    holder.record_reply(at(1_510), &reply(fourth, 0, 40_000), false);
     assert_eq!(holder.state(at(1_549)), PermitState::Closed(at(1_550)));
     assert_eq!(holder.state(at(1_550)), PermitState::Missing);
 }
--- a/crates/core/src/roster/issuer.rs
+++ b/crates/core/src/roster/issuer.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use super::{HostInfo, HostTag, MEMBER_LIMIT, PeerRoster};
-use crate::{fleet::EngineTag, time::Time};
+use crate::{fleet::EngineTag, permit::MemberView, time::Time};
 
 /// Returns the weight of a host as issuer of the permits for a server. All hosts compute the same,
 /// and a host that comes or goes changes the order of no others.
@@ -40,4 +40,11 @@
         let known = (heard.count() + 1).min(MEMBER_LIMIT);
         live.min(known) as f64 / known as f64
     }
+
+    /// Returns what this host knows of the other members when it issues permits.
+    pub fn member_view(&self, now: Time) -> MemberView {
+        let alive_digest =
+            self.alive(now).fold(0, |digest: u64, (tag, _)| digest.wrapping_add(tag.0));
+        MemberView { live_share: self.live_share(now), alive_digest }
+    }
 }
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -12,7 +12,7 @@
     dispatch::DispatchInput,
     era::StoreRevision,
     evidence::{EvidenceEffect, PeerEvidence},
-    fleet::{EngineEstimate, LimitReport, ListEvidence},
+    fleet::{ColdReport, EngineEstimate, LimitReport, ListEvidence},
     permit::{PermitReply, PermitRequest},
     quarantine::PartReport,
     roster::{HeartbeatTarget, HostInfo, HostTag, PeerChange, PeerRole, STANDBY_POLL_PERIOD},
@@ -22,7 +22,7 @@
 use parsley_macros::message;
 
 use super::{
-    Gateway, GatewayRef, GatewayState, ServerChange, clock,
+    Gateway, GatewayRef, GatewayState, ServerChange, clock, cold,
     listing::{self, ListUpdate},
 };
 use crate::{error::NodeError, event};
@@ -104,6 +104,8 @@
     ListResponse { evidence: PeerEvidence, list: ListUpdate },
     /// What the sender knows of parts of prompts under which engines crashed.
     PartReports { reply_to: SocketAddr, reports: Vec<PartReport> },
+    /// What the sender knows of cold engines.
+    ColdReports(Vec<ColdReport>),
 }
 
 /// Binds the socket and starts the tasks that send and receive.
@@ -221,6 +223,7 @@
         let targets = state.roster.heartbeat_targets(now, &state.host_info);
         let mut states = state_datagrams(state, now);
         states.extend(limit_datagram(state, now, false));
+        states.extend(cold::datagram(state, now, false));
         (targets, states)
     };
     for target in targets {
@@ -283,7 +286,7 @@
 /// Polls members on behalf of this standby host.
 fn poll_members(gateway: &Gateway, socket: &Async<UdpSocket>) {
     let now = clock::now();
-    let (targets, datagram, limits) = {
+    let (targets, datagram, beliefs) = {
         let state = &mut *gateway.state.borrow_mut();
         let targets = state.roster.poll_targets(now, &mut state.rng);
         let datagram = PeerDatagram::SyncRequest {
@@ -294,11 +297,12 @@
             list_revision: state.dispatcher.fleet.list_revision(),
             beliefs_digest: state.beliefs_digest(),
         };
-        (targets, encode(&datagram), limit_datagram(state, now, false))
+        let beliefs = [limit_datagram(state, now, false), cold::datagram(state, now, false)];
+        (targets, encode(&datagram), beliefs)
     };
     for target in targets {
         send(gateway, socket, target, &datagram);
-        limits.iter().for_each(|bytes| send(gateway, socket, target, bytes));
+        beliefs.iter().flatten().for_each(|bytes| send(gateway, socket, target, bytes));
     }
 }
 
@@ -372,8 +376,11 @@
             let response =
                 sync_response(gateway, incarnation, clock, members_digest, list_revision);
             send(gateway, socket, reply_to, &encode(&response));
-            let limits = limit_datagram(&gateway.state.borrow(), clock::now(), false);
-            limits.iter().for_each(|bytes| send(gateway, socket, reply_to, bytes));
+            let beliefs = {
+                let (state, now) = (gateway.state.borrow(), clock::now());
+                [limit_datagram(&state, now, false), cold::datagram(&state, now, false)]
+            };
+            beliefs.iter().flatten().for_each(|bytes| send(gateway, socket, reply_to, bytes));
         }
         PeerDatagram::LimitReports(reports) => {
             gateway.dispatch(DispatchInput::LimitsReported(reports));
@@ -424,6 +431,9 @@
         PeerDatagram::PartReports { reply_to, reports } => {
             gateway.merge_part_reports(reply_to, &reports);
         }
+        PeerDatagram::ColdReports(reports) => {
+            gateway.dispatch(DispatchInput::ColdReported(reports));
+        }
     }
 }
 
@@ -499,6 +509,7 @@
             let state = gateway.state.borrow();
             let mut states = state_datagrams(&state, now);
             states.extend(limit_datagram(&state, now, true));
+            states.extend(cold::datagram(&state, now, true));
             states
         };
         states.iter().for_each(|bytes| send(gateway, socket, host_info.heartbeat_address, bytes));
--- a/crates/node/src/gateway/edge.rs
+++ b/crates/node/src/gateway/edge.rs
@@ -69,6 +69,8 @@
     pub notice: ServerNotice,
     /// Value of a request limit that is not valid.
     pub invalid_limit: Option<Arc<str>>,
+    /// Value of a cold time that is not valid.
+    pub invalid_cold: Option<Arc<str>>,
 }
 
 impl ResponseInfo {
@@ -76,15 +78,15 @@
     /// request without an id, such as a memory reservation.
     pub fn notice_for(&self, id: Option<&Arc<str>>) -> ServerNotice {
         let is_other_attempt = self.id.is_some() && self.id.as_ref() != id;
-        let ServerNotice { is_leaving, pause, limit } = self.notice;
+        let ServerNotice { is_leaving, pause, limit, cold_left } = self.notice;
         if is_other_attempt {
-            // A late response to an earlier attempt: its pause and limit may have changed since.
+            // A late response to an earlier attempt: its pause, limit and cold time may have changed.
             return ServerNotice { is_leaving, ..ServerNotice::default() };
         }
         // Responses without an id may come from something else that answers for the server.
         let is_unknown = limit == LimitNotice::Absent && self.id.is_none();
         let limit = if is_unknown { LimitNotice::Unknown } else { limit };
-        ServerNotice { is_leaving, pause, limit }
+        ServerNotice { is_leaving, pause, limit, cold_left }
     }
 }
 
--- a/crates/node/src/gateway/limits.rs
+++ b/crates/node/src/gateway/limits.rs
@@ -39,7 +39,17 @@
     pub(super) fn issue_permits(&self, request: &PermitRequest) -> PermitReply {
         let now = clock::now();
         let state = &mut *self.state.borrow_mut();
-        let reply = state.permit_issuer.issue(now, request, state.roster.live_share(now));
+        let cold_rate = state.dispatcher.fleet.cold_rate(request.server, request.started_ms);
+        let reply = match cold_rate {
+            None => state.permit_issuer.issue(now, request, state.roster.live_share(now)),
+            Some(rate) => {
+                let (me, server) = (&state.host_info, request.server);
+                let issuer = state.roster.permit_issuer(now, me, server, false);
+                let is_issuer = issuer.is_some_and(|(tag, _)| tag == me.tag());
+                state.permit_issuer.observe_members(now, state.roster.member_view(now));
+                state.permit_issuer.issue_cold(now, request, rate.min(request.rate), is_issuer)
+            }
+        };
         self.metrics.permits.with_label_values(&["issued"]).inc_by(reply.issued.into());
         reply
     }
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -69,6 +69,8 @@
     pub permits: IntCounterVec,
     /// Backend servers that limit the rate of requests.
     pub limited_servers: IntGauge,
+    /// Engines that are cold.
+    pub cold_engines: IntGauge,
     /// Age of the proof that the list of servers is complete, in milliseconds; the maximum if there
     /// is none.
     pub server_list_age: IntGauge,
@@ -197,6 +199,11 @@
                 "gateway_limited_servers",
                 "Backend servers that limit the rate of requests.",
             ),
+            cold_engines: gauge(
+                &registry,
+                "gateway_cold_engines",
+                "Engines that take few requests because they are cold.",
+            ),
             server_list_age: gauge(
                 &registry,
                 "gateway_server_list_age_milliseconds",
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -28,7 +28,7 @@
     evidence::{ConfigTrust, EvidenceKeeper, EvidenceLimits, PeerEvidence, ProofSource},
     feed::CALL_LIMIT,
     fleet::{EngineTag, EngineVerdict, LimitNotice, ServerNotice},
-    permit::{PermitIssuer, PermitRequest},
+    permit::{ColdBound, PermitIssuer, PermitRequest},
     quarantine::PartQuarantine,
     refusal::{Reason, Refusal},
     retry::{RetryBudget, RetryLimit},
@@ -46,6 +46,7 @@
 mod body;
 mod budget;
 pub mod clock;
+mod cold;
 mod drain;
 pub mod edge;
 mod exchange;
@@ -108,6 +109,8 @@
     pub reservation: ReservationLimits,
     /// Memory that the process may use, in bytes.
     pub memory_limit: u64,
+    /// Bound of cold engines; `None` if the deployment has none.
+    pub cold_bound: Option<ColdBound>,
 }
 
 /// Server chosen for a request.
@@ -180,7 +183,8 @@
     /// Digest of what this host knows and all hosts must respect.
     fn beliefs_digest(&self) -> u64 {
         let limits = self.dispatcher.fleet.limits_digest();
-        self.quarantine.digest().wrapping_add(limits)
+        let cold = self.dispatcher.fleet.cold_digest();
+        self.quarantine.digest().wrapping_add(limits).wrapping_add(cold)
     }
 }
 
@@ -234,6 +238,7 @@
         let mut dispatcher =
             Dispatcher::new(settings.host_info.tag(), settings.host_info.failure_domain.clone());
         dispatcher.fleet.set_entry_lifetime(settings.entry_lifetime);
+        dispatcher.set_cold_bound(settings.cold_bound);
         let state = GatewayState {
             dispatcher,
             catalog: None,
@@ -438,6 +443,9 @@
                     "leaving" => entry.is_leaving, "era" => entry.revision.era,
                     "revision" => entry.revision.number);
             }
+            DispatchOutput::ColdChanged { change, is_stated } => {
+                self.report_cold(change, is_stated);
+            }
         }
     }
 
@@ -467,6 +475,7 @@
         if notice.limit == LimitNotice::Absent && !is_limited {
             notice.limit = LimitNotice::Unknown;
         }
+        self.filter_cold(engine, &mut notice, info.invalid_cold.as_ref());
         if notice != ServerNotice::default() {
             self.dispatch(DispatchInput::NoticeReceived { engine, sent, notice });
         }
@@ -496,6 +505,8 @@
         self.update_readiness();
         let now = clock::now();
         let mut state = self.state.borrow_mut();
+        let members = state.roster.member_view(now);
+        state.permit_issuer.observe_members(now, members);
         for peer in state.roster.take_newly_silent(now) {
             event!(self.log, PEER_HEARTBEATS_MISSING, "peer" => &*peer);
         }
@@ -513,6 +524,7 @@
         let usable = fleet.iter().filter(|(tag, _)| fleet.is_usable(now, *tag));
         self.metrics.usable_servers.set(usable.count() as i64);
         self.metrics.limited_servers.set(fleet.limited_count() as i64);
+        self.metrics.cold_engines.set(fleet.cold_count() as i64);
         let list_age = fleet.list_age(now).map_or(i64::MAX, |age| age.as_millis() as i64);
         self.metrics.server_list_age.set(list_age);
         let dropped = self.log_budget.take_dropped();
--- a/crates/node/src/gateway/quarantine.rs
+++ b/crates/node/src/gateway/quarantine.rs
@@ -14,7 +14,7 @@
 use super::{
     Gateway, GatewayRef, GatewayState,
     beats::{self, PeerDatagram},
-    clock,
+    clock, cold,
     exchange::Exchange,
     listener::with_timeout,
 };
@@ -135,9 +135,10 @@
             }
             let now = clock::now();
             let reports = state.quarantine.reports(now, REPORTS_PER_PEER);
-            (reports, beats::limit_datagram(&state, now, true))
+            let limits = beats::limit_datagram(&state, now, true);
+            (reports, limits.into_iter().chain(cold::datagram(&state, now, true)))
         };
-        if let Some(bytes) = limits {
+        for bytes in limits {
             beats::with_ephemeral_socket(self, |socket| beats::send(self, socket, target, &bytes));
         }
         if !reports.is_empty() {
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -126,6 +126,11 @@
     CALLER_DISCONNECTED: "E2406" Info "caller disconnected" ["request", "attempts", "total_ms"];
     LINES_DROPPED: "E2407" Warning "log lines dropped" ["count"];
     CALLER_CONNECTION_FAILED: "E2408" Info "caller connection failed" ["from", "error"];
+    ENGINE_COLD: "E2611" Info "engine is cold" ["server", "left_ms", "per_second"];
+    ENGINE_WARM: "E2612" Info "engine is warm again" ["server"];
+    COLD_TIME_INVALID: "E2613" Warning "invalid cold time" ["entry", "value"];
+    COLD_SETTING_INVALID: "E2614" Warning "invalid cold setting of a service"
+        ["service", "setting", "value"];
 }
 
 /// Logs an event of the catalogue: `event!(log, EVENT, "field" => value)`.
