Send all reports of cold engines to a host that lacks them

Cause: a host with another digest got the 40 latest reports. A readmitted failure domain makes more engines cold at once, and the rest would never have reached such a host.

Ruled out: a larger datagram, which networks would split.

Change: reports in full go out in datagrams of 24.

Before: at most 40 reports. After: 240, in datagrams of 24.

--- a/crates/core/src/fleet/cold_tests.rs
+++ b/crates/core/src/fleet/cold_tests.rs
@@ -1,11 +1,7 @@
-use super::{tests::entry, *};
+use super::{limit_tests::at, tests::entry, *};
 
 const START_TIME: Duration = Duration::from_secs(20);
 
-fn at(millis: u64) -> Time {
-    Time(1_000_000_000 + millis * 1_000)
-}
-
 /// A table that has listed one engine, started at 1 ms and written at revision 5.
 fn listed_table(is_enabled: bool) -> (FleetTable, EngineTag) {
     let mut table = FleetTable::default();
--- a/crates/core/src/fleet/limit_tests.rs
+++ b/crates/core/src/fleet/limit_tests.rs
@@ -1,6 +1,6 @@
 use super::{notice::NoticeChange, tests::entry, *};
 
-fn at(millis: u64) -> Time {
+pub(super) fn at(millis: u64) -> Time {
     Time(1_000_000 + millis * 1_000)
 }
 
--- a/crates/core/src/permit/cold_tests.rs
+++ b/crates/core/src/permit/cold_tests.rs
@@ -3,10 +3,12 @@
 
 use arbtest::arbitrary::{Result, Unstructured};
 
-use super::*;
-use crate::roster::{HEARTBEAT_PERIOD, HostInfo, PeerRoster};
+use super::{
+    tests::{SERVER, at},
+    *,
+};
+use crate::roster::{HEARTBEAT_PERIOD, HostInfo, PeerRoster, tests::info};
 
-const ENGINE: EngineTag = EngineTag(5);
 /// Time from the start of the hosts, after which they know one another, to that of the cold time.
 const COLD_START_MS: u64 = 4_000;
 /// Times between which hosts die and are cut off.
@@ -33,7 +35,7 @@
         host: usize,
         reply: PermitReply,
     },
-    /// From now on a host is down, if the flag is set, or cut off from all but those of its side.
+    /// From now on a host is down, or up and cut off from all but those of its side.
     Fault {
         host: usize,
         is_down: bool,
@@ -64,22 +66,15 @@
     rate: RequestRate,
     /// Probability that a datagram is lost.
     loss: f64,
+    /// Longest time for which a host keeps a permit until its request arrives, in milliseconds.
+    latency_ms: u64,
     arrivals: Vec<Time>,
 }
 
 impl SimGroup {
     fn new(seed: u64, count: u16, rate: RequestRate) -> SimGroup {
         let host = |port: u16| SimHost {
-            info: HostInfo {
-                name: format!("h{port}").into(),
-                failure_domain: "a".into(),
-                caller_address: ([127, 0, 0, 1], port).into(),
-                heartbeat_address: ([127, 0, 0, 2], port).into(),
-                is_ready: true,
-                has_store: true,
-                capacity: 125,
-                incarnation: u64::from(port),
-            },
+            info: info(&format!("h{port}"), port, 1, true),
             roster: PeerRoster::new(at(0)),
             issuer: PermitIssuer::default(),
             holder: PermitHolder::default(),
@@ -95,6 +90,7 @@
             rng: fastrand::Rng::with_seed(seed),
             rate,
             loss: 0.0,
+            latency_ms: 0,
             arrivals: Vec::new(),
         };
         for host in 0..group.hosts.len() {
@@ -159,17 +155,14 @@
                 self.use_permits(host);
             }
             SimEvent::Fault { host, is_down, side } => {
-                (self.hosts[host].is_down, self.hosts[host].side) = (is_down, side);
-            }
-            SimEvent::End { host } => {
                 let host = &mut self.hosts[host];
-                if host.is_down {
+                if host.is_down && !is_down {
                     // A new process, which knows nothing.
                     host.roster = PeerRoster::new(now);
                     (host.issuer, host.holder) = Default::default();
-                    host.info.incarnation += 100;
+                    host.info.incarnation += 1;
                 }
-                (host.is_down, host.side) = (false, 0);
+                (host.is_down, host.side) = (is_down, side);
             }
             _ => {}
         }
@@ -183,7 +176,7 @@
     fn issue(&mut self, host: usize, request: &PermitRequest) -> PermitReply {
         self.observe(host);
         let SimHost { info, roster, issuer, .. } = &mut self.hosts[host];
-        let first = roster.permit_issuer(self.now, info, ENGINE, false);
+        let first = roster.permit_issuer(self.now, info, SERVER, false);
         let is_issuer = first.is_some_and(|(tag, _)| tag == info.tag());
         issuer.issue_cold(self.now, request, self.rate, is_issuer)
     }
@@ -197,17 +190,17 @@
         }
         while host.holder.state(now) == PermitState::Held {
             host.holder.take();
-            self.arrivals.push(now + Duration::from_millis(self.rng.u64(0..10)));
+            self.arrivals.push(now + Duration::from_millis(self.rng.u64(0..=self.latency_ms)));
         }
         if host.holder.state(now) != PermitState::Missing {
             return;
         }
         let (number, to_substitute) = host.holder.begin_request(now);
         let (wanted, rate) = (host.wanted, self.rate);
-        let (server, started_ms, rate_age_us) = (ENGINE, 1, 0);
+        let (server, started_ms, rate_age_us) = (SERVER, 1, 0);
         let request =
             PermitRequest { server, started_ms, number, to_substitute, wanted, rate, rate_age_us };
-        let issuer = host.roster.permit_issuer(now, &host.info, ENGINE, to_substitute);
+        let issuer = host.roster.permit_issuer(now, &host.info, SERVER, to_substitute);
         let Some((tag, _)) = issuer else { return };
         let issuer = self.hosts.iter().position(|host| host.info.tag() == tag).unwrap();
         if issuer == index {
@@ -239,10 +232,6 @@
     }
 }
 
-fn at(millis: u64) -> Time {
-    Time(1_000_000_000 + millis * 1_000)
-}
-
 /// Adds up to four faults: hosts that die and restart, hosts that are cut off alone, and groups that
 /// are cut off together.
 fn disturb(group: &mut SimGroup, input: &mut Unstructured<'_>) -> Result<()> {
@@ -254,9 +243,10 @@
         let length = if is_down { 1 } else { input.int_in_range(1..=group.hosts.len() / 2)? };
         let count = group.hosts.len();
         for host in (first..first + length).map(|host| host % count) {
-            let event = SimEvent::Fault { host, is_down, side: fault + 1 };
-            group.schedule(Duration::from_millis(from), event);
-            group.schedule(Duration::from_millis(from + duration), SimEvent::End { host });
+            for (time, is_down, side) in [(from, is_down, fault + 1), (from + duration, false, 0)] {
+                let event = SimEvent::Fault { host, is_down, side };
+                group.schedule(Duration::from_millis(time), event);
+            }
         }
     }
     Ok(())
@@ -277,6 +267,7 @@
             host.wanted = *input.choose(&[1, 2, 16])?;
         }
         group.loss = *input.choose(&[0.0, 0.0, 0.02, 0.1])?;
+        group.latency_ms = *input.choose(&[10, 10, 240])?;
         disturb(&mut group, input)?;
         group.run();
         let allowed = (per_second * bound.over + bound.slack) as usize;
--- a/crates/core/src/permit/tests.rs
+++ b/crates/core/src/permit/tests.rs
@@ -1,8 +1,8 @@
 use super::*;
 
-const SERVER: EngineTag = EngineTag(5);
+pub(super) const SERVER: EngineTag = EngineTag(5);
 
-fn at(millis: u64) -> Time {
+pub(super) fn at(millis: u64) -> Time {
     Time(1_000_000_000 + millis * 1_000)
 }
 
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -19,7 +19,7 @@
 mod fleet_tests;
 mod issuer;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 pub use duty::{HeartbeatTarget, PeerRole, registration_delay};
 
--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::fleet::EngineTag;
 
-fn info(name: &str, port: u16, incarnation: u64, is_ready: bool) -> HostInfo {
+pub(crate) fn info(name: &str, port: u16, incarnation: u64, is_ready: bool) -> HostInfo {
     HostInfo {
         name: name.into(),
         failure_domain: "a".into(),
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -223,7 +223,7 @@
         let targets = state.roster.heartbeat_targets(now, &state.host_info);
         let mut states = state_datagrams(state, now);
         states.extend(limit_datagram(state, now, false));
-        states.extend(cold::datagram(state, now, false));
+        states.extend(cold::datagrams(state, now, false));
         (targets, states)
     };
     for target in targets {
@@ -297,12 +297,13 @@
             list_revision: state.dispatcher.fleet.list_revision(),
             beliefs_digest: state.beliefs_digest(),
         };
-        let beliefs = [limit_datagram(state, now, false), cold::datagram(state, now, false)];
+        let mut beliefs = cold::datagrams(state, now, false);
+        beliefs.extend(limit_datagram(state, now, false));
         (targets, encode(&datagram), beliefs)
     };
     for target in targets {
         send(gateway, socket, target, &datagram);
-        beliefs.iter().flatten().for_each(|bytes| send(gateway, socket, target, bytes));
+        beliefs.iter().for_each(|bytes| send(gateway, socket, target, bytes));
     }
 }
 
@@ -378,9 +379,10 @@
             send(gateway, socket, reply_to, &encode(&response));
             let beliefs = {
                 let (state, now) = (gateway.state.borrow(), clock::now());
-                [limit_datagram(&state, now, false), cold::datagram(&state, now, false)]
+                let limits = limit_datagram(&state, now, false).into_iter();
+                limits.chain(cold::datagrams(&state, now, false)).collect::<Vec<_>>()
             };
-            beliefs.iter().flatten().for_each(|bytes| send(gateway, socket, reply_to, bytes));
+            beliefs.iter().for_each(|bytes| send(gateway, socket, reply_to, bytes));
         }
         PeerDatagram::LimitReports(reports) => {
             gateway.dispatch(DispatchInput::LimitsReported(reports));
@@ -509,7 +511,7 @@
             let state = gateway.state.borrow();
             let mut states = state_datagrams(&state, now);
             states.extend(limit_datagram(&state, now, true));
-            states.extend(cold::datagram(&state, now, true));
+            states.extend(cold::datagrams(&state, now, true));
             states
         };
         states.iter().for_each(|bytes| send(gateway, socket, host_info.heartbeat_address, bytes));
--- a/crates/node/src/gateway/cold.rs
+++ b/crates/node/src/gateway/cold.rs
@@ -18,14 +18,22 @@
 
 /// Reports in one datagram.
 const REPORTS_PER_DATAGRAM: usize = 8;
-/// Reports that a host is sent when it joins or knows other cold engines.
-const REPORTS_IN_FULL: usize = 40;
+/// Reports in one datagram to a host that joins or knows other cold engines.
+const REPORTS_PER_FULL_DATAGRAM: usize = 24;
+/// Most reports that such a host is sent. A readmitted failure domain makes many engines cold at
+/// once, all of which count in the digest.
+const REPORTS_IN_FULL: usize = 240;
 
-/// What this host knows of cold engines; `None` if there is nothing to report.
-pub(super) fn datagram(state: &GatewayState, now: Time, is_full: bool) -> Option<Vec<u8>> {
-    let count = if is_full { REPORTS_IN_FULL } else { REPORTS_PER_DATAGRAM };
+/// What changed of this host's knowledge of cold engines lately, or all of it if `is_full`. Returns
+/// at most one datagram unless `is_full`.
+pub(super) fn datagrams(state: &GatewayState, now: Time, is_full: bool) -> Vec<Vec<u8>> {
+    let (count, part) = match is_full {
+        true => (REPORTS_IN_FULL, REPORTS_PER_FULL_DATAGRAM),
+        false => (REPORTS_PER_DATAGRAM, REPORTS_PER_DATAGRAM),
+    };
     let reports = state.dispatcher.fleet.cold_reports(now, count, is_full);
-    (!reports.is_empty()).then(|| beats::encode(&PeerDatagram::ColdReports(reports)))
+    let parts = reports.chunks(part);
+    parts.map(|part| beats::encode(&PeerDatagram::ColdReports(part.to_vec()))).collect()
 }
 
 impl Gateway {
@@ -85,11 +93,11 @@
             let state = self.state.borrow();
             let alive = state.roster.alive(now);
             let targets: Vec<_> = alive.map(|(_, info)| info.heartbeat_address).collect();
-            (targets, datagram(&state, now, false))
+            (targets, datagrams(&state, now, false))
         };
-        let Some(bytes) = bytes.filter(|_| !targets.is_empty()) else { return };
         beats::with_ephemeral_socket(self, |socket| {
-            targets.iter().for_each(|target| beats::send(self, socket, *target, &bytes));
+            let sends = targets.iter().flat_map(|to| bytes.iter().map(move |one| (to, one)));
+            sends.for_each(|(target, bytes)| beats::send(self, socket, *target, bytes));
         });
     }
 }
--- a/crates/node/src/gateway/quarantine.rs
+++ b/crates/node/src/gateway/quarantine.rs
@@ -136,7 +136,7 @@
             let now = clock::now();
             let reports = state.quarantine.reports(now, REPORTS_PER_PEER);
             let limits = beats::limit_datagram(&state, now, true);
-            (reports, limits.into_iter().chain(cold::datagram(&state, now, true)))
+            (reports, limits.into_iter().chain(cold::datagrams(&state, now, true)))
         };
         for bytes in limits {
             beats::with_ephemeral_socket(self, |socket| beats::send(self, socket, target, &bytes));
