Return to the issuer after a reply of the substitute

Ruled out: a larger share of the substitute, which the bound leaves no room for.

Change: after a reply of the substitute for a cold engine the issuer is asked next. Request limits stay as they are.

--- a/crates/core/src/permit/cold_tests.rs
+++ b/crates/core/src/permit/cold_tests.rs
@@ -273,7 +273,7 @@
         let allowed = (per_second * bound.over + bound.slack) as usize;
         let peak = group.peak();
         assert!(peak <= allowed, "{peak} of {allowed} in a second, {count} hosts");
-        // A host that lost two datagrams in a row turns to the substitute for a second.
+        // A host waits for a lost reply, so the use depends on the loss.
         for (from, until) in [(COLD_START_MS + 500, DISTURBED_MS.0), (RECOVERED_MS, END_MS)] {
             let used = group.used(from, until) / per_second;
             let is_used = group.loss > 0.0 || used >= 0.85;
--- a/crates/core/src/permit/holder.rs
+++ b/crates/core/src/permit/holder.rs
@@ -89,5 +89,9 @@
         self.held = reply.issued;
         self.held_until = since + if is_cold { COLD_PERMIT_TERM } else { PERMIT_TERM };
         self.closed_until = now + Duration::from_micros(reply.next_us);
+        if is_cold {
+            // A substitute issues so little that the issuer is tried again at once.
+            self.substitute_until = self.substitute_until.min(now);
+        }
     }
 }
