--- a/crates/core/src/fleet/limit_tests.rs
+++ b/crates/core/src/fleet/limit_tests.rs
@@ -1,6 +1,6 @@
 use super::{notice::NoticeChange, tests::entry, *};
 
-fn at(millis: u64) -> Time {
+pub(super) fn at(millis: u64) -> Time {
     Time(1_000_000 + millis * 1_000)
 }
 
@@ -13,7 +13,7 @@
 }
 
 const ABSENT: ServerNotice =
-    ServerNotice { is_leaving: false, pause: None, limit: LimitNotice::Absent };
+    ServerNotice { is_leaving: false, pause: None, limit: LimitNotice::Absent, cold_left: None };
 
 fn table() -> (FleetTable, EngineTag) {
     let mut table = FleetTable::new(HostTag(1));
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -13,7 +13,7 @@
     era::StoreRevision,
     evacuation::EvacuationView,
     evidence::{EvidenceEffect, PeerEvidence},
-    fleet::{EngineEstimate, LimitReport, ListEvidence},
+    fleet::{ColdReport, EngineEstimate, LimitReport, ListEvidence},
     permit::{PermitReply, PermitRequest},
     quarantine::PartReport,
     roster::{HeartbeatTarget, HostInfo, HostTag, PeerChange, PeerRole, STANDBY_POLL_PERIOD},
@@ -23,7 +23,7 @@
 use parsley_macros::message;
 
 use super::{
-    Gateway, GatewayRef, GatewayState, ServerChange, clock,
+    Gateway, GatewayRef, GatewayState, ServerChange, clock, cold,
     evacuation::evacuation_datagrams,
     listing::{self, ListUpdate},
 };
@@ -114,6 +114,8 @@
     PartReports { reply_to: SocketAddr, reports: Vec<PartReport> },
     /// The evacuations of failure domains that the sender knows of.
     Evacuations { reply_to: SocketAddr, view: EvacuationView },
+    /// What the sender knows of cold engines.
+    ColdReports(Vec<ColdReport>),
 }
 
 /// Binds the socket and starts the tasks that send and receive.
@@ -233,6 +235,7 @@
         let mut states = state_datagrams(state, now);
         states.extend(limit_datagram(state, now, false));
         states.extend(evacuation_datagrams(state, now, false));
+        states.extend(cold::datagrams(state, now, false));
         (targets, states)
     };
     for target in targets {
@@ -295,7 +298,7 @@
 /// Polls members on behalf of this standby host.
 fn poll_members(gateway: &Gateway, socket: &Async<UdpSocket>) {
     let now = clock::now();
-    let (targets, datagram, limits) = {
+    let (targets, datagram, beliefs) = {
         let state = &mut *gateway.state.borrow_mut();
         let targets = state.roster.poll_targets(now, &mut state.rng);
         let datagram = PeerDatagram::SyncRequest {
@@ -306,11 +309,13 @@
             list_revision: state.dispatcher.fleet.list_revision(),
             beliefs_digest: state.beliefs_digest(),
         };
-        (targets, encode(&datagram), limit_datagram(state, now, false))
+        let mut beliefs = cold::datagrams(state, now, false);
+        beliefs.extend(limit_datagram(state, now, false));
+        (targets, encode(&datagram), beliefs)
     };
     for target in targets {
         send(gateway, socket, target, &datagram);
-        limits.iter().for_each(|bytes| send(gateway, socket, target, bytes));
+        beliefs.iter().for_each(|bytes| send(gateway, socket, target, bytes));
     }
 }
 
@@ -384,8 +389,12 @@
             let response =
                 sync_response(gateway, incarnation, clock, members_digest, list_revision);
             send(gateway, socket, reply_to, &encode(&response));
-            let limits = limit_datagram(&gateway.state.borrow(), clock::now(), false);
-            limits.iter().for_each(|bytes| send(gateway, socket, reply_to, bytes));
+            let beliefs = {
+                let (state, now) = (gateway.state.borrow(), clock::now());
+                let limits = limit_datagram(&state, now, false).into_iter();
+                limits.chain(cold::datagrams(&state, now, false)).collect::<Vec<_>>()
+            };
+            beliefs.iter().for_each(|bytes| send(gateway, socket, reply_to, bytes));
         }
         PeerDatagram::LimitReports(reports) => {
             gateway.dispatch(DispatchInput::LimitsReported(reports));
@@ -439,6 +448,9 @@
             gateway.merge_part_reports(reply_to, &reports);
         }
         PeerDatagram::Evacuations { reply_to, view } => gateway.merge_evacuations(reply_to, view),
+        PeerDatagram::ColdReports(reports) => {
+            gateway.dispatch(DispatchInput::ColdReported(reports));
+        }
     }
 }
 
@@ -515,6 +527,7 @@
             let mut states = state_datagrams(&state, now);
             states.extend(limit_datagram(&state, now, true));
             states.extend(evacuation_datagrams(&state, now, true));
+            states.extend(cold::datagrams(&state, now, true));
             states
         };
         states.iter().for_each(|bytes| send(gateway, socket, host_info.heartbeat_address, bytes));
--- a/crates/node/src/gateway/evacuation.rs
+++ b/crates/node/src/gateway/evacuation.rs
@@ -127,6 +127,7 @@
         fleet.set_evacuated(domains.clone());
         let StoreRevision { era, number } = keeper.revision();
         for domain in announced.extract_if(.., |domain| !domains.contains(domain)) {
+            fleet.warm_up_domain(clock::now(), &domain);
             event!(self.log, EVACUATION_WITHDRAWN, "domain" => &*domain, "era" => era,
                 "revision" => number, "from" => from);
         }
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -77,6 +77,8 @@
     pub audited_refusals: IntGauge,
     /// Those among them for which a server had room in time.
     pub needless_refusals: IntGauge,
+    /// Engines that are cold.
+    pub cold_engines: IntGauge,
     /// Age of the proof that the list of servers is complete, in milliseconds; the maximum if there
     /// is none.
     pub server_list_age: IntGauge,
@@ -242,6 +244,11 @@
                 "gateway_needless_refusals",
                 "Audited refusals for which a server had room in time.",
             ),
+            cold_engines: gauge(
+                &registry,
+                "gateway_cold_engines",
+                "Engines that take few requests because they are cold.",
+            ),
             server_list_age: gauge(
                 &registry,
                 "gateway_server_list_age_milliseconds",
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -29,7 +29,7 @@
     feed::CALL_LIMIT,
     fleet::{EngineTag, EngineVerdict, LimitNotice, ServerNotice},
     hedge::HedgePlanner,
-    permit::{PermitIssuer, PermitRequest},
+    permit::{ColdBound, PermitIssuer, PermitRequest},
     quarantine::PartQuarantine,
     refusal::{Reason, Refusal},
     retry::{RetryBudget, RetryLimit},
@@ -49,6 +49,7 @@
 mod budget;
 mod caller;
 pub mod clock;
+mod cold;
 mod drain;
 pub mod edge;
 mod evacuation;
@@ -121,6 +122,8 @@
     pub evacuation_limit: Option<Duration>,
     /// Hedges over all hosts as a share of the requests, from 0 to 1; 0 is off.
     pub hedge_share: f64,
+    /// Bound of cold engines; `None` if the deployment has none.
+    pub cold_bound: Option<ColdBound>,
 }
 
 /// Server chosen for a request.
@@ -198,7 +201,9 @@
     fn beliefs_digest(&self) -> u64 {
         let limits = self.dispatcher.fleet.limits_digest();
         let evacuations = self.evacuation.keeper.digest();
-        self.quarantine.digest().wrapping_add(limits).wrapping_add(evacuations)
+        let cold = self.dispatcher.fleet.cold_digest();
+        let digests = [self.quarantine.digest(), limits, evacuations, cold];
+        digests.into_iter().fold(0, u64::wrapping_add)
     }
 }
 
@@ -252,6 +257,7 @@
         let mut dispatcher =
             Dispatcher::new(settings.host_info.tag(), settings.host_info.failure_domain.clone());
         dispatcher.fleet.set_entry_lifetime(settings.entry_lifetime);
+        dispatcher.set_cold_bound(settings.cold_bound);
         let state = GatewayState {
             dispatcher,
             catalog: None,
@@ -462,6 +468,9 @@
                     "leaving" => entry.is_leaving, "era" => entry.revision.era,
                     "revision" => entry.revision.number);
             }
+            DispatchOutput::ColdChanged { change, is_stated } => {
+                self.report_cold(change, is_stated);
+            }
         }
     }
 
@@ -491,6 +500,7 @@
         if notice.limit == LimitNotice::Absent && !is_limited {
             notice.limit = LimitNotice::Unknown;
         }
+        self.filter_cold(engine, &mut notice, info.invalid_cold.as_ref());
         if notice != ServerNotice::default() {
             self.dispatch(DispatchInput::NoticeReceived { engine, sent, notice });
         }
@@ -521,6 +531,8 @@
         self.update_readiness();
         let now = clock::now();
         let mut state = self.state.borrow_mut();
+        let members = state.roster.member_view(now);
+        state.permit_issuer.observe_members(now, members);
         for peer in state.roster.take_newly_silent(now) {
             event!(self.log, PEER_HEARTBEATS_MISSING, "peer" => &*peer);
         }
@@ -543,6 +555,7 @@
         let usable = fleet.iter().filter(|(tag, _)| fleet.is_usable(now, *tag));
         self.metrics.usable_servers.set(usable.count() as i64);
         self.metrics.limited_servers.set(fleet.limited_count() as i64);
+        self.metrics.cold_engines.set(fleet.cold_count() as i64);
         let list_age = fleet.list_age(now).map_or(i64::MAX, |age| age.as_millis() as i64);
         self.metrics.server_list_age.set(list_age);
         let dropped = self.log_budget.take_dropped();
--- a/crates/node/src/gateway/quarantine.rs
+++ b/crates/node/src/gateway/quarantine.rs
@@ -15,6 +15,7 @@
     Gateway, GatewayRef, GatewayState,
     beats::{self, PeerDatagram},
     clock::{self, with_timeout},
+    cold,
     evacuation::evacuation_datagrams,
     exchange::Exchange,
 };
@@ -138,6 +139,7 @@
             let reports = state.quarantine.reports(now, REPORTS_PER_PEER);
             let mut datagrams = evacuation_datagrams(&state, now, true);
             datagrams.extend(beats::limit_datagram(&state, now, true));
+            datagrams.extend(cold::datagrams(&state, now, true));
             (reports, datagrams)
         };
         if !datagrams.is_empty() {
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -134,6 +134,11 @@
     EVACUATIONS_OLD: "E2605" Warning "evacuations may be old" ["age_ms", "limit_ms"];
     CALLER_UNREADING: "E2621" Warning "caller read nothing of its response" ["from"];
     CALLER_WITHOUT_MEMORY: "E2622" Warning "no memory for a caller's connection" ["from", "held"];
+    ENGINE_COLD: "E2611" Info "engine is cold" ["server", "left_ms", "per_second"];
+    ENGINE_WARM: "E2612" Info "engine is warm again" ["server"];
+    COLD_TIME_INVALID: "E2613" Warning "invalid cold time" ["entry", "value"];
+    COLD_SETTING_INVALID: "E2614" Warning "invalid cold setting of a service"
+        ["service", "setting", "value"];
 }
 
 /// Logs an event of the catalogue: `event!(log, EVENT, "field" => value)`.
