--- a/crates/core/src/evacuation/mod.rs
+++ b/crates/core/src/evacuation/mod.rs
@@ -22,8 +22,6 @@
     time::Time,
 };
 
-#[cfg(test)]
-mod spread_tests;
 #[cfg(test)]
 mod tests;
 
--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -18,7 +18,7 @@
 };
 
 #[cfg(test)]
-pub(crate) mod spread_tests;
+mod spread_tests;
 #[cfg(test)]
 mod tests;
 
