Spend less time on member lists and share the fixture

Cause: tests of fleets of a thousand hosts take minutes in the debug profile. Change: the silence limit is computed once per count, and a member list is hashed and counted once. In the test fixture the datagrams of one host get a method of their own, and datagrams can be lost.

--- a/crates/core/src/roster/duty.rs
+++ b/crates/core/src/roster/duty.rs
@@ -238,10 +238,13 @@
             }
             let tags: Vec<_> = infos.iter().map(HostInfo::tag).collect();
             let digests = infos.iter().zip(&tags).map(|(info, tag)| info.digest(*tag));
-            self.member_list = (digests.fold(0, u64::wrapping_add), tags);
-            for info in infos.into_iter().filter(|info| info.name != me.name) {
-                self.record_heartbeat(now, info);
+            let digest = digests.fold(0, u64::wrapping_add);
+            for (info, tag) in infos.into_iter().zip(&tags).filter(|(info, _)| info.name != me.name)
+            {
+                self.record_sign_of_life(now, *tag, info);
             }
+            self.member_list = (digest, tags);
+            self.update_peak(now);
             return;
         }
         for tag in &self.member_list.1 {
--- a/crates/core/src/roster/fleet_tests.rs
+++ b/crates/core/src/roster/fleet_tests.rs
@@ -16,6 +16,8 @@
     info: HostInfo,
     roster: PeerRoster,
     is_down: bool,
+    /// When the host sends its next heartbeats or polls, if hosts do not act in rounds.
+    next_send: Time,
     /// Datagrams sent and received in the last round.
     datagrams: usize,
 }
@@ -27,6 +29,8 @@
     listed: Vec<HostInfo>,
     rounds: usize,
     addresses: BTreeMap<SocketAddr, HostTag>,
+    /// Share of the datagrams that are lost.
+    loss: f64,
     rng: fastrand::Rng,
 }
 
@@ -41,6 +45,7 @@
             listed: Vec::new(),
             rounds: 0,
             addresses: BTreeMap::new(),
+            loss: 0.0,
             rng: fastrand::Rng::with_seed(7),
         };
         for port in 1..=count {
@@ -61,7 +66,7 @@
                 fleet.listed.push(info.clone());
             }
             fleet.addresses.insert(info.heartbeat_address, info.tag());
-            let host = FleetHost { info, roster, is_down: false, datagrams: 0 };
+            let host = FleetHost { info, roster, is_down: false, next_send: now, datagrams: 0 };
             fleet.hosts.insert(host.info.tag(), host);
         }
         fleet
@@ -77,50 +82,54 @@
                 others.for_each(|info| host.roster.add_candidate(info.clone()));
             }
         }
-        let now = self.now;
         self.hosts.values_mut().for_each(|host| host.datagrams = 0);
         let tags: Vec<_> = self.hosts.keys().copied().collect();
-        for tag in tags {
-            let host = self.hosts.get_mut(&tag).unwrap();
-            if host.is_down {
-                continue;
-            }
-            if host.roster.is_member(now, &host.info) {
-                let targets = host.roster.heartbeat_targets(now, &host.info);
-                let (info, members) =
-                    (host.info.clone(), host.roster.member_list(now, &host.info).1);
-                host.datagrams += targets.len();
-                for target in targets {
-                    let Some(peer) = self.up(target.tag) else { continue };
-                    peer.datagrams += 1;
-                    if target.role == PeerRole::Demoted {
-                        peer.roster.merge_members(now, &peer.info, Some(members.clone()));
-                        continue;
-                    }
-                    peer.roster.record_heartbeat(now, info.clone());
-                    if target.role == PeerRole::Member {
-                        peer.roster.confirm_member(now);
-                    }
-                }
-                continue;
-            }
-            let targets = host.roster.poll_targets(now, &mut self.rng);
+        tags.into_iter().for_each(|tag| self.send(tag));
+    }
+
+    /// Sends the heartbeats or polls of one host and delivers them and their answers.
+    fn send(&mut self, tag: HostTag) {
+        let now = self.now;
+        let host = self.hosts.get_mut(&tag).unwrap();
+        if host.is_down {
+            return;
+        }
+        if host.roster.is_member(now, &host.info) {
+            let targets = host.roster.heartbeat_targets(now, &host.info);
+            let (info, members) = (host.info.clone(), host.roster.member_list(now, &host.info).1);
             host.datagrams += targets.len();
             for target in targets {
-                let known = self.hosts[&tag].roster.members_digest();
-                let Some(peer) = self.up(self.addresses[&target]) else { continue };
-                peer.datagrams += 2;
-                let (digest, members) = peer.roster.member_list(now, &peer.info);
-                let host = self.up(tag).unwrap();
-                host.datagrams += 1;
-                host.roster.merge_members(now, &host.info, (digest != known).then_some(members));
-                host.roster.reset_unanswered();
+                let Some(peer) = self.deliver(target.tag) else { continue };
+                peer.datagrams += 1;
+                if target.role == PeerRole::Demoted {
+                    peer.roster.merge_members(now, &peer.info, Some(members.clone()));
+                    continue;
+                }
+                peer.roster.record_heartbeat(now, info.clone());
+                if target.role == PeerRole::Member {
+                    peer.roster.confirm_member(now);
+                }
             }
+            return;
+        }
+        let targets = host.roster.poll_targets(now, &mut self.rng);
+        host.datagrams += targets.len();
+        for target in targets {
+            let known = self.hosts[&tag].roster.members_digest();
+            let Some(peer) = self.deliver(self.addresses[&target]) else { continue };
+            peer.datagrams += 2;
+            let (digest, members) = peer.roster.member_list(now, &peer.info);
+            let Some(host) = self.deliver(tag) else { continue };
+            host.datagrams += 1;
+            host.roster.merge_members(now, &host.info, (digest != known).then_some(members));
+            host.roster.reset_unanswered();
         }
     }
 
-    fn up(&mut self, tag: HostTag) -> Option<&mut FleetHost> {
-        self.hosts.get_mut(&tag).filter(|host| !host.is_down)
+    /// Returns the host that receives a datagram, unless it is down or the datagram is lost.
+    fn deliver(&mut self, tag: HostTag) -> Option<&mut FleetHost> {
+        let is_lost = self.loss > 0.0 && self.rng.f64() < self.loss;
+        self.hosts.get_mut(&tag).filter(|host| !host.is_down && !is_lost)
     }
 
     fn members(&self) -> BTreeSet<HostTag> {
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -159,7 +159,21 @@
     /// Records a heartbeat. Returns whether the peer has joined; `None` if the heartbeat comes from
     /// a process that was replaced and is therefore ignored.
     pub fn record_heartbeat(&mut self, now: Time, info: HostInfo) -> Option<PeerChange> {
-        let tag = info.tag();
+        let change = self.record_sign_of_life(now, info.tag(), info);
+        self.update_peak(now);
+        change
+    }
+
+    fn update_peak(&mut self, now: Time) {
+        self.peak_alive = self.peak_alive.max(self.alive(now).count() + 1);
+    }
+
+    fn record_sign_of_life(
+        &mut self,
+        now: Time,
+        tag: HostTag,
+        info: HostInfo,
+    ) -> Option<PeerChange> {
         let was_alive = self.is_alive(now, tag);
         let record = self.peers.entry(tag).or_insert_with(|| PeerRecord::new(info.clone()));
         if record.replaced.contains(&info.incarnation) {
@@ -176,7 +190,6 @@
         record.last_heartbeat = Some(now);
         record.probed_since = None;
         record.is_silent = false;
-        self.peak_alive = self.peak_alive.max(self.alive(now).count() + 1);
         Some(if was_alive && !is_restarted { PeerChange::Unchanged } else { PeerChange::Joined })
     }
 
@@ -215,7 +228,11 @@
 
     /// Returns the live peers, without this host, in the order of their tags.
     pub fn alive(&self, now: Time) -> impl Iterator<Item = (HostTag, &HostInfo)> {
-        let alive = self.peers.iter().filter(move |(_, record)| self.is_recent(now, record));
+        let limit = self.silence_limit();
+        let is_recent = move |record: &PeerRecord| {
+            record.last_heartbeat.is_some_and(|at| now.since(at) <= limit)
+        };
+        let alive = self.peers.iter().filter(move |(_, record)| is_recent(record));
         alive.map(|(tag, record)| (*tag, &record.info))
     }
 
