Add a failing test of dead hosts in answers

Cause: section 4.6 of docs/design/uneven-load.md asks that no live host names a dead one later than 7 s after its death. No test covered hosts that send at different times, or lost datagrams. Both tests fail in the same way (cargo test -p parsley-core dead_hosts).

--- a/crates/core/src/roster/fleet_tests.rs
+++ b/crates/core/src/roster/fleet_tests.rs
@@ -8,6 +8,8 @@
 
 use super::*;
 
+mod dead_hosts;
+
 const ROUND: Duration = Duration::from_millis(800);
 /// Rounds after which registered hosts read the host list again.
 const LISTING_ROUNDS: usize = 11;
