Check a configuration before it is sent

Cause: section 4.7 of docs/design/uneven-load.md. Hosts decode a configuration and serve by it, also where an entry can never match or limits contradict each other. The checks and the comparison are functions of ServingConfig in core (catalog/check.rs); the platform reads, names the fields as on the wire and prints. No API key is printed. Ruled out: reading the version in force from the store, and a second decoder that collects all mistakes of the JSON (docs/design/configuration-check.md). Tests: any_mistakes_are_found_and_shown_as_differences (300 fixed cases over 13 mistakes), cold_times_need_a_rate, configuration_is_checked_before_it_is_sent.

--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -10,6 +10,9 @@
 
 use crate::dispatch::{LatencyModel, UrgentTarget};
 
+pub mod check;
+#[cfg(test)]
+mod check_tests;
 #[cfg(test)]
 mod tests;
 
--- a/crates/core/src/catalog/tests.rs
+++ b/crates/core/src/catalog/tests.rs
@@ -17,7 +17,7 @@
     }
 }
 
-fn catalog() -> RouteCatalog {
+pub(super) fn catalog() -> RouteCatalog {
     let account = |name: &str, key: &str, priority| AccountConfig {
         name: name.into(),
         api_keys: vec![key.into()],
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -71,5 +71,9 @@
         Protocol(detail: &'static str) {
             display("{detail}")
         }
+        /// A checked configuration has mistakes; carries the rendered findings.
+        Findings(findings: Arc<str>) {
+            display("{findings}")
+        }
     }
 }
