--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -13,6 +13,9 @@
     fleet::ColdStart,
 };
 
+pub mod check;
+#[cfg(test)]
+mod check_tests;
 #[cfg(test)]
 mod tests;
 
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -118,14 +118,22 @@
     /// When the first heartbeat was sent to the peer, while it has not answered any.
     probed_since: Option<Time>,
     is_silent: bool,
+    /// Whether the last sign of life came from the peer itself and not from another host's list.
+    is_heard: bool,
     /// Earlier incarnations, whose delayed datagrams are ignored.
     replaced: Vec<u64>,
 }
 
 impl PeerRecord {
     fn new(info: HostInfo) -> PeerRecord {
-        let replaced = Vec::new();
-        PeerRecord { info, last_heartbeat: None, probed_since: None, is_silent: false, replaced }
+        PeerRecord {
+            info,
+            last_heartbeat: None,
+            probed_since: None,
+            is_silent: false,
+            is_heard: false,
+            replaced: Vec::new(),
+        }
     }
 }
 
@@ -159,7 +167,22 @@
     /// Records a heartbeat. Returns whether the peer has joined; `None` if the heartbeat comes from
     /// a process that was replaced and is therefore ignored.
     pub fn record_heartbeat(&mut self, now: Time, info: HostInfo) -> Option<PeerChange> {
-        let tag = info.tag();
+        let change = self.record_sign_of_life(now, info.tag(), info, true);
+        self.update_peak(now);
+        change
+    }
+
+    fn update_peak(&mut self, now: Time) {
+        self.peak_alive = self.peak_alive.max(self.alive(now).count() + 1);
+    }
+
+    fn record_sign_of_life(
+        &mut self,
+        now: Time,
+        tag: HostTag,
+        info: HostInfo,
+        is_heard: bool,
+    ) -> Option<PeerChange> {
         let was_alive = self.is_alive(now, tag);
         let record = self.peers.entry(tag).or_insert_with(|| PeerRecord::new(info.clone()));
         if record.replaced.contains(&info.incarnation) {
@@ -176,7 +199,7 @@
         record.last_heartbeat = Some(now);
         record.probed_since = None;
         record.is_silent = false;
-        self.peak_alive = self.peak_alive.max(self.alive(now).count() + 1);
+        record.is_heard = is_heard;
         Some(if was_alive && !is_restarted { PeerChange::Unchanged } else { PeerChange::Joined })
     }
 
@@ -215,7 +238,11 @@
 
     /// Returns the live peers, without this host, in the order of their tags.
     pub fn alive(&self, now: Time) -> impl Iterator<Item = (HostTag, &HostInfo)> {
-        let alive = self.peers.iter().filter(move |(_, record)| self.is_recent(now, record));
+        let limit = self.silence_limit();
+        let is_recent = move |record: &PeerRecord| {
+            record.last_heartbeat.is_some_and(|at| now.since(at) <= limit)
+        };
+        let alive = self.peers.iter().filter(move |(_, record)| is_recent(record));
         alive.map(|(tag, record)| (*tag, &record.info))
     }
 
