--- a/crates/core/src/permit/cold_tests.rs
+++ b/crates/core/src/permit/cold_tests.rs
@@ -41,9 +41,6 @@
         is_down: bool,
         side: usize,
     },
-    End {
-        host: usize,
-    },
 }
 
 struct SimHost {
