--- a/crates/core/src/dispatch/choose.rs
+++ b/crates/core/src/dispatch/choose.rs
@@ -283,7 +283,8 @@
     pub(super) fn wanted_parts(&self, model: &LatencyModel, demand: &WorkDemand) -> usize {
         let target = f64::from(demand.first_event_target_ms) * MAX_PREFILL_SHARE;
         let by_time = (model.prefill_ms(demand.prompt_tokens) / target.max(1.0)).ceil();
-        let parts = (by_time as usize).max(memory_parts(model, demand)).min(MAX_PARTS);
+        let limit = self.max_parts(demand.service);
+        let parts = (by_time as usize).min(limit).max(memory_parts(model, demand).min(MAX_PARTS));
         parts.min(self.engine_counts.get(&demand.service).copied().unwrap_or(1)).max(1)
     }
 
--- a/crates/core/src/dispatch/split.rs
+++ b/crates/core/src/dispatch/split.rs
@@ -16,6 +16,11 @@
 
 /// Most engines that one prompt is split over. Engines accept 16 helpers beside the first engine.
 pub(super) const MAX_PARTS: usize = 16;
+/// Parts that are allowed in a fleet of any size.
+const SMALL_FLEET_PARTS: usize = 6;
+/// Engines of a service for each part beyond [`SMALL_FLEET_PARTS`]. With 21 engines, 16 parts made
+/// other long prompts late that would have had these engines.
+const ENGINES_PER_PART: usize = 5;
 /// Fraction of an engine's memory that placements may use.
 const USABLE_MEMORY_SHARE: f64 = 0.96;
 
@@ -72,7 +77,7 @@
         if pool.engines.len() >= parts || memory_parts(model, input.demand) > 1 {
             return pool;
         }
-        for count in parts..=MAX_PARTS {
+        for count in parts..=dispatcher.max_parts(input.demand.service) {
             let forecast = |(tag, slowdown): &(EngineTag, f64)| {
                 input.load(*tag).forecast(model, input.demand, count, *slowdown, input.waited)
             };
@@ -119,6 +124,14 @@
     }
 }
 
+impl Dispatcher {
+    /// Most parts of one prompt: a fifth of the service's engines, within limits.
+    pub(super) fn max_parts(&self, service: u64) -> usize {
+        let engines = self.engine_counts.get(&service).copied().unwrap_or_default();
+        (engines / ENGINES_PER_PART).clamp(SMALL_FLEET_PARTS, MAX_PARTS)
+    }
+}
+
 /// Number of engines whose combined memory a request needs; at least 1.
 pub(super) fn memory_parts(model: &LatencyModel, demand: &WorkDemand) -> usize {
     let memory = f64::from(model.memory_tokens) * USABLE_MEMORY_SHARE;
