--- /dev/null
+++ b/review/standins-2/src/server.rs
@@ -0,0 +1,84 @@
+//! Stand-in of a backend server.
+
+use std::{
+    io::{BufReader, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
+    thread,
+    time::{Instant, SystemTime, UNIX_EPOCH},
+};
+
+use crate::http::{read_message, Message};
+
+/// Answers a request; returns whether the connection stays open.
+pub type Behaviour = dyn Fn(&Message, &mut TcpStream) -> bool + Send + Sync;
+
+/// Requests that a server received: id and time.
+pub type Arrivals = Arc<Mutex<Vec<(String, Instant)>>>;
+
+#[derive(Clone)]
+pub struct Server {
+    pub id: String,
+    pub address: SocketAddr,
+    pub arrivals: Arrivals,
+    born: u128,
+}
+
+impl Server {
+    pub fn start(id: &str, behaviour: Arc<Behaviour>) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port");
+        let address = listener.local_addr().expect("an address");
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("time").as_millis();
+        let server = Server { id: id.to_owned(), address, arrivals: Arc::default(), born };
+        let serving = server.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (server, behaviour) = (serving.clone(), behaviour.clone());
+                thread::spawn(move || server.serve(stream, &*behaviour));
+            }
+        });
+        server
+    }
+
+    fn serve(&self, mut stream: TcpStream, behaviour: &Behaviour) {
+        let _ = stream.set_nodelay(true);
+        let Ok(copy) = stream.try_clone() else { return };
+        let mut reader = BufReader::new(copy);
+        while let Some(request) = read_message(&mut reader).filter(|request| request.is_whole) {
+            let id = request.field("parsleystage-attempt-id").to_owned();
+            if request.field("parsleystage-expect-instance") != self.id {
+                let answer = "HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n";
+                if stream.write_all(answer.as_bytes()).is_err() {
+                    return;
+                }
+                continue;
+            }
+            self.arrivals.lock().expect("arrivals").push((id, Instant::now()));
+            if !behaviour(&request, &mut stream) {
+                return;
+            }
+        }
+    }
+
+    /// Entry of the server in the store.
+    pub fn entry(&self, service: &str, slots: u32) -> String {
+        format!(
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"recife-a\",\"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":1,\"born\":{}}}",
+            self.address, self.born
+        )
+    }
+}
+
+/// Response head with the id and the seal, followed by `rest`.
+pub fn response_head(request: &Message, status: u16, rest: &str) -> String {
+    let id = request.field("parsleystage-attempt-id");
+    format!("HTTP/1.1 {status} x\r\nParsleystage-Attempt-Id: {id}\r\nParsleystage-Engine-Seal: seal-{id}\r\n{rest}\r\n")
+}
+
+/// Writes a whole response.
+pub fn write_response(stream: &mut TcpStream, request: &Message, body: &[u8]) -> bool {
+    let head = response_head(request, 200, &format!("Content-Length: {}\r\n", body.len()));
+    let mut bytes = head.into_bytes();
+    bytes.extend_from_slice(body);
+    stream.write_all(&bytes).is_ok()
+}
