--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex},
     thread,
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crate::http::{read_message, Message};
@@ -22,14 +22,22 @@
     pub address: SocketAddr,
     pub arrivals: Arrivals,
     born: u128,
+    /// Time after which an idle connection is dropped without notice.
+    idle_limit: Option<Duration>,
 }
 
 impl Server {
     pub fn start(id: &str, behaviour: Arc<Behaviour>) -> Server {
+        Server::start_with(id, None, behaviour)
+    }
+
+    /// Starts a server that drops connections which were idle for `idle_limit` without notice:
+    /// whatever is sent next on one is reset.
+    pub fn start_with(id: &str, idle_limit: Option<Duration>, behaviour: Arc<Behaviour>) -> Server {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port");
         let address = listener.local_addr().expect("an address");
         let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("time").as_millis();
-        let server = Server { id: id.to_owned(), address, arrivals: Arc::default(), born };
+        let server = Server { id: id.to_owned(), address, arrivals: Arc::default(), born, idle_limit };
         let serving = server.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -44,7 +52,18 @@
         let _ = stream.set_nodelay(true);
         let Ok(copy) = stream.try_clone() else { return };
         let mut reader = BufReader::new(copy);
-        while let Some(request) = read_message(&mut reader).filter(|request| request.is_whole) {
+        let mut idle_since = None;
+        loop {
+            // Returns when a request arrives or the connection ends.
+            let _ = stream.peek(&mut [0]);
+            let idle = idle_since.map_or(Duration::ZERO, |since: Instant| since.elapsed());
+            if self.idle_limit.is_some_and(|limit| idle > limit) {
+                // Closed with unread bytes, which resets it.
+                return;
+            }
+            let Some(request) = read_message(&mut reader).filter(|request| request.is_whole) else {
+                return;
+            };
             let id = request.field("parsleystage-attempt-id").to_owned();
             if request.field("parsleystage-expect-instance") != self.id {
                 let answer = "HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n";
@@ -57,6 +76,7 @@
             if !behaviour(&request, &mut stream) {
                 return;
             }
+            idle_since = Some(Instant::now());
         }
     }
 
--- a/review/standins-2/src/silence.rs
+++ b/review/standins-2/src/silence.rs
@@ -1,5 +1,5 @@
-//! A host is stopped while an engine pauses in the middle of its streams, and the other engine is
-//! full.
+//! A host is stopped while an engine pauses in the middle of its streams. The other engine drops idle
+//! connections sooner than usual.
 
 use std::{
     io::{BufReader, Write},
@@ -24,18 +24,21 @@
 /// Pause of the engine before the fourth event. It is shorter than the two seconds after which
 /// clients abandon a stream.
 const PAUSE: Duration = Duration::from_millis(1_400);
+/// Time after which the engines drop an idle connection without notice.
+const IDLE_LIMIT: Duration = Duration::from_millis(300);
 
 fn write_event(stream: &mut TcpStream, id: u64) -> bool {
     let text = format!("id: {id}\ndata: piece-{id}\n\n");
     stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).is_ok()
 }
 
-fn serve_stream(request: &Message, stream: &mut TcpStream) -> bool {
+fn serve_stream(request: &Message, stream: &mut TcpStream, pause: Duration) -> bool {
     let head = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
     let mut is_open = stream.write_all(response_head(request, 200, head).as_bytes()).is_ok();
-    for id in 1..=EVENTS {
+    let last: u64 = request.field("last-event-id").parse().unwrap_or(0);
+    for id in last + 1..=EVENTS {
         if id == 4 {
-            thread::sleep(PAUSE);
+            thread::sleep(pause);
         }
         is_open = is_open && write_event(stream, id);
         thread::sleep(Duration::from_millis(50));
@@ -43,12 +46,6 @@
     is_open && stream.write_all(b"0\r\n\r\n").is_ok()
 }
 
-fn refuse(request: &Message, stream: &mut TcpStream) -> bool {
-    let id = request.field("parsleystage-attempt-id");
-    let answer = format!("HTTP/1.1 503 x\r\nParsleystage-Attempt-Id: {id}\r\nParsleystage-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-    stream.write_all(answer.as_bytes()).is_ok()
-}
-
 /// Sends one request; returns its answer.
 fn run_client(front: SocketAddr, number: usize) -> Option<Message> {
     let mut stream = connect(front)?;
@@ -61,9 +58,12 @@
 pub fn run(record: &Arc<Record>, has_trouble: bool) -> Option<bool> {
     let store = Store::start();
     store.put("op/config", &config(3_000));
-    let engine = Server::start("i-llm1", Arc::new(serve_stream));
-    let full = Server::start("i-llm2", Arc::new(refuse));
-    for server in [&engine, &full] {
+    let engine = |id: &str, pause| {
+        Server::start_with(id, Some(IDLE_LIMIT), Arc::new(move |request, stream| serve_stream(request, stream, pause)))
+    };
+    let pausing = engine("i-llm1", PAUSE);
+    let other = engine("i-llm2", Duration::ZERO);
+    for server in [&pausing, &other] {
         store.put(&format!("servers/{}", server.id), &server.entry("llm", 12));
     }
     let mut host = Host::start(1, &store, &MACHINE, PARAMS);
@@ -104,7 +104,7 @@
             after.as_secs_f64()
         ));
     }
-    for (name, server) in [("the engine that pauses", &engine), ("the full engine", &full)] {
+    for (name, server) in [("the engine that pauses", &pausing), ("the other engine", &other)] {
         let ids: Vec<_> = server.arrivals.lock().expect("arrivals").iter().map(|(id, _)| id.clone()).collect();
         record.line(&format!("{name} got {} requests: {ids:?}", ids.len()));
     }
--- a/review/standins-2/src/slow_stop.rs
+++ b/review/standins-2/src/slow_stop.rs
@@ -28,7 +28,7 @@
 const ANSWER: (usize, usize) = (300_000, 3_000);
 /// Bytes that a client reads in a second; all together 10 Mbit/s.
 const READ_RATE: usize = 40_000;
-const DEADLINE_MS: u32 = 20_000;
+const DEADLINE_MS: u32 = 15_000;
 /// Time from the last request to the SIGTERM.
 const STOP_AFTER: Duration = Duration::from_millis(500);
 
