--- a/review/standins-2/src/config.rs
+++ b/review/standins-2/src/config.rs
@@ -1,11 +1,6 @@
 //! Configuration, settings and record of a case.
 
-use std::{
-    fs,
-    io::Write as _,
-    sync::Mutex,
-    time::Instant,
-};
+use std::{fs, io::Write as _, sync::Mutex, time::Instant};
 
 pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
 
@@ -21,9 +16,27 @@
         )
     };
     let routes = [
-        route("draft", "stream", "llm", 10_000, r#","slo_ms":300,"attempts":2,"sticky":true,"stream_resume":true,"gap_aim_ms":250"#),
-        route("issue", "non_idempotent", "app", plain_timeout_ms, r#","slo_ms":300,"attempts":1,"sticky":false"#),
-        route("lookup", "idempotent", "app", plain_timeout_ms, r#","slo_ms":300,"attempts":2,"sticky":false"#),
+        route(
+            "draft",
+            "stream",
+            "llm",
+            10_000,
+            r#","slo_ms":300,"attempts":2,"sticky":true,"stream_resume":true,"gap_aim_ms":250"#,
+        ),
+        route(
+            "issue",
+            "non_idempotent",
+            "app",
+            plain_timeout_ms,
+            r#","slo_ms":300,"attempts":1,"sticky":false"#,
+        ),
+        route(
+            "lookup",
+            "idempotent",
+            "app",
+            plain_timeout_ms,
+            r#","slo_ms":300,"attempts":2,"sticky":false"#,
+        ),
     ];
     format!(
         r#"{{"version":7,"routes":[{}],"services":[{{"name":"llm","health_path":"/health","max_connections":815,"protocol":"h1","tls":false,"engine":{{"slots":12,"kv_capacity":344250,"stride":38,"step_ms":1.31,"per_seq_ms":0.00483,"context_per_k":0.00254,"read_per_s":154000.0,"pairs_per_m":0.0917,"chunk":2048,"report_lag_ms":200.0,"hop_ms":0.1}}}},{{"name":"app","health_path":"/health","max_connections":657,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"hule930","api_keys":["{KEY}"],"priority":1}}]}}"#,
--- a/review/standins-2/src/host.rs
+++ b/review/standins-2/src/host.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{http::get, store::Store};
+use crate::http::get;
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -61,7 +61,7 @@
 impl Host {
     /// Starts a host at a loopback address of its own. The ports are those of the pages; `number`
     /// and the id of this process make the address unique.
-    pub fn start(number: u8, store: &Store, machine: &Machine, params: &str) -> Host {
+    pub fn start(number: u8, store: SocketAddr, machine: &Machine, params: &str) -> Host {
         let root = PathBuf::from(std::env::var("REVIEW_ROOT").expect("REVIEW_ROOT"));
         let [_, _, high, low] = std::process::id().to_be_bytes();
         let ip = Ipv4Addr::new(127, 1 + high % 250, 1 + low % 250, number);
@@ -79,7 +79,7 @@
 "fault_tolerance":{{"machines":2,"zones":0,"regions":0}},
 "contract_params":{params},
 "platform":{{"address":"{}","form":"kv","writes_per_s":400,"reads_per_s":2000,"history_s":20,"value_bytes":1048576,"ttl_min_ms":1000}}}}"#,
-            store.address
+            store
         );
         fs::write(dir.join("boot.json"), settings).expect("settings");
         let child = Host::spawn(&root, &dir);
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,9 +5,11 @@
 
 mod client;
 mod config;
+mod entries;
 mod host;
 mod http;
 mod memory;
+mod proxy;
 mod server;
 mod silence;
 mod slow_stop;
@@ -28,6 +30,7 @@
     let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match name.as_str() {
         "memory" => memory::run(&record, has_trouble),
         "slow-stop" => slow_stop::run(&record, has_trouble),
+        "entries" => entries::run(&record, has_trouble),
         "silence" => silence::run(&record, has_trouble),
         _ => None,
     }));
--- a/review/standins-2/src/memory.rs
+++ b/review/standins-2/src/memory.rs
@@ -25,7 +25,8 @@
 };
 
 /// Machine of the smallest class of feira-viva-grown.
-const MACHINE: Machine = Machine { cpu_share: 0.084, memory_mb: 112, max_fds: 2870, link_mbps: 14.0 };
+const MACHINE: Machine =
+    Machine { cpu_share: 0.084, memory_mb: 112, max_fds: 2870, link_mbps: 14.0 };
 const CLIENTS: usize = 1_100;
 /// Time between two requests of a client, under four fifths of `idle_timeout_ms`.
 const PERIOD: Duration = Duration::from_secs(10);
@@ -78,14 +79,18 @@
         }
         let Some((mut stream, mut reader, host, answers)) = kept.take() else { continue };
         let is_large = (count + number) % 5 == 0;
-        let (path, length) = if is_large { ("/lookup/large", LARGE) } else { ("/lookup/small", SMALL) };
+        let (path, length) =
+            if is_large { ("/lookup/large", LARGE) } else { ("/lookup/small", SMALL) };
         let id = format!("c{number}-{count}");
         let head = request_head(path, &id, DEADLINE_MS, length, "");
         let is_sent = send(&mut stream, &head, &body[..length]);
         let answer = if is_sent { read_message(&mut reader) } else { None };
         let status = answer.as_ref().map_or(0, |answer| answer.status());
         let is_answered = answer.as_ref().is_some_and(|answer| answer.is_whole);
-        shared.record.line(&format!("{id} {path} at {host}: {status} {}", if is_answered { "whole" } else { "NOT ANSWERED" }));
+        shared.record.line(&format!(
+            "{id} {path} at {host}: {status} {}",
+            if is_answered { "whole" } else { "NOT ANSWERED" }
+        ));
         let is_close = answer.is_some_and(|answer| answer.field("connection") == "close");
         let outcome = Outcome { id, host, is_kept: answers > 0, is_answered, at: Instant::now() };
         shared.outcomes.lock().expect("outcomes").push(outcome);
@@ -103,13 +108,14 @@
         let length = if request.second() == "/lookup/large" { LARGE } else { SMALL };
         write_response(stream, request, &vec![b'z'; length])
     };
-    let servers: Vec<_> =
-        (0..7).map(|number| Server::start(&format!("i-app{number}"), Arc::new(behaviour))).collect();
+    let servers: Vec<_> = (0..7)
+        .map(|number| Server::start(&format!("i-app{number}"), Arc::new(behaviour)))
+        .collect();
     for server in &servers {
         store.put(&format!("servers/{}", server.id), &server.entry("app", 6));
     }
     let mut hosts: Vec<_> =
-        (1..=3).map(|number| Host::start(number, &store, &MACHINE, PARAMS)).collect();
+        (1..=3).map(|number| Host::start(number, store.address, &MACHINE, PARAMS)).collect();
     if !hosts.iter_mut().all(Host::wait_ready) {
         return None;
     }
@@ -151,7 +157,9 @@
         let second = start.elapsed().as_secs();
         if second >= last_shown + 5 {
             last_shown = second;
-            record.say(&format!("{second} s: memory of the hosts {memory:?} kB, limit {limit_kb} kB"));
+            record.say(&format!(
+                "{second} s: memory of the hosts {memory:?} kB, limit {limit_kb} kB"
+            ));
         }
         for (index, host) in hosts.iter_mut().enumerate() {
             let is_gone = is_killed && index > 0;
@@ -159,7 +167,11 @@
                 record.say(&format!("host {} ended by itself", index + 1));
                 over = Some((index, Instant::now()));
             } else if memory[index] > limit_kb {
-                record.say(&format!("host {} uses {} kB of {limit_kb} kB: killed by the platform", index + 1, memory[index]));
+                record.say(&format!(
+                    "host {} uses {} kB of {limit_kb} kB: killed by the platform",
+                    index + 1,
+                    memory[index]
+                ));
                 host.signal(SIGKILL);
                 over = Some((index, Instant::now()));
             }
@@ -174,7 +186,11 @@
         .collect();
     let outcomes = shared.outcomes.lock().expect("outcomes");
     let answered = outcomes.iter().filter(|outcome| outcome.is_answered).count();
-    record.say(&format!("{} requests, {answered} answered, {} at servers, most memory {peak} kB", outcomes.len(), arrived.len()));
+    record.say(&format!(
+        "{} requests, {answered} answered, {} at servers, most memory {peak} kB",
+        outcomes.len(),
+        arrived.len()
+    ));
     let Some((index, at)) = over else { return Some(true) };
     let front = hosts[index].front;
     let is_lost = |outcome: &&Outcome| {
@@ -185,7 +201,10 @@
             && arrived.contains(&outcome.id)
     };
     let lost: Vec<_> = outcomes.iter().filter(is_lost).map(|outcome| outcome.id.as_str()).collect();
-    record.say(&format!("passed to a server, connection closed without an answer: {} {lost:?}", lost.len()));
+    record.say(&format!(
+        "passed to a server, connection closed without an answer: {} {lost:?}",
+        lost.len()
+    ));
     drop(hosts);
     drop(clients);
     Some(lost.len() <= 3)
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -37,7 +37,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port");
         let address = listener.local_addr().expect("an address");
         let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("time").as_millis();
-        let server = Server { id: id.to_owned(), address, arrivals: Arc::default(), born, idle_limit };
+        let server =
+            Server { id: id.to_owned(), address, arrivals: Arc::default(), born, idle_limit };
         let serving = server.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
--- a/review/standins-2/src/silence.rs
+++ b/review/standins-2/src/silence.rs
@@ -18,7 +18,8 @@
     store::Store,
 };
 
-const MACHINE: Machine = Machine { cpu_share: 0.084, memory_mb: 112, max_fds: 2870, link_mbps: 14.0 };
+const MACHINE: Machine =
+    Machine { cpu_share: 0.084, memory_mb: 112, max_fds: 2870, link_mbps: 14.0 };
 const STREAMS: usize = 12;
 const EVENTS: u64 = 10;
 /// Pause of the engine before the fourth event. It is shorter than the two seconds after which
@@ -59,14 +60,18 @@
     let store = Store::start();
     store.put("op/config", &config(3_000));
     let engine = |id: &str, pause| {
-        Server::start_with(id, Some(IDLE_LIMIT), Arc::new(move |request, stream| serve_stream(request, stream, pause)))
+        Server::start_with(
+            id,
+            Some(IDLE_LIMIT),
+            Arc::new(move |request, stream| serve_stream(request, stream, pause)),
+        )
     };
     let pausing = engine("i-llm1", PAUSE);
     let other = engine("i-llm2", Duration::ZERO);
     for server in [&pausing, &other] {
         store.put(&format!("servers/{}", server.id), &server.entry("llm", 12));
     }
-    let mut host = Host::start(1, &store, &MACHINE, PARAMS);
+    let mut host = Host::start(1, store.address, &MACHINE, PARAMS);
     if !host.wait_ready() {
         return None;
     }
@@ -105,7 +110,8 @@
         ));
     }
     for (name, server) in [("the engine that pauses", &pausing), ("the other engine", &other)] {
-        let ids: Vec<_> = server.arrivals.lock().expect("arrivals").iter().map(|(id, _)| id.clone()).collect();
+        let ids: Vec<_> =
+            server.arrivals.lock().expect("arrivals").iter().map(|(id, _)| id.clone()).collect();
         record.line(&format!("{name} got {} requests: {ids:?}", ids.len()));
     }
     record.say(&format!("{STREAMS} streams, {cut} cut"));
--- a/review/standins-2/src/slow_stop.rs
+++ b/review/standins-2/src/slow_stop.rs
@@ -20,7 +20,8 @@
     store::Store,
 };
 
-const MACHINE: Machine = Machine { cpu_share: 0.084, memory_mb: 112, max_fds: 2870, link_mbps: 14.0 };
+const MACHINE: Machine =
+    Machine { cpu_share: 0.084, memory_mb: 112, max_fds: 2870, link_mbps: 14.0 };
 /// `grace_s` of the deployment.
 const GRACE: Duration = Duration::from_secs(8);
 const CLIENTS: usize = 32;
@@ -88,7 +89,7 @@
         }),
     );
     store.put("servers/i-app", &server.entry("app", 64));
-    let mut host = Host::start(1, &store, &MACHINE, PARAMS);
+    let mut host = Host::start(1, store.address, &MACHINE, PARAMS);
     if !host.wait_ready() {
         return None;
     }
@@ -121,7 +122,11 @@
         while !host.has_ended() && start.elapsed() < GRACE {
             thread::sleep(Duration::from_millis(10));
         }
-        record.say(&format!("the process ended {:.2} s after SIGTERM, grace {} s", start.elapsed().as_secs_f64(), GRACE.as_secs()));
+        record.say(&format!(
+            "the process ended {:.2} s after SIGTERM, grace {} s",
+            start.elapsed().as_secs_f64(),
+            GRACE.as_secs()
+        ));
     }
     clients.into_iter().for_each(|client| _ = client.join());
     let mut outcomes = outcomes.lock().expect("outcomes");
@@ -131,7 +136,10 @@
         let is_lost = read < length;
         lost += usize::from(is_lost);
         let verdict = if is_lost { "NOT COMPLETE" } else { "whole" };
-        record.line(&format!("{id}: read {read} of {length} in {:.2} s, {verdict}", after.as_secs_f64()));
+        record.line(&format!(
+            "{id}: read {read} of {length} in {:.2} s, {verdict}",
+            after.as_secs_f64()
+        ));
     }
     let runs = server.arrivals.lock().expect("arrivals").len();
     record.say(&format!("{CLIENTS} requests, {runs} run, {lost} answers not complete"));
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -70,6 +70,10 @@
     }
 }
 
+/// Bounds of a page: "at most about 500 items or 1 MB".
+const PAGE_ITEMS: usize = 500;
+const PAGE_BYTES: usize = 1 << 20;
+
 #[derive(Default)]
 struct Data {
     revision: u64,
@@ -126,6 +130,19 @@
         self.state.1.notify_all();
     }
 
+    /// Writes several items in one transaction.
+    pub fn put_all(&self, items: &[(String, Vec<u8>)]) {
+        let mut data = self.state.0.lock().expect("state");
+        let revision = data.revision + 1;
+        for (key, value) in items {
+            data.items.insert(key.clone(), (value.clone(), revision, 0));
+            data.history.push((revision, key.clone()));
+        }
+        data.revision = revision;
+        drop(data);
+        self.state.1.notify_all();
+    }
+
     fn serve(&self, stream: TcpStream) {
         let Ok(copy) = stream.try_clone() else { return };
         let (mut reader, mut stream) = (BufReader::new(copy), stream);
@@ -154,10 +171,20 @@
         match path {
             "/kv-range" => {
                 let (prefix, after) = (text("prefix"), text("after"));
-                let found = data.items.keys().filter(|key| key.starts_with(&prefix) && **key > after);
-                let items: Vec<_> = found.map(|key| data.item(key)).collect();
-                let (items, as_of) = (items.join(","), data.revision);
-                (200, format!("{{\"items\":[{items}],\"has_more\":false,\"as_of\":{as_of}}}"))
+                let is_found = |key: &&String| key.starts_with(&prefix) && **key > after;
+                let mut found = data.items.keys().filter(is_found).peekable();
+                let (mut items, mut bytes) = (Vec::new(), 0);
+                while let Some(key) = found.peek() {
+                    bytes += data.items[*key].0.len();
+                    if items.len() >= PAGE_ITEMS || (bytes > PAGE_BYTES && !items.is_empty()) {
+                        break;
+                    }
+                    items.push(data.item(key));
+                    found.next();
+                }
+                let (has_more, as_of) = (found.peek().is_some(), data.revision);
+                let items = items.join(",");
+                (200, format!("{{\"items\":[{items}],\"has_more\":{has_more},\"as_of\":{as_of}}}"))
             }
             "/kv-watch" => {
                 let (prefix, after) = (text("prefix"), number("after"));
@@ -186,7 +213,11 @@
                 let puts = body.split("\"puts\":").nth(1).unwrap_or("");
                 for put in puts.split('{').skip(1) {
                     let lease = json_field(put, "lease").parse().unwrap_or(0);
-                    data.put(json_field(put, "key"), decode_base64(json_field(put, "value")), lease);
+                    data.put(
+                        json_field(put, "key"),
+                        decode_base64(json_field(put, "value")),
+                        lease,
+                    );
                 }
                 self.state.1.notify_all();
                 (200, format!("{{\"revision\":{}}}", data.revision))
