--- a/review/standins-2/src/slow_stop.rs
+++ b/review/standins-2/src/slow_stop.rs
@@ -26,7 +26,7 @@
 const GRACE: Duration = Duration::from_secs(8);
 const CLIENTS: usize = 32;
 /// Shortest answer and the difference to the next one.
-const ANSWER: (usize, usize) = (300_000, 3_000);
+const ANSWER: (usize, usize) = (280_000, 4_500);
 /// Bytes that a client reads in a second; all together 10 Mbit/s.
 const READ_RATE: usize = 40_000;
 const DEADLINE_MS: u32 = 15_000;
