--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,5 +1,5 @@
 //! Runs one case of the review against host processes that it starts, with stand-ins of the store,
-//! of servers and of clients. `review-case NAME RECORD`; `TROUBLE=0` leaves out the disruption.
+//! of servers and of clients. `review-case NAME TROUBLE RECORD`; TROUBLE 0 leaves out the disruption.
 //!
 //! Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 
@@ -19,12 +19,12 @@
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
-    let [_, name, record] = &args[..] else {
-        eprintln!("usage: review-case NAME RECORD");
+    let [_, name, trouble, record] = &args[..] else {
+        eprintln!("usage: review-case NAME TROUBLE RECORD");
         std::process::exit(2);
     };
     host::end_after(std::time::Duration::from_secs(115));
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let has_trouble = trouble != "0";
     let record = std::sync::Arc::new(Record::create(record));
     // A panic is a failure of the case itself.
     let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match name.as_str() {
--- a/review/standins-2/src/memory.rs
+++ b/review/standins-2/src/memory.rs
@@ -44,6 +44,8 @@
     /// Whether its connection had carried an answer before.
     is_kept: bool,
     is_answered: bool,
+    /// Whether its client still waited when it ended.
+    is_in_time: bool,
     at: Instant,
 }
 
@@ -83,6 +85,7 @@
             if is_large { ("/lookup/large", LARGE) } else { ("/lookup/small", SMALL) };
         let id = format!("c{number}-{count}");
         let head = request_head(path, &id, DEADLINE_MS, length, "");
+        let sent = Instant::now();
         let is_sent = send(&mut stream, &head, &body[..length]);
         let answer = if is_sent { read_message(&mut reader) } else { None };
         let status = answer.as_ref().map_or(0, |answer| answer.status());
@@ -92,7 +95,14 @@
             if is_answered { "whole" } else { "NOT ANSWERED" }
         ));
         let is_close = answer.is_some_and(|answer| answer.field("connection") == "close");
-        let outcome = Outcome { id, host, is_kept: answers > 0, is_answered, at: Instant::now() };
+        let outcome = Outcome {
+            id,
+            host,
+            is_kept: answers > 0,
+            is_answered,
+            is_in_time: sent.elapsed() < Duration::from_millis(DEADLINE_MS.into()),
+            at: Instant::now(),
+        };
         shared.outcomes.lock().expect("outcomes").push(outcome);
         if is_answered && !is_close {
             kept = Some((stream, reader, host, answers + 1));
@@ -141,11 +151,24 @@
         })
         .collect();
     let (start, mut is_killed, mut last_shown) = (Instant::now(), false, 0);
+    let mut is_checked = false;
     let limit_kb = MACHINE.memory_mb << 10;
     let mut over = None;
     let mut peak = 0;
     while start.elapsed() < LENGTH && over.is_none() {
         thread::sleep(Duration::from_millis(50));
+        if !is_checked && start.elapsed() >= KILL_AT {
+            is_checked = true;
+            let outcomes = shared.outcomes.lock().expect("outcomes");
+            let answered = outcomes.iter().filter(|outcome| outcome.is_answered).count();
+            if answered < CLIENTS || outcomes.len() > answered {
+                record.say(&format!(
+                    "{answered} of {} requests answered before the kill",
+                    outcomes.len()
+                ));
+                return None;
+            }
+        }
         if has_trouble && !is_killed && start.elapsed() >= KILL_AT {
             record.say("two of the three hosts are killed and stay away");
             hosts[1].signal(SIGKILL);
@@ -172,8 +195,8 @@
                     index + 1,
                     memory[index]
                 ));
-                host.signal(SIGKILL);
                 over = Some((index, Instant::now()));
+                host.signal(SIGKILL);
             }
         }
     }
@@ -197,7 +220,8 @@
         !outcome.is_answered
             && outcome.is_kept
             && outcome.host == front
-            && outcome.at + Duration::from_secs(1) > at
+            && outcome.is_in_time
+            && outcome.at >= at
             && arrived.contains(&outcome.id)
     };
     let lost: Vec<_> = outcomes.iter().filter(is_lost).map(|outcome| outcome.id.as_str()).collect();
--- a/review/standins-2/src/silence.rs
+++ b/review/standins-2/src/silence.rs
@@ -1,10 +1,13 @@
-//! A host is stopped while an engine pauses in the middle of its streams. The other engine drops idle
+//! A host is stopped while an engine preempts its newest streams for a time. The engines drop idle
 //! connections sooner than usual.
 
 use std::{
     io::{BufReader, Write},
     net::{SocketAddr, TcpStream},
-    sync::{Arc, Mutex},
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        Arc, Mutex,
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -25,6 +28,8 @@
 /// Pause of the engine before the fourth event. It is shorter than the two seconds after which
 /// clients abandon a stream.
 const PAUSE: Duration = Duration::from_millis(1_400);
+/// Streams of an engine that it goes on with; it preempts the newer ones.
+const UNDISTURBED: usize = 3;
 /// Time after which the engines drop an idle connection without notice.
 const IDLE_LIMIT: Duration = Duration::from_millis(300);
 
@@ -60,11 +65,12 @@
     let store = Store::start();
     store.put("op/config", &config(3_000));
     let engine = |id: &str, pause| {
-        Server::start_with(
-            id,
-            Some(IDLE_LIMIT),
-            Arc::new(move |request, stream| serve_stream(request, stream, pause)),
-        )
+        let count = AtomicUsize::new(0);
+        let behaviour = move |request: &Message, stream: &mut TcpStream| {
+            let is_newest = count.fetch_add(1, Ordering::SeqCst) >= UNDISTURBED;
+            serve_stream(request, stream, if is_newest { pause } else { Duration::ZERO })
+        };
+        Server::start_with(id, Some(IDLE_LIMIT), Arc::new(behaviour))
     };
     let pausing = engine("i-llm1", if has_trouble { PAUSE } else { Duration::ZERO });
     let other = engine("i-llm2", Duration::ZERO);
