--- a/review/standins-2/src/entries.rs
+++ b/review/standins-2/src/entries.rs
@@ -6,7 +6,7 @@
 use std::{
     collections::BTreeMap,
     io::BufReader,
-    net::SocketAddr,
+    net::{SocketAddr, TcpStream},
     sync::{
         atomic::{AtomicBool, Ordering},
         Arc, Mutex,
@@ -19,7 +19,7 @@
     client::{connect, request_head, send},
     config::{config, Record, PARAMS},
     host::{Host, Machine},
-    http::read_message,
+    http::{read_message, Message},
     proxy,
     server::{write_response, Server},
     store::Store,
@@ -75,21 +75,12 @@
 pub fn run(record: &Arc<Record>, has_trouble: bool) -> Option<bool> {
     let store = Store::start();
     store.put("op/config", &config(DEADLINE_MS));
-    let leaving_at = Arc::new(Mutex::new(None::<Instant>));
+    let behaviour = |request: &Message, stream: &mut TcpStream| {
+        thread::sleep(WORK);
+        write_response(stream, request, &[b'z'; 800])
+    };
     let servers: Vec<_> = (0..SERVERS)
-        .map(|number| {
-            let leaving_at = leaving_at.clone();
-            Server::start(
-                &format!("i-app{number}"),
-                Arc::new(move |request, stream| {
-                    thread::sleep(WORK);
-                    let left =
-                        leaving_at.lock().expect("time").is_some_and(|at| at.elapsed() > STAY);
-                    // The first server has exited; what it was running is lost.
-                    (number > 0 || !left) && write_response(stream, request, &[b'z'; 800])
-                }),
-            )
-        })
+        .map(|number| Server::start(&format!("i-app{number}"), Arc::new(behaviour)))
         .collect();
     for server in &servers {
         store.put(&format!("servers/{}", server.id), &server.entry("app", 6));
@@ -122,9 +113,11 @@
     }
     store.put("servers/i-app0", &servers[0].entry("app", 6).replace("\"ready\"", "\"draining\""));
     let acknowledged = Instant::now();
-    *leaving_at.lock().expect("time") = Some(acknowledged);
     record.say("i-app0 reports draining; the store has accepted it");
-    thread::sleep(LENGTH);
+    thread::sleep(STAY);
+    servers[0].exit();
+    record.say(&format!("i-app0 exits after {} ms", STAY.as_millis()));
+    thread::sleep(LENGTH - STAY);
     is_over.store(true, Ordering::SeqCst);
     clients.into_iter().for_each(|client| _ = client.join());
     let sent: BTreeMap<String, (u16, Instant)> = answers
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -2,8 +2,11 @@
 
 use std::{
     io::{BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Mutex},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -24,6 +27,8 @@
     born: u128,
     /// Time after which an idle connection is dropped without notice.
     idle_limit: Option<Duration>,
+    has_exited: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Server {
@@ -37,11 +42,22 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port");
         let address = listener.local_addr().expect("an address");
         let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("time").as_millis();
-        let server =
-            Server { id: id.to_owned(), address, arrivals: Arc::default(), born, idle_limit };
+        let server = Server {
+            id: id.to_owned(),
+            address,
+            arrivals: Arc::default(),
+            born,
+            idle_limit,
+            has_exited: Arc::default(),
+            streams: Arc::default(),
+        };
         let serving = server.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if serving.has_exited.load(Ordering::SeqCst) {
+                    return;
+                }
+                serving.streams.lock().expect("streams").extend(stream.try_clone());
                 let (server, behaviour) = (serving.clone(), behaviour.clone());
                 thread::spawn(move || server.serve(stream, &*behaviour));
             }
@@ -49,6 +65,16 @@
         server
     }
 
+    /// Exits: its connections end, and further ones are refused.
+    pub fn exit(&self) {
+        self.has_exited.store(true, Ordering::SeqCst);
+        // Wakes the accepting thread, which closes the listener.
+        drop(TcpStream::connect(self.address));
+        for stream in self.streams.lock().expect("streams").drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     fn serve(&self, mut stream: TcpStream, behaviour: &Behaviour) {
         let _ = stream.set_nodelay(true);
         let Ok(copy) = stream.try_clone() else { return };
