--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -58,6 +58,17 @@
         let value = u64::from_str_radix(id, 16).ok().filter(|_| is_hex);
         PartTag(value.unwrap_or_else(|| hash_name(id)))
     }
+
+    /// Returns the tag of a whole request: a hash of the fields that identify it, such as its
+    /// caller, target and body.
+    pub fn of_request(fields: &[&[u8]]) -> PartTag {
+        let mut hasher = blake3::Hasher::new();
+        for field in fields {
+            hasher.update(&(field.len() as u64).to_le_bytes()).update(field);
+        }
+        let hash = hasher.finalize();
+        PartTag(u64::from_le_bytes(hash.as_bytes()[..8].try_into().expect("eight bytes")))
+    }
 }
 
 impl fmt::Display for PartTag {
--- a/crates/core/src/quarantine/tests.rs
+++ b/crates/core/src/quarantine/tests.rs
@@ -31,6 +31,20 @@
     }
 }
 
+/// Guards against two requests that are taken for the same one.
+#[test]
+fn request_tags_differ_with_each_field() {
+    let tag = |fields: &[&str]| {
+        PartTag::of_request(&fields.iter().map(|field| field.as_bytes()).collect::<Vec<_>>())
+    };
+    assert_eq!(tag(&["a", "/x", ""]), tag(&["a", "/x", ""]));
+    for other in
+        [["b", "/x", ""], ["a", "/y", ""], ["a", "/x", "z"], ["a/", "x", ""], ["", "a", "/x"]]
+    {
+        assert_ne!(tag(&["a", "/x", ""]), tag(&other), "{other:?}");
+    }
+}
+
 #[test]
 fn part_that_ends_process_after_process_is_quarantined() {
     let mut quarantine = PartQuarantine::default();
--- a/crates/node/src/gateway/attempts.rs
+++ b/crates/node/src/gateway/attempts.rs
@@ -98,7 +98,8 @@
             excluded.extend(hedged);
             progress.may_have_run.set(may_have_run);
             if gateway.log_budget.may_write(clock::now(), true) {
-                event!(gateway.log, ATTEMPT_FAILED, "request" => &*self.id, "server" => engine.0,
+                event!(gateway.log, ATTEMPT_FAILED, "request" => &*self.id,
+                    "fingerprint" => self.fingerprint.to_string(), "server" => engine.0,
                     "attempt" => progress.attempts.get(), "fault" => &*fault,
                     "may_have_run" => !not_run, "events" => stream.events);
             }
--- a/crates/node/src/gateway/caller.rs
+++ b/crates/node/src/gateway/caller.rs
@@ -4,11 +4,17 @@
 
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt;
-use hyper::{Request, Response, StatusCode, body::Incoming, header::HOST};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{HOST, HeaderValue},
+    http::uri::PathAndQuery,
+};
 use parsley_core::{
     catalog::{RouteDecision, ServingRoute},
     dispatch::DispatchInput,
     evidence::ConfigTrust,
+    quarantine::PartTag,
     refusal::{Reason, Refusal},
     retry::RetryBudget,
     time::Time,
@@ -188,6 +194,7 @@
     let (body, held) = read.unwrap_or_else(|| {
         Err(Refusal::not_run(Reason::ReceiveTimeout, "the body came too slowly"))
     })?;
+    let fingerprint = fingerprint(&parts, account.as_deref(), &body);
     Ok(Exchange {
         gateway: gateway.clone(),
         number,
@@ -198,6 +205,7 @@
         body,
         _held: held,
         info,
+        fingerprint,
         account,
         route,
         service,
@@ -208,6 +216,14 @@
     })
 }
 
+/// Hash of a request's caller, target and body. Ids and deadlines differ with each attempt.
+fn fingerprint(parts: &hyper::http::request::Parts, account: Option<&str>, body: &[u8]) -> PartTag {
+    let host = parts.headers.get(HOST).map(HeaderValue::as_bytes).unwrap_or_default();
+    let target = parts.uri.path_and_query().map(PathAndQuery::as_str).unwrap_or_default();
+    let account = account.unwrap_or_default().as_bytes();
+    PartTag::of_request(&[parts.method.as_str().as_bytes(), host, target.as_bytes(), account, body])
+}
+
 type ResolvedRoute = (Arc<ServingRoute>, Option<Arc<str>>, u8, usize, u64);
 
 fn resolve_route(
--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -8,6 +8,7 @@
     catalog::{ExecutionPolicy, ServingRoute},
     dispatch::DispatchInput,
     fleet::{EngineTag, hash_name},
+    quarantine::PartTag,
     refusal::{Reason, Refusal},
     time::Time,
     work::{AccountTag, WorkDemand, WorkNumber},
@@ -36,6 +37,8 @@
     /// Memory of the body and of the request's buffers.
     pub(super) _held: RequestMemory,
     pub info: RequestInfo,
+    /// The same for requests of the same caller with the same target and body.
+    pub fingerprint: PartTag,
     pub account: Option<Arc<str>>,
     pub route: Arc<ServingRoute>,
     pub service: Arc<str>,
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -117,7 +117,7 @@
         ["request", "server", "attempt", "helpers", "waited_ms", "first_ms", "harmed", "failure_percent",
             "requests", "weighed", "revision", "hosts"];
     ATTEMPT_FAILED: "E2403" Warning "attempt failed"
-        ["request", "server", "attempt", "fault", "may_have_run", "events"];
+        ["request", "fingerprint", "server", "attempt", "fault", "may_have_run", "events"];
     REQUEST_ENDED: "E2404" Info "request ended"
         ["request", "outcome", "status", "attempts", "first_ms", "total_ms"];
     REQUEST_FAILED: "E2405" Warning "request failed"
