Refuse requests that crash engines

Cause: crashes were related to shared parts of prompts only. A request that ends engines by itself shares its part with sound requests, whose answers clear it, and had no name that outlasts one attempt.

Change: a whole request is its own deepest part, by its fingerprint. It is suspect also after its answer has begun, until that is complete; no other answer speaks for it. The refusal has a reason of its own, request-quarantined.

Ruled out: remembering each answered request, which would displace the answers that protect parts; the prompt's last part as the name, which plain requests lack.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -1,7 +1,8 @@
-//! Finds parts of prompts that crash engines, and keeps requests with them from the engines.
+//! Finds parts of prompts and whole requests that crash engines, and keeps them from the engines.
 //!
 //! A part is suspect if an engine process ended while a request with the part had not begun to be
-//! answered. [`PartQuarantine`] owns the suspect parts of all hosts with the processes that ended,
+//! answered. A whole request counts as the deepest of its parts; it is suspect until its answer is
+//! complete, and an answer to another request does not speak for it. [`PartQuarantine`] owns the suspect parts of all hosts with the processes that ended,
 //! and when requests with a part were last answered. A part is in quarantine once enough processes
 //! ended under it, in separate incidents, since it was last answered. Hosts exchange
 //! [`PartReport`]s; merging them gives the same result in any order. A part leaves quarantine when
@@ -43,10 +44,10 @@
 const CRASH_LIMIT: usize = 8;
 /// Most answered parts that are kept.
 const ANSWERED_LIMIT: usize = 8_192;
-/// Most parts of one prompt that are looked at.
+/// Most parts of one request that are looked at, itself included.
 pub const PART_LIMIT: usize = 64;
 
-/// Identifies a part of a prompt by its id.
+/// Identifies a part of a prompt by its id, or a whole request by a hash of its content.
 #[key]
 pub struct PartTag(pub u64);
 
@@ -188,8 +189,8 @@
         self.last_answer(now, part).is_some_and(|at| now.since(at) < ANSWER_PROTECTION)
     }
 
-    /// Records that a process ended while a request with these parts, in their order, had not begun
-    /// to be answered.
+    /// Records that a process ended under a request, of which these parts, in their order, may be
+    /// blamed: all while the request had not begun to be answered, later only the whole request.
     pub fn record_crash(
         &mut self,
         now: Time,
@@ -218,9 +219,24 @@
 
     /// Records that a request with these parts began to be answered.
     pub fn record_answer(&mut self, now: Time, parts: &[PartTag]) -> Vec<QuarantineOutput> {
+        let parts = &parts[..parts.len().min(PART_LIMIT)];
+        parts.iter().for_each(|part| _ = self.answered.insert(*part, now));
+        if self.answered.len() > ANSWERED_LIMIT {
+            self.forget_oldest_answers();
+        }
+        self.clear_suspects(now, parts)
+    }
+
+    /// Records that the answer to a whole request is complete. That is remembered only of a suspect
+    /// one, as most requests never come again.
+    pub fn record_completion(&mut self, now: Time, request: PartTag) -> Vec<QuarantineOutput> {
+        self.clear_suspects(now, &[request])
+    }
+
+    /// Dismisses the crashes under these parts.
+    fn clear_suspects(&mut self, now: Time, parts: &[PartTag]) -> Vec<QuarantineOutput> {
         let mut cleared = Vec::new();
-        for part in parts.iter().take(PART_LIMIT) {
-            self.answered.insert(*part, now);
+        for part in parts {
             if let Some(record) = self.records.get_mut(part)
                 && !record.crashes.is_empty()
             {
@@ -228,9 +244,6 @@
                 cleared.push(*part);
             }
         }
-        if self.answered.len() > ANSWERED_LIMIT {
-            self.forget_oldest_answers();
-        }
         if cleared.is_empty() {
             return Vec::new();
         }
@@ -393,6 +406,7 @@
         let mut suspects: Vec<_> = self
             .records
             .iter()
+            .filter(|(_, record)| record.crashes.len() >= record.incident_limit())
             .filter(|(_, record)| record.incidents(&[]) >= record.incident_limit())
             .map(|(part, record)| (record.crashes.len(), record.depth, *part))
             .collect();
--- a/crates/core/src/quarantine/tests.rs
+++ b/crates/core/src/quarantine/tests.rs
@@ -113,6 +113,26 @@
     assert!(!is_quarantined(&quarantine, PartTag(7)) && !is_quarantined(&quarantine, SHARED));
 }
 
+/// Guards against a request that ends process after process while sound requests with all of its
+/// parts are answered, and against blame for one that was answered itself.
+#[test]
+fn request_is_blamed_unless_its_own_answer_is_complete() {
+    let (bad, sound) = (PartTag(1), PartTag(2));
+    let mut quarantine = PartQuarantine::default();
+    for number in 0..4 {
+        let now = at(number * 500);
+        quarantine.record_answer(now, &[SHARED]);
+        quarantine.record_crash(now, process(number), &[SHARED, bad]);
+        quarantine.record_crash(now, process(number), &[sound]);
+        quarantine.record_completion(now + Duration::from_millis(100), sound);
+    }
+    assert!(is_quarantined(&quarantine, bad));
+    assert!(!is_quarantined(&quarantine, SHARED) && !is_quarantined(&quarantine, sound));
+    assert!(quarantine.record_completion(at(3_000), PartTag(3)).is_empty());
+    let outputs = quarantine.record_completion(at(3_000), bad);
+    assert!(outputs.contains(&QuarantineOutput::Released(bad)), "{outputs:?}");
+}
+
 #[test]
 fn several_bad_parts_are_told_apart() {
     let mut quarantine = PartQuarantine::default();
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -88,11 +88,13 @@
     OutcomeUnknown,
     /// All failure domains with servers of the service are evacuated.
     Evacuated,
+    /// The request crashes engines.
+    RequestQuarantined,
 }
 
 impl Reason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [Reason; 28] = [
+    pub const ALL: [Reason; 29] = [
         Reason::BadRequest,
         Reason::Unauthenticated,
         Reason::Forbidden,
@@ -121,6 +123,7 @@
         Reason::InProgress,
         Reason::OutcomeUnknown,
         Reason::Evacuated,
+        Reason::RequestQuarantined,
     ];
 
     /// Returns the name used in answers, logs and metrics.
@@ -154,6 +157,7 @@
             Reason::InProgress => "in-progress",
             Reason::OutcomeUnknown => "outcome-unknown",
             Reason::Evacuated => "evacuated",
+            Reason::RequestQuarantined => "request-quarantined",
         }
     }
 
@@ -182,6 +186,7 @@
             | Reason::ServiceFailed
             | Reason::EngineFailed
             | Reason::PromptQuarantined
+            | Reason::RequestQuarantined
             | Reason::Draining
             | Reason::Evacuated => 503,
         }
--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -9,6 +9,7 @@
 use parsley_core::{
     dispatch::DispatchInput,
     fleet::{EngineTag, EngineVerdict},
+    quarantine::PartTag,
     time::Time,
     work::WorkNumber,
 };
@@ -50,9 +51,24 @@
     HeldBack(Arc<str>),
     /// The request may have run. Holds the cause.
     Unknown(Arc<str>),
-    /// The connection ended before the first event or the whole response. The request may have run,
-    /// and the server's process may have ended. Holds the cause.
+    /// The connection ended before the response began. The request may have run, and the server's
+    /// process may have ended. Holds the cause.
     ConnectionLost(Arc<str>),
+    /// The response broke off. The server's process may have ended. Holds the cause.
+    BrokenOff(Arc<str>),
+}
+
+impl AttemptEnd {
+    /// Returns what the server may have crashed on, if its process ended.
+    pub fn suspects<'a>(&self, exchange: &'a Exchange) -> &'a [PartTag] {
+        let suspects = &exchange.suspects[..];
+        match self {
+            AttemptEnd::ConnectionLost(_) => suspects,
+            // The parts of the prompt were processed before the response began.
+            AttemptEnd::BrokenOff(_) => &suspects[suspects.len().saturating_sub(1)..],
+            _ => &[],
+        }
+    }
 }
 
 /// Streamed response to a caller, continued across attempts.
@@ -115,7 +131,7 @@
     };
     // The server may have announced a shutdown or a pause in the meantime, and engines may have
     // crashed under the prompt.
-    let is_quarantined = gateway.quarantine_refusal(&exchange.info.shared_parts).is_some();
+    let is_quarantined = gateway.quarantine_refusal(exchange).is_some();
     if server_target(exchange, engine).is_none()
         || !has_all_helpers(exchange, placement)
         || is_quarantined
@@ -164,8 +180,11 @@
     gateway.metrics.sends.with_label_values(&[verdict_name(verdict)]).inc();
     gateway.report_verdict(engine, verdict, &exchange.id);
     reservation.release();
-    if let (AttemptEnd::ConnectionLost(_), Some(process)) = (&end, sent_process) {
-        process.report_end(exchange);
+    if let Some(process) = sent_process {
+        process.report_end(exchange, end.suspects(exchange));
+    }
+    if matches!(end, AttemptEnd::Answered(_)) {
+        gateway.record_completion(exchange);
     }
     end
 }
@@ -173,7 +192,7 @@
 /// Result of an attempt whose stream broke off.
 fn broken_off(has_event: bool, fault: &str) -> (EngineVerdict, AttemptEnd) {
     let end = match has_event {
-        true => AttemptEnd::Unknown(fault.into()),
+        true => AttemptEnd::BrokenOff(fault.into()),
         false => AttemptEnd::ConnectionLost(fault.into()),
     };
     (EngineVerdict::Failed, end)
@@ -298,7 +317,7 @@
         };
         let (bytes, held) = match received {
             Some(Ok(received)) => received,
-            Some(Err(fault)) => return (EngineVerdict::Failed, AttemptEnd::Unknown(fault)),
+            Some(Err(fault)) => return (EngineVerdict::Failed, AttemptEnd::BrokenOff(fault)),
             None => {
                 let waited = clock::now().since(self.sent);
                 let verdict =
--- a/crates/node/src/gateway/attempts.rs
+++ b/crates/node/src/gateway/attempts.rs
@@ -39,7 +39,7 @@
         let mut fallback = None;
         progress.prompt_tokens.set(self.info.prompt_tokens);
         for placement_count in 1..=MAX_PLACEMENTS {
-            if let Some(refusal) = gateway.quarantine_refusal(&self.info.shared_parts) {
+            if let Some(refusal) = gateway.quarantine_refusal(&self) {
                 return self.fail(refusal, may_have_run, &stream, fallback);
             }
             let wait_start = clock::now();
@@ -70,7 +70,7 @@
             let (end, hedged) = hedge::run(&first, &mut stream).await;
             let may_retry = permit.may_retry.get();
             let is_paid = permit.is_granted.get();
-            let is_lost = matches!(end, AttemptEnd::ConnectionLost(_));
+            let suspects = end.suspects(&self);
             let (fault, not_run) = match end {
                 AttemptEnd::Answered(status) => return RequestEnd::Answered(status),
                 AttemptEnd::ServerError(response) if !may_retry => {
@@ -90,7 +90,9 @@
                     excluded.pop();
                     (fault, true)
                 }
-                AttemptEnd::Unknown(fault) | AttemptEnd::ConnectionLost(fault) => {
+                AttemptEnd::Unknown(fault)
+                | AttemptEnd::ConnectionLost(fault)
+                | AttemptEnd::BrokenOff(fault) => {
                     may_have_run = true;
                     (fault, false)
                 }
@@ -99,15 +101,15 @@
             progress.may_have_run.set(may_have_run);
             if gateway.log_budget.may_write(clock::now(), true) {
                 event!(gateway.log, ATTEMPT_FAILED, "request" => &*self.id,
-                    "fingerprint" => self.fingerprint.to_string(), "server" => engine.0,
+                    "fingerprint" => self.fingerprint().to_string(), "server" => engine.0,
                     "attempt" => progress.attempts.get(), "fault" => &*fault,
                     "may_have_run" => !not_run, "events" => stream.events);
             }
             let was_sent = progress.attempts.get() > sends;
             let obstacle = match () {
                 () if !not_run && !self.is_repeatable() => Some("it may run only once"),
-                () if is_lost && gateway.is_suspect(&self.info.shared_parts) => {
-                    Some("engines ended under a part of its prompt")
+                () if gateway.is_suspect(suspects) => {
+                    Some("engines ended under it or a part of its prompt")
                 }
                 () if progress.attempts.get() >= self.route.max_attempts => {
                     Some("the route allows no further server")
--- a/crates/node/src/gateway/caller.rs
+++ b/crates/node/src/gateway/caller.rs
@@ -14,7 +14,7 @@
     catalog::{RouteDecision, ServingRoute},
     dispatch::DispatchInput,
     evidence::ConfigTrust,
-    quarantine::PartTag,
+    quarantine::{PART_LIMIT, PartTag},
     refusal::{Reason, Refusal},
     retry::RetryBudget,
     time::Time,
@@ -195,6 +195,8 @@
         Err(Refusal::not_run(Reason::ReceiveTimeout, "the body came too slowly"))
     })?;
     let fingerprint = fingerprint(&parts, account.as_deref(), &body);
+    let suspects = info.shared_parts.iter().copied().take(PART_LIMIT - 1);
+    let suspects = suspects.chain([fingerprint]).collect();
     Ok(Exchange {
         gateway: gateway.clone(),
         number,
@@ -205,7 +207,7 @@
         body,
         _held: held,
         info,
-        fingerprint,
+        suspects,
         account,
         route,
         service,
--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -37,8 +37,8 @@
     /// Memory of the body and of the request's buffers.
     pub(super) _held: RequestMemory,
     pub info: RequestInfo,
-    /// The same for requests of the same caller with the same target and body.
-    pub fingerprint: PartTag,
+    /// What engines may crash on: the shared parts of the prompt, then the fingerprint.
+    pub(super) suspects: Vec<PartTag>,
     pub account: Option<Arc<str>>,
     pub route: Arc<ServingRoute>,
     pub service: Arc<str>,
@@ -80,6 +80,11 @@
         self.deadline.since(clock::now())
     }
 
+    /// Tag that is the same for requests of the same caller with the same target and body.
+    pub fn fingerprint(&self) -> PartTag {
+        self.suspects.last().copied().unwrap_or(PartTag(0))
+    }
+
     /// Sends a whole response to the caller.
     pub fn answer(&self, progress: &RequestProgress, response: Response<ResponseBody>) {
         progress.first_part.set(Some(clock::now()));
--- a/crates/node/src/gateway/hedge.rs
+++ b/crates/node/src/gateway/hedge.rs
@@ -123,8 +123,8 @@
 fn place(first: &Attempt<'_>, class: HedgeClass) -> Option<HedgePlacement> {
     let exchange = first.exchange;
     let gateway = &exchange.gateway;
-    let parts = &exchange.info.shared_parts;
-    if gateway.quarantine_refusal(parts).is_some() || gateway.is_suspect(parts) {
+    let is_quarantined = gateway.quarantine_refusal(exchange).is_some();
+    if is_quarantined || gateway.is_suspect(&exchange.suspects) {
         return None;
     }
     let excluded = unsuitable_servers(exchange, first.permit.tried);
@@ -246,8 +246,9 @@
         AttemptEnd::Unknown(_) => 2,
         AttemptEnd::ServerError(_) => 3,
         // The process may have crashed under the request, which decides on further attempts.
-        AttemptEnd::ConnectionLost(_) => 4,
-        AttemptEnd::Answered(_) => 5,
+        AttemptEnd::BrokenOff(_) => 4,
+        AttemptEnd::ConnectionLost(_) => 5,
+        AttemptEnd::Answered(_) => 6,
     };
     if caution(&one) > caution(&other) { one } else { other }
 }
--- a/crates/node/src/gateway/quarantine.rs
+++ b/crates/node/src/gateway/quarantine.rs
@@ -1,5 +1,5 @@
-//! Keeps requests with parts of prompts that crash engines from the engines, and exchanges what hosts
-//! know of such parts.
+//! Keeps requests that crash engines, by themselves or by a part of their prompts, from the engines,
+//! and exchanges what hosts know of them.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
@@ -29,12 +29,21 @@
 const REPORTS_PER_PEER: usize = 24;
 
 impl Gateway {
-    /// Refuses a request with a part in quarantine.
-    pub(super) fn quarantine_refusal(&self, parts: &[PartTag]) -> Option<Refusal> {
+    /// Refuses a request that is in quarantine or has a part that is.
+    pub(super) fn quarantine_refusal(&self, exchange: &Exchange) -> Option<Refusal> {
         let state = self.state.borrow();
-        let (part, left) = state.quarantine.find_quarantined(clock::now(), parts)?;
-        let detail = format!("engines crashed under part {part} of the prompt");
-        Some(Refusal::not_run(Reason::PromptQuarantined, &detail).retry_after(left))
+        let (part, left) = state.quarantine.find_quarantined(clock::now(), &exchange.suspects)?;
+        let refusal = match part == exchange.fingerprint() {
+            true => {
+                let detail = format!("engines crashed under this request, {part}");
+                Refusal::not_run(Reason::RequestQuarantined, &detail)
+            }
+            false => {
+                let detail = format!("engines crashed under part {part} of the prompt");
+                Refusal::not_run(Reason::PromptQuarantined, &detail)
+            }
+        };
+        Some(refusal.retry_after(left))
     }
 
     /// Whether a request with these parts should not be sent to another server after its server
@@ -52,6 +61,13 @@
         }
     }
 
+    /// Records that the answer to a request is complete.
+    pub(super) fn record_completion(&self, exchange: &Exchange) {
+        let request = exchange.fingerprint();
+        let outputs = self.state.borrow_mut().quarantine.record_completion(clock::now(), request);
+        self.execute_quarantine(outputs, None, "answer");
+    }
+
     /// Lifts the quarantine of a part on all hosts. Returns whether the part was suspect.
     pub fn lift_quarantine(&self, part: PartTag) -> bool {
         let outputs = self.state.borrow_mut().quarantine.lift(clock::now(), part);
@@ -168,19 +184,18 @@
         Some(SentProcess { engine, process, address: entry.address })
     }
 
-    /// Handles a connection that ended before the response to a request began. If the server's
-    /// process ended too, the request's parts become suspect.
+    /// Handles a connection that ended before the response to a request was complete. If the
+    /// server's process ended too, these parts of the request become suspect.
     ///
     /// A server that fails requests, or whose connection was reset on the way, still accepts
     /// connections.
-    pub fn report_end(self, exchange: &Exchange) {
+    pub fn report_end(self, exchange: &Exchange, parts: &[PartTag]) {
         let gateway = &exchange.gateway;
-        let parts = &exchange.info.shared_parts;
         let now = clock::now();
         if !gateway.state.borrow().quarantine.may_suspect(now, parts) {
             return;
         }
-        let probe = probe_process(gateway.clone(), self, now, parts.clone(), exchange.id.clone());
+        let probe = probe_process(gateway.clone(), self, now, parts.to_vec(), exchange.id.clone());
         gateway.spawn(probe);
     }
 }
