Pass the gateway what opens its connections

Tests of hosts whose own links to servers are cut need to cut them; nothing in user space can do that to one process of several. TcpConnector opens the connections to servers and to the store, TCP by default; the time limit stays where it was. No change of behaviour.

--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -235,7 +235,8 @@
         return Ok(connection);
     }
     gateway.metrics.connects.inc();
-    ServerConnection::open(&gateway.executor, address).await.map_err(|err| err.to_string().into())
+    let opened = ServerConnection::open(&gateway.executor, &gateway.connector, address).await;
+    opened.map_err(|err| err.to_string().into())
 }
 
 /// Relays one response to the caller.
--- a/crates/node/src/gateway/link.rs
+++ b/crates/node/src/gateway/link.rs
@@ -11,7 +11,7 @@
 
 use async_executor::{LocalExecutor, Task};
 use async_net::TcpStream;
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future::BoxedLocal};
 use hyper::{
     Request, Response,
     body::Incoming,
@@ -59,6 +59,32 @@
     Ok(())
 }
 
+/// Opens TCP connections, to backend servers and to peers. Tests replace it to cut links.
+pub struct TcpConnector {
+    connect: Box<dyn Fn(SocketAddr) -> BoxedLocal<io::Result<TcpStream>>>,
+}
+
+impl TcpConnector {
+    /// Creates a connector from a function.
+    pub fn new(
+        connect: impl Fn(SocketAddr) -> BoxedLocal<io::Result<TcpStream>> + 'static,
+    ) -> TcpConnector {
+        TcpConnector { connect: Box::new(connect) }
+    }
+
+    /// Opens a connection. Errs if that fails or takes longer than `CONNECT_TIMEOUT`.
+    pub async fn connect(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        let connected = clock::with_timeout(CONNECT_TIMEOUT, (self.connect)(address)).await;
+        connected.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+impl Default for TcpConnector {
+    fn default() -> TcpConnector {
+        TcpConnector::new(|address| TcpStream::connect(address).boxed_local())
+    }
+}
+
 /// Open HTTP connection.
 pub struct ServerConnection {
     sender: SendRequest<RequestBody>,
@@ -91,17 +117,13 @@
 }
 
 impl ServerConnection {
-    /// Opens a connection. Errs if that fails or takes longer than `CONNECT_TIMEOUT`.
+    /// Opens a connection.
     pub async fn open(
         executor: &Rc<LocalExecutor<'static>>,
+        connector: &TcpConnector,
         address: SocketAddr,
     ) -> Result<ServerConnection, NodeError> {
-        let connect = async { TcpStream::connect(address).await.map_err(NodeError::Connect) };
-        let limit = async {
-            async_io::Timer::after(CONNECT_TIMEOUT).await;
-            Err(NodeError::Connect(io::ErrorKind::TimedOut.into()))
-        };
-        let stream = connect.or(limit).await?;
+        let stream = connector.connect(address).await.map_err(NodeError::Connect)?;
         stream.set_nodelay(true)?;
         enable_keepalive(&stream)?;
         let stream = YieldingStream::new(stream);
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -86,7 +86,7 @@
 use edge::ResponseInfo;
 use evacuation::EvacuationState;
 use line_budget::LineBudget;
-use link::ConnectionPool;
+use link::{ConnectionPool, TcpConnector};
 
 /// `Retry-After` while another host is ready.
 const PEER_RETRY_AFTER: Duration = Duration::from_millis(20);
@@ -217,6 +217,8 @@
     pub metrics: GatewayMetrics,
     /// Rate limit of log lines about single requests.
     pub log_budget: LineBudget,
+    /// Opens connections to servers and to the store.
+    pub connector: TcpConnector,
     settings: GatewaySettings,
     started: Time,
     codec: WireCodec,
@@ -253,6 +255,7 @@
         log: Logger,
         settings: GatewaySettings,
         codec: WireCodec,
+        connector: TcpConnector,
     ) -> GatewayRef {
         let mut dispatcher =
             Dispatcher::new(settings.host_info.tag(), settings.host_info.failure_domain.clone());
@@ -287,6 +290,7 @@
             log,
             metrics: GatewayMetrics::new(),
             log_budget: LineBudget::default(),
+            connector,
             settings,
             started: clock::now(),
             codec,
--- a/crates/node/src/gateway/quarantine.rs
+++ b/crates/node/src/gateway/quarantine.rs
@@ -3,7 +3,6 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use async_net::TcpStream;
 use parsley_core::{
     fleet::EngineTag,
     quarantine::{PartReport, PartStatus, PartTag, ProcessTag, QuarantineOutput},
@@ -207,7 +206,7 @@
     parts: Vec<PartTag>,
     request: std::sync::Arc<str>,
 ) {
-    let connected = with_timeout(PROBE_TIMEOUT, TcpStream::connect(sent.address)).await;
+    let connected = with_timeout(PROBE_TIMEOUT, gateway.connector.connect(sent.address)).await;
     if matches!(connected, Some(Ok(_))) {
         return;
     }
