Relay connections of hosts whose links are cut

Cause: a host reached servers only by its own links, and took their failure for that of each server by itself.

What callers saw: at hosts that were partitioned from all servers, 8 of 66 and 0 of 40 first attempts were served, elsewhere 155 of 156 and 154 of 154.

Change: DetourPlanner (core, no sockets) decides for each connection to a server: directly, through a peer, or both. Peers pass bytes on, over TCP on the heartbeat address; deadline, budget, id and outcome stay with the host that has the request. Two servers that only a peer reaches mean that the links are cut: idle direct connections are closed, and one connection a second tries the direct link. The same view serves memory reservations and the check whether a server's process ended, so a cut host no longer blames requests or servers for its own links. Nothing new is exchanged between hosts; one of the version before refuses the connection and is passed over.

Ruled out: not being ready, which leaves open connections and resolved addresses where they are; passing whole requests to a peer, a second owner of at-most-once outcomes (docs/decisions/detours.md).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod call;
 pub mod catalog;
 pub mod config;
+pub mod detour;
 pub mod dispatch;
 pub mod document;
 pub mod entry;
--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -125,7 +125,12 @@
     let mut connection = match open_connection(exchange, engine, address).await {
         Ok(connection) => connection,
         Err(fault) => {
-            gateway.report_verdict(engine, EngineVerdict::Unreachable, &exchange.id);
+            // A host without links knows nothing of the server.
+            let verdict = match gateway.has_cut_links() {
+                true => EngineVerdict::Undecided,
+                false => EngineVerdict::Unreachable,
+            };
+            gateway.report_verdict(engine, verdict, &exchange.id);
             return AttemptEnd::NotRun(fault);
         }
     };
@@ -180,6 +185,9 @@
     gateway.metrics.sends.with_label_values(&[verdict_name(verdict)]).inc();
     gateway.report_verdict(engine, verdict, &exchange.id);
     reservation.release();
+    if verdict == EngineVerdict::Silent {
+        gateway.check_link(engine, address);
+    }
     if let Some(process) = sent_process {
         process.report_end(exchange, end.suspects(exchange));
     }
@@ -234,9 +242,7 @@
     if let Some(connection) = gateway.connections.take(engine, limit) {
         return Ok(connection);
     }
-    gateway.metrics.connects.inc();
-    let opened = ServerConnection::open(&gateway.executor, &gateway.connector, address).await;
-    opened.map_err(|err| err.to_string().into())
+    ServerConnection::open_to(gateway, engine, address).await.map_err(|err| err.to_string().into())
 }
 
 /// Relays one response to the caller.
--- a/crates/node/src/gateway/drain.rs
+++ b/crates/node/src/gateway/drain.rs
@@ -80,9 +80,11 @@
         }
     }
 
-    /// Whether a request is open or a caller is connected.
+    /// Whether a request is open, a caller is connected or a peer's connection is relayed.
     fn has_open_work(&self) -> bool {
-        self.open_requests.get() > 0 || self.caller_connections.get() > 0
+        self.open_requests.get() > 0
+            || self.caller_connections.get() > 0
+            || self.open_relays.get() > 0
     }
 
     /// Time left until open requests are abandoned; `None` if the host is not draining.
--- a/crates/node/src/gateway/link.rs
+++ b/crates/node/src/gateway/link.rs
@@ -23,6 +23,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use super::{
+    Gateway,
     body::RequestBody,
     clock,
     yielding::{HeadLimit, YieldingStream},
@@ -37,6 +38,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Idle time after which a connection is not reused if the server names no limit.
 const DEFAULT_IDLE_LIMIT: Duration = Duration::from_millis(3_500);
+/// Age from which a relayed connection is not reused: the peer may stop, and the direct link may
+/// work again.
+const MAX_RELAYED_AGE: Duration = Duration::from_secs(2);
 /// Safety margin before the server's idle limit, from which a connection is not reused.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Keepalive idle time and interval; one second is the smallest that sockets accept.
@@ -49,7 +53,7 @@
 const MAX_IDLE_PER_SERVER: usize = 4;
 
 /// Makes the kernel close a connection whose peer went silent, such as a machine that lost power.
-fn enable_keepalive(stream: &TcpStream) -> Result<(), NodeError> {
+pub fn enable_keepalive(stream: &TcpStream) -> Result<(), NodeError> {
     sockopt::set_socket_keepalive(stream, true).map_err(io::Error::from)?;
     sockopt::set_tcp_keepidle(stream, KEEPALIVE_PERIOD).map_err(io::Error::from)?;
     sockopt::set_tcp_keepintvl(stream, KEEPALIVE_PERIOD).map_err(io::Error::from)?;
@@ -85,6 +89,24 @@
     }
 }
 
+/// Open TCP connection to a server.
+pub struct ServerStream {
+    stream: TcpStream,
+    is_relayed: bool,
+}
+
+impl ServerStream {
+    /// Wraps a connection over this host's own link.
+    pub fn direct(stream: TcpStream) -> ServerStream {
+        ServerStream { stream, is_relayed: false }
+    }
+
+    /// Wraps a connection that a peer relays.
+    pub fn relayed(stream: TcpStream) -> ServerStream {
+        ServerStream { stream, is_relayed: true }
+    }
+}
+
 /// Open HTTP connection.
 pub struct ServerConnection {
     sender: SendRequest<RequestBody>,
@@ -96,6 +118,9 @@
     idle_limit: Duration,
     /// Whether it was returned to the pool before.
     pub is_reused: bool,
+    /// Whether a peer relays it.
+    is_relayed: bool,
+    opened: Time,
 }
 
 /// Why a request got no response.
@@ -124,6 +149,24 @@
         address: SocketAddr,
     ) -> Result<ServerConnection, NodeError> {
         let stream = connector.connect(address).await.map_err(NodeError::Connect)?;
+        ServerConnection::over(executor, ServerStream::direct(stream)).await
+    }
+
+    /// Opens a connection to a server, through a peer if need be.
+    pub async fn open_to(
+        gateway: &Gateway,
+        server: EngineTag,
+        address: SocketAddr,
+    ) -> Result<ServerConnection, NodeError> {
+        let stream = gateway.connect(server, address).await.map_err(NodeError::Connect)?;
+        ServerConnection::over(&gateway.executor, stream).await
+    }
+
+    /// Starts HTTP over an open connection.
+    pub async fn over(
+        executor: &Rc<LocalExecutor<'static>>,
+        ServerStream { stream, is_relayed }: ServerStream,
+    ) -> Result<ServerConnection, NodeError> {
         stream.set_nodelay(true)?;
         enable_keepalive(&stream)?;
         let stream = YieldingStream::new(stream);
@@ -145,6 +188,8 @@
             idle_since: clock::now(),
             idle_limit: DEFAULT_IDLE_LIMIT,
             is_reused: false,
+            is_relayed,
+            opened: clock::now(),
         })
     }
 
@@ -231,6 +276,10 @@
     pub fn put(&self, tag: EngineTag, mut connection: ServerConnection) {
         connection.idle_since = clock::now();
         connection.is_reused = true;
+        if connection.is_relayed {
+            let left = MAX_RELAYED_AGE.saturating_sub(clock::now().since(connection.opened));
+            connection.idle_limit = connection.idle_limit.min(left);
+        }
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(tag).or_default();
         connections.push(connection);
@@ -244,6 +293,15 @@
         self.idle.borrow_mut().remove(&tag);
     }
 
+    /// Closes the idle connections over this host's own links to a server, or to all servers.
+    pub fn remove_direct(&self, server: Option<EngineTag>) {
+        for (tag, connections) in &mut *self.idle.borrow_mut() {
+            if server.is_none_or(|server| server == *tag) {
+                connections.retain(|connection| connection.is_relayed);
+            }
+        }
+    }
+
     /// Closes connections that the server closed or whose idle limit has passed.
     pub fn remove_expired(&self) {
         let now = clock::now();
--- a/crates/node/src/gateway/listener.rs
+++ b/crates/node/src/gateway/listener.rs
@@ -77,7 +77,8 @@
     Ok(())
 }
 
-fn bind(address: SocketAddr) -> Result<Async<std::net::TcpListener>, NodeError> {
+/// Listens at an address.
+pub fn bind(address: SocketAddr) -> Result<Async<std::net::TcpListener>, NodeError> {
     Async::<std::net::TcpListener>::bind(address)
         .map_err(|err| NodeError::Listen(address.to_string().into(), err))
 }
--- a/crates/node/src/gateway/memory.rs
+++ b/crates/node/src/gateway/memory.rs
@@ -159,7 +159,7 @@
         headers.insert(hyper::header::HOST, host);
     }
     let call = async {
-        let mut connection = ServerConnection::open(&gateway.executor, &gateway.connector, address)
+        let mut connection = ServerConnection::open_to(gateway, tag, address)
             .await
             .map_err(|err| Arc::from(err.to_string()))?;
         let sent = clock::now();
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -95,6 +95,14 @@
     /// Age of the proof that all evacuations are known, in milliseconds; the maximum if there is
     /// none, 0 if the deployment has no evacuations.
     pub evacuation_age: IntGauge,
+    /// Connections to servers asked of peers, by result.
+    pub relays_asked: IntCounterVec,
+    /// Connections to servers that peers asked for, by result.
+    pub relays_served: IntCounterVec,
+    /// Connections that are relayed for peers.
+    pub open_relays: IntGauge,
+    /// Whether this host's own links to servers are cut.
+    pub links_cut: IntGauge,
     /// Second copies of slow requests by what happened: sent, won, or refused by a limit.
     pub hedges: IntCounterVec,
 }
@@ -286,6 +294,24 @@
                 "gateway_evacuation_age_milliseconds",
                 "Age of the proof that all evacuations are known.",
             ),
+            relays_asked: counters(
+                &registry,
+                "gateway_relays_asked_total",
+                "Connections to servers asked of peers.",
+                &["result"],
+            ),
+            relays_served: counters(
+                &registry,
+                "gateway_relays_served_total",
+                "Connections to servers that peers asked for.",
+                &["result"],
+            ),
+            open_relays: gauge(&registry, "gateway_open_relays", "Connections relayed for peers."),
+            links_cut: gauge(
+                &registry,
+                "gateway_links_cut",
+                "1 while this host's own links to servers are cut.",
+            ),
             hedges: counters(
                 &registry,
                 "gateway_hedges_total",
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 use futures_lite::FutureExt;
 use parsley_core::{
     catalog::RouteCatalog,
+    detour::DetourPlanner,
     dispatch::{
         DispatchInput, DispatchOutput, Dispatcher, IDLE_TICK_PERIOD, PlacementReason,
         PrefillHelper, TICK_PERIOD,
@@ -50,6 +51,7 @@
 mod caller;
 pub mod clock;
 mod cold;
+mod detour;
 mod drain;
 pub mod edge;
 mod evacuation;
@@ -69,6 +71,7 @@
 mod reader;
 mod receive;
 mod refuse;
+mod relay;
 mod retry;
 #[cfg(test)]
 mod tests;
@@ -170,6 +173,8 @@
     permit_issuer: PermitIssuer,
     /// Parts of prompts that crash engines.
     quarantine: PartQuarantine,
+    /// Ways to the servers.
+    detours: DetourPlanner,
     /// Failure domains that are evacuated.
     evacuation: EvacuationState,
     /// Decides on second copies of slow requests.
@@ -227,6 +232,8 @@
     open_requests: Cell<usize>,
     /// Open connections of callers.
     caller_connections: Cell<usize>,
+    /// Connections that are relayed for peers.
+    open_relays: Cell<usize>,
     /// Memory for bodies and buffers.
     budget: Rc<MemoryBudget>,
     /// Wakes the task that sends changes of the work in flight.
@@ -275,6 +282,7 @@
             store_lost: (false, false),
             permit_issuer: PermitIssuer::default(),
             quarantine: PartQuarantine::default(),
+            detours: DetourPlanner::default(),
             evacuation: EvacuationState::default(),
             hedge_planner: HedgePlanner::new(settings.hedge_share),
             list_requested: None,
@@ -298,6 +306,7 @@
             connections: ConnectionPool::default(),
             open_requests: Cell::new(0),
             caller_connections: Cell::new(0),
+            open_relays: Cell::new(0),
             budget,
             work_changed: async_channel::bounded(1),
             wait_started: async_channel::bounded(1),
@@ -313,6 +322,7 @@
     pub fn start(self: &Rc<Self>) -> Result<(), crate::error::NodeError> {
         listener::start(self)?;
         beats::start(self)?;
+        relay::start(self)?;
         let gateway = self.clone();
         self.spawn(async move {
             loop {
@@ -542,6 +552,7 @@
         }
         state.roster.purge_silent(now);
         state.hedge_planner.expire(now);
+        state.detours.expire(now);
         let hosts = state.roster.peak_alive();
         let left: f64 =
             state.retry_budgets.values_mut().map(|budget| budget.remaining(now, hosts)).sum();
@@ -549,6 +560,7 @@
         self.metrics.memory_budget.set(self.budget.total() as i64);
         self.metrics.memory_held.set(self.budget.held() as i64);
         self.metrics.caller_connections.set(self.caller_connections.get() as i64);
+        self.metrics.open_relays.set(self.open_relays.get() as i64);
         self.metrics.open_requests.set(self.open_requests.get() as i64);
         self.metrics.waiting_requests.set(state.dispatcher.waiting_count() as i64);
         self.metrics.live_hosts.set(state.roster.alive(now).count() as i64 + 1);
--- a/crates/node/src/gateway/quarantine.rs
+++ b/crates/node/src/gateway/quarantine.rs
@@ -206,8 +206,10 @@
     parts: Vec<PartTag>,
     request: std::sync::Arc<str>,
 ) {
-    let connected = with_timeout(PROBE_TIMEOUT, gateway.connector.connect(sent.address)).await;
-    if matches!(connected, Some(Ok(_))) {
+    let connect = gateway.connect(sent.engine, sent.address);
+    let connected = with_timeout(PROBE_TIMEOUT, connect).await;
+    // A host without links cannot tell whether the process ended.
+    if matches!(connected, Some(Ok(_))) || gateway.has_cut_links() {
         return;
     }
     gateway.metrics.engine_crashes.inc();
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -110,6 +110,9 @@
         ["server", "process", "request", "parts"];
     PART_QUARANTINED: "E2312" Warning "part of prompts in quarantine" ["part", "crashes", "from"];
     PART_RELEASED: "E2313" Info "part of prompts released from quarantine" ["part", "from"];
+    SERVER_DETOURED: "E2314" Warning "server reached only through a peer" ["server"];
+    LINKS_CUT: "E2315" Warning "links to servers cut" [];
+    LINKS_RESTORED: "E2316" Info "links to servers restored" [];
     REQUEST_ARRIVED: "E2401" Info "request arrived"
         ["request", "route", "account", "priority", "prompt", "patience_ms", "config", "config_age_ms",
             "config_proof"];
