--- a/crates/core/src/detour/mod.rs
+++ b/crates/core/src/detour/mod.rs
@@ -47,7 +47,7 @@
     DirectOnly,
     /// Directly and through a peer at the same time.
     Both,
-    /// Through a peer, and directly if no peer opens a connection.
+    /// Through a peer. If no peer opens a connection, directly unless the links are cut.
     Relayed,
 }
 
--- a/crates/core/src/detour/tests.rs
+++ b/crates/core/src/detour/tests.rs
@@ -67,6 +67,9 @@
         if plan == ConnectPlan::Relayed && self.ask(host, server) {
             return true;
         }
+        if plan == ConnectPlan::Relayed && self.planners[host].is_cut() {
+            return false;
+        }
         if self.reaches(host, server) {
             self.planners[host].record_opened(now, tag);
             return true;
--- a/crates/node/src/gateway/detour.rs
+++ b/crates/node/src/gateway/detour.rs
@@ -47,6 +47,8 @@
             ConnectPlan::Relayed => {
                 return match relayed.await {
                     Some(stream) => Ok(ServerStream::relayed(stream)),
+                    // One connection a second tries the direct link; the others need not wait.
+                    None if self.has_cut_links() => Err(io::ErrorKind::NetworkUnreachable.into()),
                     None => self.record_last(server, direct.await),
                 };
             }
