--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -2,11 +2,12 @@
 //!
 //! A part is suspect if an engine process ended while a request with the part had not begun to be
 //! answered. A whole request counts as the deepest of its parts; it is suspect until its answer is
-//! complete, and an answer to another request does not speak for it. [`PartQuarantine`] owns the suspect parts of all hosts with the processes that ended,
-//! and when requests with a part were last answered. A part is in quarantine once enough processes
-//! ended under it, in separate incidents, since it was last answered. Hosts exchange
-//! [`PartReport`]s; merging them gives the same result in any order. A part leaves quarantine when
-//! a request with it is answered, an operator lifts it, or its last incident is long past.
+//! complete, and an answer to another request does not speak for it. [`PartQuarantine`] owns the
+//! suspect parts of all hosts with the processes that ended, and when requests with a part were
+//! last answered. A part is in quarantine once enough processes ended under it, in separate
+//! incidents, since it was last answered. Hosts exchange [`PartReport`]s; merging them gives the
+//! same result in any order. A part leaves quarantine when a request with it is answered, an
+//! operator lifts it, or its last incident is long past.
 
 use std::{collections::BTreeMap, fmt, time::Duration};
 
