Count granted and refused repeats

Added: parsley_gateway_retry_budget_hosts and parsley_gateway_retries_total{result}. No decision changes.

--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -90,6 +90,10 @@
     pub quarantined_parts: IntGauge,
     /// Retries left in the budgets of all services.
     pub retry_budget_left: IntGauge,
+    /// Hosts among which the fixed part of the retry budget is divided.
+    pub retry_budget_hosts: IntGauge,
+    /// Retries and hedges that the retry budget granted or refused.
+    pub retries: IntCounterVec,
     /// Evacuated failure domains with servers.
     pub evacuated_domains: IntGauge,
     /// Age of the proof that all evacuations are known, in milliseconds; the maximum if there is
@@ -284,6 +288,17 @@
                 "gateway_retry_budget_left",
                 "Repeats that may still be sent.",
             ),
+            retry_budget_hosts: gauge(
+                &registry,
+                "gateway_retry_budget_hosts",
+                "Hosts among which the fixed part of the retry budget is divided.",
+            ),
+            retries: counters(
+                &registry,
+                "gateway_retries_total",
+                "Repeats that the retry budget granted or refused.",
+                &["result"],
+            ),
             evacuated_domains: gauge(
                 &registry,
                 "gateway_evacuated_domains",
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -557,6 +557,7 @@
         let left: f64 =
             state.retry_budgets.values_mut().map(|budget| budget.remaining(now, hosts)).sum();
         self.metrics.retry_budget_left.set(left as i64);
+        self.metrics.retry_budget_hosts.set(hosts as i64);
         self.metrics.memory_budget.set(self.budget.total() as i64);
         self.metrics.memory_held.set(self.budget.held() as i64);
         self.metrics.caller_connections.set(self.caller_connections.get() as i64);
@@ -586,7 +587,10 @@
         let state = &mut *self.state.borrow_mut();
         let hosts = state.roster.peak_alive();
         let budget = state.retry_budgets.get_mut(service);
-        budget.is_some_and(|budget| budget.try_spend(clock::now(), hosts))
+        let is_granted = budget.is_some_and(|budget| budget.try_spend(clock::now(), hosts));
+        let result = if is_granted { "granted" } else { "refused" };
+        self.metrics.retries.with_label_values(&[result]).inc();
+        is_granted
     }
 
     fn allocate_number(&self) -> WorkNumber {
