Show hosts that restart together and repeat too much

- hosts_that_hear_few_peers_stay_below_the_retry_limit: 180 of 100 allowed
- restarted_host_does_not_spend_its_share_again: 40 of 33
- peers_that_were_never_heard_have_a_share: 1.0 in place of 1/9

--- a/crates/core/src/retry/tests.rs
+++ b/crates/core/src/retry/tests.rs
@@ -30,3 +30,17 @@
     assert!(!budget.try_spend(at(9_000), 9));
     assert!(budget.try_spend(at(10_100), 9));
 }
+
+/// Guards against a window in which a process and its predecessor both spend the whole share of
+/// their host.
+#[test]
+fn restarted_host_does_not_spend_its_share_again() {
+    let mut spent = 0;
+    for started in [0, 20_000] {
+        let mut budget = RetryBudget::new(limit());
+        // The last second of the first process, the first seconds of the second.
+        let begin = if started == 0 { 19_000 } else { started };
+        spent += (0..1_000).filter(|step| budget.try_spend(at(begin + step), 1)).count();
+    }
+    assert!(spent <= 100 / MIN_HOSTS, "{spent} retries without a request");
+}
--- a/crates/core/src/roster/fleet_tests.rs
+++ b/crates/core/src/roster/fleet_tests.rs
@@ -9,6 +9,7 @@
 use super::*;
 
 mod dead_hosts;
+mod restarts;
 
 const ROUND: Duration = Duration::from_millis(800);
 /// Rounds after which registered hosts read the host list again.
--- a/crates/core/src/roster/fleet_tests/dead_hosts.rs
+++ b/crates/core/src/roster/fleet_tests/dead_hosts.rs
@@ -16,7 +16,7 @@
 
 impl HostFleet {
     /// Lets each host send when its own period has passed, until `end`.
-    fn run_staggered(&mut self, end: Time) {
+    pub(super) fn run_staggered(&mut self, end: Time) {
         while self.now < end {
             self.now = self.now + TICK;
             let due = self.hosts.iter().filter(|(_, host)| host.next_send <= self.now);
--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -1,5 +1,8 @@
 use super::*;
-use crate::fleet::EngineTag;
+use crate::{
+    fleet::EngineTag,
+    retry::{RetryBudget, RetryLimit},
+};
 
 pub(crate) fn info(name: &str, port: u16, incarnation: u64, is_ready: bool) -> HostInfo {
     HostInfo {
@@ -175,3 +178,34 @@
     roster.record_heartbeat(at(60_100), info("host-3", 3, 1, true));
     assert_eq!(roster.live_share(at(60_200)), 1.0, "the others are gone for good");
 }
+
+/// Guards against a limit of all hosts that is exceeded while they do not hear one another, because
+/// each divides it by the peers that it hears.
+#[test]
+fn hosts_that_hear_few_peers_stay_below_the_retry_limit() {
+    let infos: Vec<_> = (1..=9).map(|port| info("h", port, 1, true)).collect();
+    let limit = RetryLimit { ratio: 0.2, window: Duration::from_secs(10), allowance: 100.0 };
+    for heard in 0..infos.len() {
+        let mut spent = 0;
+        for me in &infos {
+            let mut roster = PeerRoster::default();
+            let peers = || infos.iter().filter(|peer| peer.tag() != me.tag());
+            peers().for_each(|peer| roster.add_candidate(peer.clone()));
+            peers().take(heard).for_each(|peer| _ = roster.record_heartbeat(at(0), peer.clone()));
+            let mut budget = RetryBudget::new(limit.clone());
+            spent += (0..200).filter(|_| budget.try_spend(at(100), roster.peak_alive())).count();
+        }
+        assert!(spent <= 100, "{spent} retries, {heard} peers heard");
+    }
+}
+
+/// Guards against a server's limit that is issued several times, because its issuers know one
+/// another from the store only.
+#[test]
+fn peers_that_were_never_heard_have_a_share() {
+    let mut roster = PeerRoster::default();
+    (2..=9).for_each(|port| roster.add_candidate(info("h", port, 1, true)));
+    assert_eq!(roster.live_share(at(100)), 1.0 / 9.0);
+    roster.record_heartbeat(at(100), info("h", 2, 1, true));
+    assert_eq!(roster.live_share(at(200)), 2.0 / 9.0);
+}
