Let only members tell who the members are

Cause: a standby host answered polls with a member list of what it sees itself. A host with a list waits for a member to confirm it. Hosts that start while the store still lists them poll one another before they are registered, so all of them waited. The class: a statement with authority is made by somebody who has none.

Change: PeerRoster::answer_poll decides what a poll is answered. Ruled out: members None in the SyncResponse, as it says that the requester's list is current.

--- a/crates/core/src/roster/duty.rs
+++ b/crates/core/src/roster/duty.rs
@@ -9,7 +9,7 @@
 };
 use crate::time::Time;
 
-use parsley_macros::key;
+use parsley_macros::{key, value};
 
 /// Least number of active hosts, if as many are alive.
 const LEAST_ACTIVE: usize = 16;
@@ -47,6 +47,17 @@
     Demoted,
 }
 
+/// What a host answers a poll about the members.
+#[value]
+pub enum MemberStatement {
+    /// Nothing, because the host is on standby itself.
+    Unknown,
+    /// The list that the poll names is current.
+    Unchanged,
+    /// The live members.
+    Changed(Vec<HostInfo>),
+}
+
 /// Most additional peers in one poll while answers are missing or of no use.
 const MAX_EXTRA_POLLS: u32 = 3;
 
@@ -215,6 +226,21 @@
         self.unanswered_polls
     }
 
+    /// Returns the answer to a poll from a standby host whose last list has this digest.
+    ///
+    /// A host that has a member list waits for a member to confirm it. Hosts that start together
+    /// would wait for one another if they answered with lists of their own.
+    pub fn answer_poll(&self, now: Time, me: &HostInfo, known_digest: u64) -> MemberStatement {
+        if !self.is_member(now, me) {
+            return MemberStatement::Unknown;
+        }
+        let (digest, members) = self.member_list(now, me);
+        match digest == known_digest {
+            true => MemberStatement::Unchanged,
+            false => MemberStatement::Changed(members),
+        }
+    }
+
     /// Returns the digest and the infos of the live members, which standby hosts are sent.
     ///
     /// A list has no times, so its receiver counts each member as just heard. If what a host knows
--- a/crates/core/src/roster/fleet_tests.rs
+++ b/crates/core/src/roster/fleet_tests.rs
@@ -121,10 +121,16 @@
             let known = self.hosts[&tag].roster.members_digest();
             let Some(peer) = self.deliver(self.addresses[&target]) else { continue };
             peer.datagrams += 2;
-            let (digest, members) = peer.roster.member_list(now, &peer.info);
+            let statement = peer.roster.answer_poll(now, &peer.info, known);
             let Some(host) = self.deliver(tag) else { continue };
             host.datagrams += 1;
-            host.roster.merge_members(now, &host.info, (digest != known).then_some(members));
+            match statement {
+                MemberStatement::Unknown => continue,
+                MemberStatement::Unchanged => host.roster.merge_members(now, &host.info, None),
+                MemberStatement::Changed(members) => {
+                    host.roster.merge_members(now, &host.info, Some(members));
+                }
+            }
             host.roster.reset_unanswered();
         }
     }
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -21,7 +21,7 @@
 #[cfg(test)]
 pub(crate) mod tests;
 
-pub use duty::{HeartbeatTarget, PeerRole, registration_delay};
+pub use duty::{HeartbeatTarget, MemberStatement, PeerRole, registration_delay};
 
 /// Time between two heartbeats to a peer while there are few peers.
 pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(400);
--- a/crates/node/src/gateway/beats.rs
+++ b/crates/node/src/gateway/beats.rs
@@ -16,7 +16,10 @@
     fleet::{ColdReport, EngineEstimate, LimitReport, ListEvidence},
     permit::{PermitReply, PermitRequest},
     quarantine::PartReport,
-    roster::{HeartbeatTarget, HostInfo, HostTag, PeerChange, PeerRole, STANDBY_POLL_PERIOD},
+    roster::{
+        HeartbeatTarget, HostInfo, HostTag, MemberStatement, PeerChange, PeerRole,
+        STANDBY_POLL_PERIOD,
+    },
     time::Time,
     work::WorkUpdate,
 };
@@ -108,7 +111,8 @@
         /// Revision up to which the sender knows every change of the servers.
         list_revision: StoreRevision,
     },
-    /// Response to a [`PeerDatagram::ListRequest`].
+    /// Response to a [`PeerDatagram::ListRequest`], or to a [`PeerDatagram::SyncRequest`] from a host
+    /// that is on standby itself.
     ListResponse { evidence: PeerEvidence, list: ListUpdate },
     /// What the sender knows of parts of prompts under which engines crashed.
     PartReports { reply_to: SocketAddr, reports: Vec<PartReport> },
@@ -443,6 +447,7 @@
         }
         PeerDatagram::ListResponse { evidence, list } => {
             listing::merge_update(gateway, socket, from, &evidence, list);
+            merge_evidence(gateway, clock::now(), from, &evidence);
         }
         PeerDatagram::PartReports { reply_to, reports } => {
             gateway.merge_part_reports(reply_to, &reports);
@@ -467,7 +472,7 @@
     }
 }
 
-/// Response that brings a standby host up to date.
+/// Response that brings a standby host up to date, as far as this host can.
 fn sync_response(
     gateway: &Gateway,
     incarnation: u64,
@@ -477,13 +482,15 @@
 ) -> PeerDatagram {
     let now = clock::now();
     let state = gateway.state.borrow();
-    let (members_digest, members) = state.roster.member_list(now, &state.host_info);
-    PeerDatagram::SyncResponse {
-        evidence: state.attest(now, (incarnation, clock, Duration::ZERO)),
-        members: (members_digest != known_digest).then_some(members),
-        list: ListUpdate::after(now, &state.dispatcher.fleet, list_revision),
-        beliefs_digest: state.beliefs_digest(),
-    }
+    let evidence = state.attest(now, (incarnation, clock, Duration::ZERO));
+    let list = ListUpdate::after(now, &state.dispatcher.fleet, list_revision);
+    let members = match state.roster.answer_poll(now, &state.host_info, known_digest) {
+        MemberStatement::Unknown => return PeerDatagram::ListResponse { evidence, list },
+        MemberStatement::Unchanged => None,
+        MemberStatement::Changed(members) => Some(members),
+    };
+    let beliefs_digest = state.beliefs_digest();
+    PeerDatagram::SyncResponse { evidence, members, list, beliefs_digest }
 }
 
 fn handle_heartbeat(
