Divide the retry allowance among all known hosts

Cause: each host divided the allowance by the most hosts that it had seen alive at once, three at least. A start, or cut links between hosts, makes that number small, and the shares then add up to more than the allowance. The class: a limit of the whole fleet depends on what one host happens to hear.

Change: PeerRoster::sharing_hosts counts the hosts that the store lists and those heard of lately, alive or not, up to the number of members; a host that has read neither the list nor a member list assumes a full set of members.

--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -1,8 +1,9 @@
 //! Retry budget: bounds how often requests are sent to a backend server again.
 //!
 //! Owns this host's share of a limit over all hosts: in any window, retries may not exceed a
-//! fraction of the requests plus a fixed allowance. A host that sees few peers divides the
-//! allowance by an assumed minimum, so that partitioned hosts do not each spend all of it.
+//! fraction of the requests plus a fixed allowance. The fraction needs no agreement, as each host
+//! counts its own requests. The allowance is divided by the number of hosts that share it
+//! ([`crate::roster::PeerRoster::sharing_hosts`]), which does not depend on who hears whom.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -50,7 +51,7 @@
     }
 
     /// Counts a retry if this host's share allows it, and returns whether it does. `hosts` is the
-    /// largest number of hosts seen alive at once.
+    /// number of hosts that share the allowance.
     pub fn try_spend(&mut self, now: Time, hosts: usize) -> bool {
         if self.remaining(now, hosts) < 1.0 {
             return false;
--- a/crates/core/src/roster/duty.rs
+++ b/crates/core/src/roster/duty.rs
@@ -271,6 +271,7 @@
     /// this host sent, so the members of its last list are alive.
     pub fn merge_members(&mut self, now: Time, me: &HostInfo, members: Option<Vec<HostInfo>>) {
         if let Some(infos) = members {
+            self.knows_hosts = true;
             // A host that is no longer a member was not necessarily silent, so its state becomes
             // unknown.
             for tag in std::mem::take(&mut self.member_list.1) {
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -145,6 +145,8 @@
     peak_alive: usize,
     /// Whether this host is registered in the store.
     is_listed: bool,
+    /// Whether this host has read the host list of the store, or a member list.
+    knows_hosts: bool,
     /// When a member last confirmed that this host is a member.
     confirmed_member: Option<Time>,
     /// Digest and tags of the members in the last member list that this host received.
@@ -219,6 +221,7 @@
     /// Drops hosts that never sent a heartbeat and are not in `listed`, the hosts that the store
     /// lists.
     pub fn retain_listed(&mut self, listed: &[HostTag]) {
+        self.knows_hosts = true;
         self.peers.retain(|tag, record| record.last_heartbeat.is_some() || listed.contains(tag));
     }
 
@@ -259,9 +262,14 @@
         silent.collect()
     }
 
-    /// Returns the largest number of hosts that were alive at the same time, including this one.
-    pub fn peak_alive(&self) -> usize {
-        self.peak_alive.max(1)
+    /// Returns the number of hosts, including this one, that share a limit of the whole fleet: the
+    /// most that were alive at the same time, and at least all known ones up to [`MEMBER_LIMIT`].
+    ///
+    /// Hosts that do not hear one another must not each count on a larger share. So peers that are
+    /// silent count as well, and a host that knows nothing of the fleet assumes a large one.
+    pub fn sharing_hosts(&self) -> usize {
+        let known = if self.knows_hosts { self.peers.len() + 1 } else { MEMBER_LIMIT };
+        self.peak_alive.max(known.min(MEMBER_LIMIT))
     }
 
     /// Returns the time between two heartbeats, which grows with the number of known peers. Leads
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -553,7 +553,7 @@
         state.roster.purge_silent(now);
         state.hedge_planner.expire(now);
         state.detours.expire(now);
-        let hosts = state.roster.peak_alive();
+        let hosts = state.roster.sharing_hosts();
         let left: f64 =
             state.retry_budgets.values_mut().map(|budget| budget.remaining(now, hosts)).sum();
         self.metrics.retry_budget_left.set(left as i64);
@@ -585,7 +585,7 @@
     /// Charges one retry to the service's budget. Returns whether the budget allows it.
     fn spend_retry(&self, service: &str) -> bool {
         let state = &mut *self.state.borrow_mut();
-        let hosts = state.roster.peak_alive();
+        let hosts = state.roster.sharing_hosts();
         let budget = state.retry_budgets.get_mut(service);
         let is_granted = budget.is_some_and(|budget| budget.try_spend(clock::now(), hosts));
         let result = if is_granted { "granted" } else { "refused" };
