Count listed hosts that were never heard of as members

A server's request limit and the bound of a cold engine are issued by the fraction of the members that a host hears. Hosts that it knows from the store only did not count, so after a start each of several issuers that did not hear one another issued the whole limit.

Change: PeerRoster::live_share counts all known peers. A dead host's entry lowers the share until the list is read without it (30 s + 9 s at most).

Looked at and left: shares of client accounts and waiting requests (they order work by the view of all hosts' work and bound nothing), hedges (a fraction of the host's own requests), quarantine (counts processes that ended, reported by name).

--- a/crates/core/src/roster/issuer.rs
+++ b/crates/core/src/roster/issuer.rs
@@ -33,11 +33,11 @@
     }
 
     /// Returns the fraction of the members that are alive. In a partition of the members, the
-    /// fractions of all sides add up to one until [`super::PEER_RETENTION`] has passed.
+    /// fractions of all sides add up to one until [`super::PEER_RETENTION`] has passed. Peers that
+    /// the store lists and that were never heard of count as members that are not alive.
     pub fn live_share(&self, now: Time) -> f64 {
         let live = self.alive(now).count() + 1;
-        let heard = self.peers.values().filter(|record| record.last_heartbeat.is_some());
-        let known = (heard.count() + 1).min(MEMBER_LIMIT);
+        let known = (self.peers.len() + 1).min(MEMBER_LIMIT);
         live.min(known) as f64 / known as f64
     }
 
