Log how long reserved engine memory went unused

The logs say only that an order failed (E2304); they cannot tell a request that its engine never begins from orders that are carried out late, or from reservations that follow one another.

Added: E2317 at each engine when a reservation is returned, with the request, the tokens, the time held and the time until the request's first event. No decision changes.

--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -22,7 +22,7 @@
     exchange::{Exchange, RequestProgress},
     forward::{build_request, strip_hop_by_hop_headers},
     link::{SendError, ServerConnection},
-    memory,
+    memory::{self, MemoryReservation},
     pace::StreamPace,
     quarantine::SentProcess,
     receive::{TOO_LONG, receive_body},
@@ -177,8 +177,17 @@
             (EngineVerdict::Failed, AttemptEnd::ConnectionLost(err.to_string().into()))
         }
         Some(Ok(response)) => {
-            let mut relay =
-                ResponseRelay { exchange, placement, stream, progress, alive, permit, sent };
+            let reservation = &reservation;
+            let mut relay = ResponseRelay {
+                exchange,
+                placement,
+                reservation,
+                stream,
+                progress,
+                alive,
+                permit,
+                sent,
+            };
             relay.relay(connection, response).await
         }
     };
@@ -249,6 +258,7 @@
 struct ResponseRelay<'a> {
     exchange: &'a Exchange,
     placement: &'a Placement,
+    reservation: &'a MemoryReservation,
     stream: &'a mut CallerStream,
     progress: &'a RequestProgress,
     alive: &'a async_channel::WeakSender<()>,
@@ -475,6 +485,7 @@
     }
 
     fn record_first_event(&self) {
+        self.reservation.note_use();
         if self.progress.first_part.get().is_none() {
             self.progress.first_part.set(Some(clock::now()));
         }
--- a/crates/node/src/gateway/memory.rs
+++ b/crates/node/src/gateway/memory.rs
@@ -3,13 +3,13 @@
 //! A reservation has a short term and is renewed while its request runs, so engines release it on
 //! their own soon after a host dies.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::FutureExt;
 use hyper::{Method, Request, StatusCode};
-use parsley_core::{fleet::EngineTag, work::WorkNumber};
+use parsley_core::{fleet::EngineTag, time::Time, work::WorkNumber};
 use parsley_macros::value;
 
 use super::{
@@ -50,10 +50,18 @@
 pub struct MemoryReservation {
     /// Name of the reservation, the same on every engine.
     pub name: Arc<str>,
+    first_use: Rc<Cell<Option<Time>>>,
     _done: Option<Sender<()>>,
 }
 
 impl MemoryReservation {
+    /// Records that the request runs and uses its memory.
+    pub fn note_use(&self) {
+        if self.first_use.get().is_none() {
+            self.first_use.set(Some(clock::now()));
+        }
+    }
+
     /// Releases the memory.
     pub fn release(self) {
         drop(self);
@@ -70,17 +78,25 @@
     let gateway = &exchange.gateway;
     let incarnation = gateway.settings.host_info.incarnation;
     let name: Arc<str> = format!("{:x}-{}-{}", incarnation, number.0, clock::now().0).into();
+    let first_use = Rc::new(Cell::new(None));
     let targets = helper_targets(exchange, placement);
     if targets.is_empty() {
-        return Ok(MemoryReservation { name, _done: None });
+        return Ok(MemoryReservation { name, first_use, _done: None });
     }
     let term = gateway.settings.reservation.term();
     let (done, ended) = async_channel::bounded(1);
     for target in &targets {
         // A task for each engine: one that does not answer must not delay the others.
-        gateway.spawn(renew_until_done(gateway.clone(), name.clone(), *target, ended.clone()));
+        let held = HeldReservation {
+            gateway: gateway.clone(),
+            name: name.clone(),
+            request: exchange.id.clone(),
+            target: *target,
+            first_use: first_use.clone(),
+        };
+        gateway.spawn(held.renew_until_done(ended.clone()));
     }
-    let guard = MemoryReservation { name: name.clone(), _done: Some(done) };
+    let guard = MemoryReservation { name: name.clone(), first_use, _done: Some(done) };
     for (tag, address, tokens) in targets {
         let reservation = ReservationRequest { name: name.clone(), tokens: Some(tokens), term };
         let status = send_reservation(gateway, tag, address, &reservation).await;
@@ -104,33 +120,57 @@
     helpers.collect()
 }
 
-/// Renews the reservation on one engine until the request ends, then releases it.
-async fn renew_until_done(
+/// Reservation on one engine.
+struct HeldReservation {
     gateway: GatewayRef,
     name: Arc<str>,
-    (tag, address, tokens): ReservationTarget,
-    ended: Receiver<()>,
-) {
-    let term = gateway.settings.reservation.term();
-    let send = async |tokens: Option<u32>| {
-        let reservation = ReservationRequest { name: name.clone(), tokens, term };
-        let status = send_reservation(&gateway, tag, address, &reservation).await;
+    /// Id of the request that the memory is for.
+    request: Arc<str>,
+    target: ReservationTarget,
+    /// When the request's first event came.
+    first_use: Rc<Cell<Option<Time>>>,
+}
+
+impl HeldReservation {
+    /// Renews the reservation until the request ends, then releases it.
+    async fn renew_until_done(self, ended: Receiver<()>) {
+        let start = clock::now();
+        let term = self.gateway.settings.reservation.term();
+        let renew = async {
+            loop {
+                Timer::after(term / RENEWALS_PER_TERM).await;
+                self.send(Some(self.target.2)).await;
+            }
+        };
+        let done = async {
+            // Nothing is sent on this channel; it closes with the request.
+            let _ = ended.recv().await;
+        };
+        done.or(renew).await;
+        self.log_return(start);
+        self.send(None).await;
+    }
+
+    async fn send(&self, tokens: Option<u32>) {
+        let (tag, address, _) = self.target;
+        let term = self.gateway.settings.reservation.term();
+        let reservation = ReservationRequest { name: self.name.clone(), tokens, term };
+        let status = send_reservation(&self.gateway, tag, address, &reservation).await;
         if status != Ok(StatusCode::OK) {
-            log_failure(&gateway, tag, &name, status);
-        }
-    };
-    let renew = async {
-        loop {
-            Timer::after(term / RENEWALS_PER_TERM).await;
-            send(Some(tokens)).await;
+            log_failure(&self.gateway, tag, &self.name, status);
         }
-    };
-    let done = async {
-        // Nothing is sent on this channel; it closes with the request.
-        let _ = ended.recv().await;
-    };
-    done.or(renew).await;
-    send(None).await;
+    }
+
+    fn log_return(&self, start: Time) {
+        let now = clock::now();
+        let (tag, _, tokens) = self.target;
+        let first_use = self.first_use.get();
+        let unused = first_use.unwrap_or(now).since(start);
+        event!(self.gateway.log, MEMORY_RETURNED, "server" => tag.0, "name" => &*self.name,
+            "request" => &*self.request, "tokens" => tokens,
+            "held_ms" => now.since(start).as_millis() as u64,
+            "unused_ms" => unused.as_millis() as u64, "is_used" => first_use.is_some());
+    }
 }
 
 fn log_failure(
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -113,6 +113,7 @@
     SERVER_DETOURED: "E2314" Warning "server reached only through a peer" ["server"];
     LINKS_CUT: "E2315" Warning "links to servers cut" [];
     LINKS_RESTORED: "E2316" Info "links to servers restored" [];
+    MEMORY_RETURNED: "E2317" Info "engine memory returned" ["server", "name", "request", "tokens", "held_ms", "unused_ms", "is_used"];
     REQUEST_ARRIVED: "E2401" Info "request arrived"
         ["request", "route", "account", "priority", "prompt", "patience_ms", "config", "config_age_ms",
             "config_proof"];
