--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod record;
 pub mod refusal;
 pub mod request;
+pub mod reservation;
 pub mod resource;
 pub mod retry;
 pub mod roster;
--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -4,8 +4,9 @@
 
 use async_channel::Sender;
 use async_io::Timer;
+use futures_lite::FutureExt;
 use http_body_util::BodyExt;
-use hyper::{Response, StatusCode, body::Incoming};
+use hyper::{Request, Response, StatusCode, body::Incoming};
 use parsley_core::{
     dispatch::DispatchInput,
     fleet::{EngineTag, EngineVerdict},
@@ -16,7 +17,7 @@
 
 use super::{
     Placement,
-    body::{BodyChunk, EventSplitter, ResponseBody, wait_for_room},
+    body::{BodyChunk, EventSplitter, RequestBody, ResponseBody, wait_for_room},
     budget::MemoryUse,
     clock::{self, with_timeout},
     exchange::{Exchange, RequestProgress},
@@ -110,7 +111,7 @@
 /// Sends a request to the server of its placement and relays the response. Dropping the future
 /// closes the connection.
 pub async fn run(attempt: &Attempt<'_>, stream: &mut CallerStream) -> AttemptEnd {
-    let Attempt { exchange, number, placement, progress, alive, permit } = *attempt;
+    let Attempt { exchange, number, placement, progress, .. } = *attempt;
     let gateway = &exchange.gateway;
     let engine = placement.engine;
     let not_sent = || {
@@ -122,7 +123,7 @@
         Ok(reservation) => reservation,
         Err(fault) => return AttemptEnd::NotRun(fault),
     };
-    let mut connection = match open_connection(exchange, engine, address).await {
+    let connection = match open_connection(exchange, engine, address).await {
         Ok(connection) => connection,
         Err(fault) => {
             // A host without links knows nothing of the server.
@@ -149,6 +150,38 @@
     progress.attempts.set(progress.attempts.get() + 1);
     progress.may_have_run.set(true);
     let sent = clock::now();
+    let exchanged = send_request(attempt, connection, request, (&reservation, sent), stream);
+    let given_up = async {
+        reservation.wait_until_given_up().await;
+        let verdict =
+            EngineVerdict::for_timeout(clock::now().since(sent), placement.first_event_timeout);
+        (verdict, AttemptEnd::Unknown("its engines did not use the reserved memory".into()))
+    };
+    let (verdict, end) = exchanged.or(given_up).await;
+    gateway.metrics.sends.with_label_values(&[verdict_name(verdict)]).inc();
+    gateway.report_verdict(engine, verdict, &exchange.id);
+    reservation.release();
+    if verdict == EngineVerdict::Silent {
+        gateway.check_link(engine, address);
+    }
+    if let Some(process) = sent_process {
+        process.report_end(exchange, end.suspects(exchange));
+    }
+    if matches!(end, AttemptEnd::Answered(_)) {
+        gateway.record_completion(exchange);
+    }
+    end
+}
+
+/// Sends the request at `sent` and relays the response.
+async fn send_request(
+    attempt: &Attempt<'_>,
+    mut connection: ServerConnection,
+    request: Request<RequestBody>,
+    (reservation, sent): (&MemoryReservation, Time),
+    stream: &mut CallerStream,
+) -> (EngineVerdict, AttemptEnd) {
+    let Attempt { exchange, placement, progress, alive, permit, .. } = *attempt;
     let may_retry = permit.may_retry.get();
     let first_event_timeout =
         if may_retry { placement.first_event_timeout } else { exchange.time_left() };
@@ -157,7 +190,7 @@
         let sending = pin!(connection.send(request));
         permit.wait(limit, sending).await
     };
-    let (verdict, end) = match response {
+    match response {
         None => {
             let waited = clock::now().since(sent);
             let verdict = EngineVerdict::for_timeout(waited, placement.first_event_timeout);
@@ -169,7 +202,7 @@
         }
         Some(Err(SendError::Invalid(err))) => {
             if connection.has_endless_head() {
-                gateway.metrics.endless.with_label_values(&["interim"]).inc();
+                exchange.gateway.metrics.endless.with_label_values(&["interim"]).inc();
             }
             (EngineVerdict::Failed, AttemptEnd::Unknown(err.to_string().into()))
         }
@@ -177,7 +210,6 @@
             (EngineVerdict::Failed, AttemptEnd::ConnectionLost(err.to_string().into()))
         }
         Some(Ok(response)) => {
-            let reservation = &reservation;
             let mut relay = ResponseRelay {
                 exchange,
                 placement,
@@ -190,20 +222,7 @@
             };
             relay.relay(connection, response).await
         }
-    };
-    gateway.metrics.sends.with_label_values(&[verdict_name(verdict)]).inc();
-    gateway.report_verdict(engine, verdict, &exchange.id);
-    reservation.release();
-    if verdict == EngineVerdict::Silent {
-        gateway.check_link(engine, address);
     }
-    if let Some(process) = sent_process {
-        process.report_end(exchange, end.suspects(exchange));
-    }
-    if matches!(end, AttemptEnd::Answered(_)) {
-        gateway.record_completion(exchange);
-    }
-    end
 }
 
 /// Result of an attempt whose stream broke off.
--- a/crates/node/src/gateway/edge.rs
+++ b/crates/node/src/gateway/edge.rs
@@ -114,4 +114,9 @@
     pub write_refusal_headers: fn(&mut HeaderMap, &Refusal),
     /// Encodes a reservation request as a path and a JSON body.
     pub encode_reservation: fn(&ReservationRequest) -> (&'static str, Bytes),
+    /// Path at which an engine reports its reservations.
+    pub reservation_report_path: &'static str,
+    /// Reads from a report whether a request uses the reservation with this name; `None` if the
+    /// report does not tell.
+    pub read_reservation_use: fn(&[u8], &str) -> Option<bool>,
 }
--- a/crates/node/src/gateway/memory.rs
+++ b/crates/node/src/gateway/memory.rs
@@ -1,16 +1,24 @@
 //! Memory reservations on the engines that share a prompt too large for one.
 //!
 //! A reservation has a short term and is renewed while its request runs, so engines release it on
-//! their own soon after a host dies.
+//! their own soon after a host dies. [`MemoryLease`] decides on renewals.
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::FutureExt;
-use hyper::{Method, Request, StatusCode};
-use parsley_core::{fleet::EngineTag, time::Time, work::WorkNumber};
-use parsley_macros::value;
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::{Bytes, Incoming},
+    header::{CONTENT_TYPE, HOST, HeaderValue},
+};
+use parsley_core::{
+    fleet::EngineTag,
+    reservation::{LeaseAction, MemoryLease},
+    time::Time,
+    work::WorkNumber,
+};
 
 use super::{
     GatewayRef, Placement,
@@ -19,38 +27,20 @@
     edge::ReservationRequest,
     exchange::Exchange,
     link::ServerConnection,
+    receive::receive_body,
 };
 use crate::event;
 
-/// Share of the limits on reservations that a term takes.
-const TERM_SHARE: f64 = 0.8;
-/// Renewals in one term, of which all but one may get lost.
-const RENEWALS_PER_TERM: u32 = 3;
 /// Timeout of a reservation request.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Limits of a deployment on memory reservations.
-#[value]
-#[derive(Copy)]
-pub struct ReservationLimits {
-    /// Time after which memory that no request uses counts as leaked.
-    pub release_limit: Duration,
-    /// Longest term that engines accept.
-    pub longest_term: Duration,
-}
-
-impl ReservationLimits {
-    /// Returns the term of a reservation, after which engines release it unless it is renewed.
-    fn term(&self) -> Duration {
-        self.release_limit.min(self.longest_term).mul_f64(TERM_SHARE)
-    }
-}
-
 /// Guard of the memory reserved for one request; dropping it releases the memory.
 pub struct MemoryReservation {
     /// Name of the reservation, the same on every engine.
     pub name: Arc<str>,
     first_use: Rc<Cell<Option<Time>>>,
+    /// Receives a message when an engine's lease is given up.
+    given_up: Receiver<()>,
     _done: Option<Sender<()>>,
 }
 
@@ -62,14 +52,22 @@
         }
     }
 
+    /// Waits until a lease is given up, without which the request cannot run.
+    pub async fn wait_until_given_up(&self) {
+        if self.given_up.recv().await.is_err() {
+            // No memory is reserved.
+            futures_lite::future::pending().await
+        }
+    }
+
     /// Releases the memory.
     pub fn release(self) {
         drop(self);
     }
 }
 
-/// Reserves the memory that the placement of work `number` needs. Errs if an engine does not grant it. The memory is
-/// released when the guard is dropped, also when the caller leaves.
+/// Reserves the memory that the placement of work `number` needs. Errs if an engine does not grant
+/// it. The memory is released when the guard is dropped, also when the caller leaves.
 pub async fn reserve(
     exchange: &Exchange,
     number: WorkNumber,
@@ -79,43 +77,46 @@
     let incarnation = gateway.settings.host_info.incarnation;
     let name: Arc<str> = format!("{:x}-{}-{}", incarnation, number.0, clock::now().0).into();
     let first_use = Rc::new(Cell::new(None));
-    let targets = helper_targets(exchange, placement);
-    if targets.is_empty() {
-        return Ok(MemoryReservation { name, first_use, _done: None });
-    }
-    let term = gateway.settings.reservation.term();
+    let (giver, given_up) = async_channel::bounded(1);
     let (done, ended) = async_channel::bounded(1);
-    for target in &targets {
-        // A task for each engine: one that does not answer must not delay the others.
-        let held = HeldReservation {
+    let held = |target| {
+        Rc::new(HeldReservation {
             gateway: gateway.clone(),
             name: name.clone(),
             request: exchange.id.clone(),
-            target: *target,
+            target,
             first_use: first_use.clone(),
-        };
-        gateway.spawn(held.renew_until_done(ended.clone()));
+            giver: giver.clone(),
+        })
+    };
+    let reservations: Vec<_> = helper_targets(exchange, placement).into_iter().map(held).collect();
+    for reservation in &reservations {
+        // A task for each engine: one that does not answer must not delay the others.
+        gateway.spawn(reservation.clone().renew_until_done(ended.clone()));
     }
-    let guard = MemoryReservation { name: name.clone(), first_use, _done: Some(done) };
-    for (tag, address, tokens) in targets {
-        let reservation = ReservationRequest { name: name.clone(), tokens: Some(tokens), term };
-        let status = send_reservation(gateway, tag, address, &reservation).await;
-        if status != Ok(StatusCode::OK) {
-            log_failure(gateway, tag, &name, status);
+    let guard = MemoryReservation { name: name.clone(), first_use, given_up, _done: Some(done) };
+    for reservation in &reservations {
+        let tokens = reservation.target.tokens;
+        if !reservation.order(Some(tokens)).await {
             return Err("no memory at a helper".into());
         }
     }
     Ok(guard)
 }
 
-/// Engine on which memory is reserved, its address and the number of tokens.
-type ReservationTarget = (EngineTag, SocketAddr, u32);
+/// Engine on which memory is reserved.
+#[derive(Clone, Copy)]
+struct ReservationTarget {
+    engine: EngineTag,
+    address: SocketAddr,
+    tokens: u32,
+}
 
 fn helper_targets(exchange: &Exchange, placement: &Placement) -> Vec<ReservationTarget> {
     let state = exchange.gateway.state.borrow();
     let helpers = placement.helpers.iter().filter_map(|helper| {
-        let record = state.dispatcher.fleet.get(helper.engine)?;
-        Some((helper.engine, record.entry.address, helper.tokens?))
+        let address = state.dispatcher.fleet.get(helper.engine)?.entry.address;
+        Some(ReservationTarget { engine: helper.engine, address, tokens: helper.tokens? })
     });
     helpers.collect()
 }
@@ -129,87 +130,119 @@
     target: ReservationTarget,
     /// When the request's first event came.
     first_use: Rc<Cell<Option<Time>>>,
+    /// Tells the request that the lease is given up.
+    giver: Sender<()>,
 }
 
 impl HeldReservation {
-    /// Renews the reservation until the request ends, then releases it.
-    async fn renew_until_done(self, ended: Receiver<()>) {
+    /// Renews the reservation until the request ends or the lease is given up, then releases it.
+    async fn renew_until_done(self: Rc<Self>, ended: Receiver<()>) {
         let start = clock::now();
-        let term = self.gateway.settings.reservation.term();
-        let renew = async {
-            loop {
-                Timer::after(term / RENEWALS_PER_TERM).await;
-                self.send(Some(self.target.2)).await;
-            }
-        };
         let done = async {
             // Nothing is sent on this channel; it closes with the request.
             let _ = ended.recv().await;
         };
-        done.or(renew).await;
+        done.or(self.renew(start)).await;
         self.log_return(start);
-        self.send(None).await;
+        self.order(None).await;
+    }
+
+    /// Renews the reservation until its lease is given up.
+    async fn renew(&self, start: Time) {
+        let mut lease = MemoryLease::new(start, self.gateway.settings.reservation);
+        loop {
+            if self.first_use.get().is_some() {
+                lease.note_running();
+            }
+            match lease.step(clock::now()) {
+                LeaseAction::Wait(until) => drop(Timer::after(until.since(clock::now())).await),
+                LeaseAction::Renew => _ = self.order(Some(self.target.tokens)).await,
+                LeaseAction::Inspect => {
+                    let is_used = self.inspect().await;
+                    lease.record_inspection(clock::now(), is_used);
+                }
+                LeaseAction::GiveUp => break,
+            }
+        }
+        // Fails if another lease of the request was given up already.
+        let _ = self.giver.try_send(());
+    }
+
+    /// Asks the engine whether a request uses the memory; `None` if it does not tell.
+    async fn inspect(&self) -> Option<bool> {
+        let codec = &self.gateway.codec;
+        let mut request = Request::new(RequestBody::new(Bytes::new()));
+        *request.uri_mut() = codec.reservation_report_path.parse().ok()?;
+        let call = async {
+            let (connection, response) = self.call(request).await.ok()?;
+            let received = connection.received_bytes();
+            receive_body(&self.gateway, response.into_body(), &received).await.ok()
+        };
+        let (report, _held) = with_timeout(RESERVE_TIMEOUT, call).await??;
+        (codec.read_reservation_use)(&report, &self.name)
     }
 
-    async fn send(&self, tokens: Option<u32>) {
-        let (tag, address, _) = self.target;
+    /// Reserves the tokens for a term, or releases them. Returns whether the engine agreed.
+    async fn order(&self, tokens: Option<u32>) -> bool {
         let term = self.gateway.settings.reservation.term();
         let reservation = ReservationRequest { name: self.name.clone(), tokens, term };
-        let status = send_reservation(&self.gateway, tag, address, &reservation).await;
-        if status != Ok(StatusCode::OK) {
-            log_failure(&self.gateway, tag, &self.name, status);
+        let call = async {
+            let (_connection, response) =
+                self.call(order_request(&self.gateway, &reservation)?).await?;
+            Ok(response.status())
+        };
+        let status = with_timeout(RESERVE_TIMEOUT, call).await;
+        let status: Result<_, Arc<str>> = status.unwrap_or_else(|| Err("no answer in time".into()));
+        if status == Ok(StatusCode::OK) {
+            return true;
         }
+        let error = status.map_or_else(|err| err, |status| status.to_string().into());
+        event!(self.gateway.log, MEMORY_ORDER_FAILED, "server" => self.target.engine.0,
+            "name" => &*self.name, "error" => &*error);
+        false
+    }
+
+    /// Sends a call to the engine on a new connection.
+    async fn call(
+        &self,
+        mut request: Request<RequestBody>,
+    ) -> Result<(ServerConnection, Response<Incoming>), Arc<str>> {
+        let (gateway, ReservationTarget { engine, address, .. }) = (&self.gateway, self.target);
+        if let Ok(host) = address.to_string().parse() {
+            request.headers_mut().insert(HOST, host);
+        }
+        let mut connection = ServerConnection::open_to(gateway, engine, address)
+            .await
+            .map_err(|err| Arc::from(err.to_string()))?;
+        let sent = clock::now();
+        let response = connection
+            .send(request)
+            .await
+            .map_err(|fault| Arc::from(fault.into_error().to_string()))?;
+        let info = (gateway.codec.read_response_headers)(response.status(), response.headers());
+        gateway.apply_notice(engine, sent, &info, None);
+        Ok((connection, response))
     }
 
     fn log_return(&self, start: Time) {
         let now = clock::now();
-        let (tag, _, tokens) = self.target;
         let first_use = self.first_use.get();
         let unused = first_use.unwrap_or(now).since(start);
-        event!(self.gateway.log, MEMORY_RETURNED, "server" => tag.0, "name" => &*self.name,
-            "request" => &*self.request, "tokens" => tokens,
+        event!(self.gateway.log, MEMORY_RETURNED, "server" => self.target.engine.0,
+            "name" => &*self.name, "request" => &*self.request, "tokens" => self.target.tokens,
             "held_ms" => now.since(start).as_millis() as u64,
             "unused_ms" => unused.as_millis() as u64, "is_used" => first_use.is_some());
     }
 }
 
-fn log_failure(
+fn order_request(
     gateway: &GatewayRef,
-    tag: EngineTag,
-    name: &str,
-    status: Result<StatusCode, Arc<str>>,
-) {
-    let error = status.map_or_else(|err| err, |status| status.to_string().into());
-    event!(gateway.log, MEMORY_ORDER_FAILED, "server" => tag.0, "name" => name, "error" => &*error);
-}
-
-async fn send_reservation(
-    gateway: &GatewayRef,
-    tag: EngineTag,
-    address: SocketAddr,
     reservation: &ReservationRequest,
-) -> Result<StatusCode, Arc<str>> {
+) -> Result<Request<RequestBody>, Arc<str>> {
     let (path, body) = (gateway.codec.encode_reservation)(reservation);
     let mut request = Request::new(RequestBody::new(body));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = path.parse().map_err(|_| Arc::from("the path is not valid"))?;
-    let headers = request.headers_mut();
-    headers.insert("content-type", hyper::header::HeaderValue::from_static("application/json"));
-    if let Ok(host) = address.to_string().parse() {
-        headers.insert(hyper::header::HOST, host);
-    }
-    let call = async {
-        let mut connection = ServerConnection::open_to(gateway, tag, address)
-            .await
-            .map_err(|err| Arc::from(err.to_string()))?;
-        let sent = clock::now();
-        let response = connection
-            .send(request)
-            .await
-            .map_err(|fault| Arc::from(fault.into_error().to_string()))?;
-        let info = (gateway.codec.read_response_headers)(response.status(), response.headers());
-        gateway.apply_notice(tag, sent, &info, None);
-        Ok(response.status())
-    };
-    with_timeout(RESERVE_TIMEOUT, call).await.unwrap_or_else(|| Err("no answer in time".into()))
+    request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    Ok(request)
 }
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -33,6 +33,7 @@
     permit::{ColdBound, PermitIssuer, PermitRequest},
     quarantine::PartQuarantine,
     refusal::{Reason, Refusal},
+    reservation::ReservationLimits,
     retry::{RetryBudget, RetryLimit},
     roster::{HostInfo, HostTag, PeerRoster, SETTLE_TIME},
     time::Time,
@@ -82,7 +83,6 @@
 pub use edge::WireCodec;
 pub use feed::ServerChange;
 pub use listener::serve_pages;
-pub use memory::ReservationLimits;
 pub use metrics::GatewayMetrics;
 
 use budget::MemoryBudget;
