--- a/crates/node/src/gateway/memory.rs
+++ b/crates/node/src/gateway/memory.rs
@@ -79,25 +79,23 @@
     let first_use = Rc::new(Cell::new(None));
     let (giver, given_up) = async_channel::bounded(1);
     let (done, ended) = async_channel::bounded(1);
-    let held = |target| {
-        Rc::new(HeldReservation {
+    let targets = helper_targets(exchange, placement);
+    let (granter, grants) = async_channel::bounded(targets.len().max(1));
+    for target in &targets {
+        // A task for each engine: one that does not answer must not delay the others.
+        let held = HeldReservation {
             gateway: gateway.clone(),
             name: name.clone(),
             request: exchange.id.clone(),
-            target,
+            target: *target,
             first_use: first_use.clone(),
             giver: giver.clone(),
-        })
-    };
-    let reservations: Vec<_> = helper_targets(exchange, placement).into_iter().map(held).collect();
-    for reservation in &reservations {
-        // A task for each engine: one that does not answer must not delay the others.
-        gateway.spawn(reservation.clone().renew_until_done(ended.clone()));
+        };
+        gateway.spawn(held.hold_until_done(ended.clone(), granter.clone()));
     }
-    let guard = MemoryReservation { name: name.clone(), first_use, given_up, _done: Some(done) };
-    for reservation in &reservations {
-        let tokens = reservation.target.tokens;
-        if !reservation.order(Some(tokens)).await {
+    let guard = MemoryReservation { name, first_use, given_up, _done: Some(done) };
+    for _ in &targets {
+        if grants.recv().await != Ok(true) {
             return Err("no memory at a helper".into());
         }
     }
@@ -135,14 +133,21 @@
 }
 
 impl HeldReservation {
-    /// Renews the reservation until the request ends or the lease is given up, then releases it.
-    async fn renew_until_done(self: Rc<Self>, ended: Receiver<()>) {
+    /// Reserves the memory, tells whether the engine granted it, and renews the reservation until
+    /// the request ends or the lease is given up. Then releases it, also if the answer was lost.
+    async fn hold_until_done(self, ended: Receiver<()>, granter: Sender<bool>) {
         let start = clock::now();
+        let hold = async {
+            let is_granted = self.order(Some(self.target.tokens)).await;
+            // Fails only if another engine refused; the request has ended then.
+            let _ = granter.try_send(is_granted);
+            self.renew(start).await;
+        };
         let done = async {
             // Nothing is sent on this channel; it closes with the request.
             let _ = ended.recv().await;
         };
-        done.or(self.renew(start)).await;
+        done.or(hold).await;
         self.log_return(start);
         self.order(None).await;
     }
