Release memory again that a late order sets aside

A renewal that is carried out after the release sets the memory aside again, for a term each time.

Cause: memory was released once. The class: an end that is stated once loses to a message that is still under way.

Change: a lease remembers whether an order to reserve is unanswered, also one that its end interrupts, and then repeats the release, three times a term, for the 12 s in which such an order may still be carried out.

--- a/crates/core/src/reservation/mod.rs
+++ b/crates/core/src/reservation/mod.rs
@@ -20,6 +20,9 @@
 /// Renewals in one term, of which all but one may get lost.
 const RENEWALS_PER_TERM: u32 = 3;
 
+/// Longest time after which an engine carries out an order that it did not answer.
+const LATE_ORDER_TIME: Duration = Duration::from_secs(12);
+
 /// Limits of a deployment on memory reservations.
 #[value]
 #[derive(Copy)]
@@ -74,6 +77,10 @@
     /// Whether the request runs, which it does until its end.
     is_running: bool,
     is_given_up: bool,
+    /// When an order was last sent whose answer is still out.
+    sent: Option<Time>,
+    /// When the last of the orders before it was sent that remained without an answer.
+    unanswered: Option<Time>,
 }
 
 impl MemoryLease {
@@ -81,8 +88,16 @@
     pub fn new(now: Time, limits: ReservationLimits) -> MemoryLease {
         let term_end = now + limits.term();
         let due = now + limits.renewal_period();
-        let (is_running, is_given_up) = (false, false);
-        MemoryLease { limits, idle_since: now, term_end, due, is_running, is_given_up }
+        MemoryLease {
+            limits,
+            idle_since: now,
+            term_end,
+            due,
+            is_running: false,
+            is_given_up: false,
+            sent: None,
+            unanswered: None,
+        }
     }
 
     /// Records the first event of the request, which uses the memory until it ends.
@@ -117,4 +132,25 @@
         self.due = now + self.limits.renewal_period();
         self.is_given_up = self.due >= self.term_end;
     }
+
+    /// Records that an order to reserve is sent. Without an answer, the engine may carry it out
+    /// later.
+    pub fn note_sent(&mut self, now: Time) {
+        self.unanswered = self.sent.or(self.unanswered);
+        self.sent = Some(now);
+    }
+
+    /// Records that the last order was answered.
+    pub fn note_answered(&mut self) {
+        self.sent = None;
+    }
+
+    /// Ends the lease. Returns when to release the memory: now, and repeatedly while an order may
+    /// still be carried out that sets it aside again.
+    pub fn close(self, now: Time) -> Vec<Time> {
+        let late_until = self.sent.or(self.unanswered).map_or(now, |at| at + LATE_ORDER_TIME);
+        let period = self.limits.renewal_period().max(Duration::from_millis(1));
+        let count = late_until.since(now).div_duration_f64(period).ceil() as u32;
+        (0..=count).map(|number| now + period * number).collect()
+    }
 }
--- a/crates/core/src/reservation/tests.rs
+++ b/crates/core/src/reservation/tests.rs
@@ -69,3 +69,20 @@
 fn request_that_begins_soon_is_not_inspected() {
     assert_eq!(run(at(30_000), at(3_500), |_| None).1, 0);
 }
+
+/// Guards against memory that an order sets aside after the release.
+#[test]
+fn releases_are_repeated_while_an_order_may_be_late() {
+    let mut lease = MemoryLease::new(at(0), LIMITS);
+    lease.note_sent(at(1_000));
+    lease.note_answered();
+    assert_eq!(lease.clone().close(at(5_000)), [at(5_000)]);
+    lease.note_sent(at(2_000));
+    lease.note_sent(at(3_000));
+    lease.note_answered();
+    assert_eq!(lease.clone().close(at(20_000)), [at(20_000)], "no order is late any more");
+    let releases = lease.close(at(5_000));
+    assert_eq!(releases[0], at(5_000));
+    assert!(*releases.last().unwrap() >= at(2_000) + LATE_ORDER_TIME, "{releases:?}");
+    assert!(releases.windows(2).all(|pair| pair[1].since(pair[0]) < LIMITS.term()));
+}
--- a/crates/node/src/gateway/memory.rs
+++ b/crates/node/src/gateway/memory.rs
@@ -3,7 +3,13 @@
 //! A reservation has a short term and is renewed while its request runs, so engines release it on
 //! their own soon after a host dies. [`MemoryLease`] decides on renewals.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
@@ -137,11 +143,12 @@
     /// the request ends or the lease is given up. Then releases it, also if the answer was lost.
     async fn hold_until_done(self, ended: Receiver<()>, granter: Sender<bool>) {
         let start = clock::now();
+        let lease = RefCell::new(MemoryLease::new(start, self.gateway.settings.reservation));
         let hold = async {
-            let is_granted = self.order(Some(self.target.tokens)).await;
+            let is_granted = self.reserve(&lease).await;
             // Fails only if another engine refused; the request has ended then.
             let _ = granter.try_send(is_granted);
-            self.renew(start).await;
+            self.renew(&lease).await;
         };
         let done = async {
             // Nothing is sent on this channel; it closes with the request.
@@ -149,22 +156,25 @@
         };
         done.or(hold).await;
         self.log_return(start);
-        self.order(None).await;
+        for at in lease.into_inner().close(clock::now()) {
+            Timer::after(at.since(clock::now())).await;
+            let _ = self.order(None).await;
+        }
     }
 
     /// Renews the reservation until its lease is given up.
-    async fn renew(&self, start: Time) {
-        let mut lease = MemoryLease::new(start, self.gateway.settings.reservation);
+    async fn renew(&self, lease: &RefCell<MemoryLease>) {
         loop {
             if self.first_use.get().is_some() {
-                lease.note_running();
+                lease.borrow_mut().note_running();
             }
-            match lease.step(clock::now()) {
+            let action = lease.borrow_mut().step(clock::now());
+            match action {
                 LeaseAction::Wait(until) => drop(Timer::after(until.since(clock::now())).await),
-                LeaseAction::Renew => _ = self.order(Some(self.target.tokens)).await,
+                LeaseAction::Renew => _ = self.reserve(lease).await,
                 LeaseAction::Inspect => {
                     let is_used = self.inspect().await;
-                    lease.record_inspection(clock::now(), is_used);
+                    lease.borrow_mut().record_inspection(clock::now(), is_used);
                 }
                 LeaseAction::GiveUp => break,
             }
@@ -173,6 +183,17 @@
         let _ = self.giver.try_send(());
     }
 
+    /// Reserves the memory for a term. Returns whether the engine granted it.
+    async fn reserve(&self, lease: &RefCell<MemoryLease>) -> bool {
+        // Counts as unanswered until the answer is there: the request may end meanwhile.
+        lease.borrow_mut().note_sent(clock::now());
+        let status = self.order(Some(self.target.tokens)).await;
+        if status.is_ok() {
+            lease.borrow_mut().note_answered();
+        }
+        status == Ok(StatusCode::OK)
+    }
+
     /// Asks the engine whether a request uses the memory; `None` if it does not tell.
     async fn inspect(&self) -> Option<bool> {
         let codec = &self.gateway.codec;
@@ -187,8 +208,8 @@
         (codec.read_reservation_use)(&report, &self.name)
     }
 
-    /// Reserves the tokens for a term, or releases them. Returns whether the engine agreed.
-    async fn order(&self, tokens: Option<u32>) -> bool {
+    /// Reserves the tokens for a term, or releases them. Errs if there is no answer.
+    async fn order(&self, tokens: Option<u32>) -> Result<StatusCode, Arc<str>> {
         let term = self.gateway.settings.reservation.term();
         let reservation = ReservationRequest { name: self.name.clone(), tokens, term };
         let call = async {
@@ -198,13 +219,12 @@
         };
         let status = with_timeout(RESERVE_TIMEOUT, call).await;
         let status: Result<_, Arc<str>> = status.unwrap_or_else(|| Err("no answer in time".into()));
-        if status == Ok(StatusCode::OK) {
-            return true;
+        if status != Ok(StatusCode::OK) {
+            let error = status.clone().map_or_else(|err| err, |status| status.to_string().into());
+            event!(self.gateway.log, MEMORY_ORDER_FAILED, "server" => self.target.engine.0,
+                "name" => &*self.name, "error" => &*error);
         }
-        let error = status.map_or_else(|err| err, |status| status.to_string().into());
-        event!(self.gateway.log, MEMORY_ORDER_FAILED, "server" => self.target.engine.0,
-            "name" => &*self.name, "error" => &*error);
-        false
+        status
     }
 
     /// Sends a call to the engine on a new connection.
