--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -247,6 +247,12 @@
     }
 }
 
+/// Whether a status ends an exchange. HTTP defines no classes above 5xx, and 1xx are interim; the
+/// gateway asks for no other protocol, so 101 answers nothing.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Address and instance id of the server, if it still accepts work.
 fn server_target(exchange: &Exchange, engine: EngineTag) -> Option<(SocketAddr, Arc<str>)> {
     let fleet = &exchange.gateway.state.borrow().dispatcher.fleet;
@@ -291,6 +297,10 @@
         mut connection: ServerConnection,
         response: Response<Incoming>,
     ) -> (EngineVerdict, AttemptEnd) {
+        if !is_final(response.status()) {
+            let fault = format!("{} is no final status", response.status().as_u16());
+            return (EngineVerdict::Failed, AttemptEnd::Unknown(fault.into()));
+        }
         let info = (self.exchange.gateway.codec.read_response_headers)(
             response.status(),
             response.headers(),
