--- a/crates/node/src/adapter/service.rs
+++ b/crates/node/src/adapter/service.rs
@@ -9,6 +9,9 @@
 
 use crate::{error::NodeError, http::with_timeout};
 
+#[cfg(test)]
+mod tests;
+
 /// Time within which a TCP connection to a service must be established.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 /// Largest answer body that is relayed, in bytes.
@@ -62,6 +65,9 @@
 
 async fn read_answer(response: Response) -> Result<CallAnswer, NodeError> {
     let status = u16::from(response.status());
+    if !(200..600).contains(&status) {
+        return Err(NodeError::Protocol("the service's status is not final"));
+    }
     let content_type = response.header("content-type").map(|values| values.as_str());
     let content_type = content_type.unwrap_or("application/octet-stream").into();
     let declared = response.len();
