Keep the lines about returned memory within the log budget

E2317 is a line about a single request, at each of up to 15 engines, and such lines are bounded for each host so that a burst does not fill the log. This one was not.

--- a/crates/node/src/gateway/memory.rs
+++ b/crates/node/src/gateway/memory.rs
@@ -251,6 +251,9 @@
 
     fn log_return(&self, start: Time) {
         let now = clock::now();
+        if !self.gateway.log_budget.may_write(now, false) {
+            return;
+        }
         let first_use = self.first_use.get();
         let unused = first_use.unwrap_or(now).since(start);
         event!(self.gateway.log, MEMORY_RETURNED, "server" => self.target.engine.0,
