--- a/crates/node/src/gateway/memory.rs
+++ b/crates/node/src/gateway/memory.rs
@@ -25,6 +25,7 @@
     time::Time,
     work::WorkNumber,
 };
+use parsley_macros::value;
 
 use super::{
     GatewayRef, Placement,
@@ -83,10 +84,10 @@
     let incarnation = gateway.settings.host_info.incarnation;
     let name: Arc<str> = format!("{:x}-{}-{}", incarnation, number.0, clock::now().0).into();
     let first_use = Rc::new(Cell::new(None));
-    let (giver, given_up) = async_channel::bounded(1);
+    let (give_up, given_up) = async_channel::bounded(1);
     let (done, ended) = async_channel::bounded(1);
     let targets = helper_targets(exchange, placement);
-    let (granter, grants) = async_channel::bounded(targets.len().max(1));
+    let (grant, grants) = async_channel::bounded(targets.len().max(1));
     for target in &targets {
         // A task for each engine: one that does not answer must not delay the others.
         let held = HeldReservation {
@@ -95,9 +96,9 @@
             request: exchange.id.clone(),
             target: *target,
             first_use: first_use.clone(),
-            giver: giver.clone(),
+            give_up: give_up.clone(),
         };
-        gateway.spawn(held.hold_until_done(ended.clone(), granter.clone()));
+        gateway.spawn(held.hold_until_done(ended.clone(), grant.clone()));
     }
     let guard = MemoryReservation { name, first_use, given_up, _done: Some(done) };
     for _ in &targets {
@@ -109,7 +110,8 @@
 }
 
 /// Engine on which memory is reserved.
-#[derive(Clone, Copy)]
+#[value]
+#[derive(Copy)]
 struct ReservationTarget {
     engine: EngineTag,
     address: SocketAddr,
@@ -135,19 +137,19 @@
     /// When the request's first event came.
     first_use: Rc<Cell<Option<Time>>>,
     /// Tells the request that the lease is given up.
-    giver: Sender<()>,
+    give_up: Sender<()>,
 }
 
 impl HeldReservation {
     /// Reserves the memory, tells whether the engine granted it, and renews the reservation until
     /// the request ends or the lease is given up. Then releases it, also if the answer was lost.
-    async fn hold_until_done(self, ended: Receiver<()>, granter: Sender<bool>) {
+    async fn hold_until_done(self, ended: Receiver<()>, grant: Sender<bool>) {
         let start = clock::now();
         let lease = RefCell::new(MemoryLease::new(start, self.gateway.settings.reservation));
         let hold = async {
             let is_granted = self.reserve(&lease).await;
             // Fails only if another engine refused; the request has ended then.
-            let _ = granter.try_send(is_granted);
+            let _ = grant.try_send(is_granted);
             self.renew(&lease).await;
         };
         let done = async {
@@ -180,7 +182,7 @@
             }
         }
         // Fails if another lease of the request was given up already.
-        let _ = self.giver.try_send(());
+        let _ = self.give_up.try_send(());
     }
 
     /// Reserves the memory for a term. Returns whether the engine granted it.
