Keep the memory of a request that begins as its lease is given up

Callers could lose a long prompt that had just begun: the engine's report is some hundred milliseconds old, and the first event may come while it is asked.

Cause: the decision to give up was final, although what it rests on may be overtaken before it is carried out.

Change: a first event takes it back and renews at once.

--- a/crates/core/src/reservation/mod.rs
+++ b/crates/core/src/reservation/mod.rs
@@ -103,6 +103,11 @@
     /// Records the first event of the request, which uses the memory until it ends.
     pub fn note_running(&mut self) {
         self.is_running = true;
+        if self.is_given_up {
+            // Its term is about to end.
+            self.is_given_up = false;
+            self.due = Time::ZERO;
+        }
     }
 
     /// Returns the next action.
--- a/crates/core/src/reservation/tests.rs
+++ b/crates/core/src/reservation/tests.rs
@@ -70,6 +70,23 @@
     assert_eq!(run(at(30_000), at(3_500), |_| None).1, 0);
 }
 
+/// Guards against a request that is cut off because its first event comes while the engine is asked.
+#[test]
+fn request_that_begins_during_an_inspection_keeps_its_memory() {
+    let mut lease = MemoryLease::new(at(0), LIMITS);
+    let mut now = at(0);
+    loop {
+        match lease.step(now) {
+            LeaseAction::Wait(until) => now = until,
+            LeaseAction::Renew => {}
+            LeaseAction::Inspect => lease.record_inspection(now, Some(false)),
+            LeaseAction::GiveUp => break,
+        }
+    }
+    lease.note_running();
+    assert_eq!(lease.step(now), LeaseAction::Renew);
+}
+
 /// Guards against memory that an order sets aside after the release.
 #[test]
 fn releases_are_repeated_while_an_order_may_be_late() {
